--- /dev/null
+++ b/crates/adapter/src/wire.rs
@@ -0,0 +1,355 @@
+//! Turns the wire's batches into calls on governors, and what they decide into the wire's replies.
+//!
+//! A line that can't be understood is named on standard error and left out; what the rest of the batch says
+//! still counts. A batch without its end is never answered.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, BufRead, Write};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::{Map, Value, json};
+use wrenthread::interface::{
+    Came, Decision, Dedupers, Effect, FurtherTries, Group, LevelKind, Listed, LoadField, Met, Phase,
+    ReplicaId, Settings,
+};
+use wrenthread::rules::Governor;
+
+/// The table number that stands for all joined proxies in `admit`.
+const EVERY_TABLE: u64 = 65535;
+
+/// Serves batches until the end of input. Errors are those of the streams, or a batch cut short.
+pub fn serve(input: impl BufRead, output: &mut impl Write, errors: &mut impl Write) -> io::Result<()> {
+    let mut host = Host::default();
+    let mut open = false;
+    for (at, line) in input.split(b'\n').enumerate() {
+        let line = line?;
+        if line.trim_ascii().is_empty() {
+            continue;
+        }
+        let told = read(&line).and_then(|(name, fields)| match name.as_str() {
+            "begin_batch" => {
+                if open {
+                    return Err("a batch begins before the last one's `go`".into());
+                }
+                host.now = Fields(&fields).span("ts_us")?;
+                open = true;
+                Ok(None)
+            }
+            "go" if open => {
+                open = false;
+                Ok(Some(()))
+            }
+            _ if !open => Err(format!("`{name}` outside a batch")),
+            _ => host.event(&name, &fields).map(|()| None),
+        });
+        match told {
+            Ok(None) => {}
+            Ok(Some(())) => host.reply(output)?,
+            Err(why) => writeln!(errors, "wrenthread-adapter: line {}: {why}", at + 1)?,
+        }
+    }
+    if open {
+        return Err(io::Error::new(io::ErrorKind::UnexpectedEof, "the input ends inside a batch"));
+    }
+    Ok(())
+}
+
+fn read(line: &[u8]) -> Result<(String, Map<String, Value>), String> {
+    let Value::Object(whole) = serde_json::from_slice(line).map_err(|error| format!("not JSON: {error}"))?
+    else {
+        return Err("not an object".into());
+    };
+    let mut whole = whole.into_iter();
+    match (whole.next(), whole.next()) {
+        (Some((name, Value::Object(fields))), None) => Ok((name, fields)),
+        (Some((name, _)), None) => Err(format!("`{name}` holds no object")),
+        _ => Err("a message has one name, and this has none or several".into()),
+    }
+}
+
+/// The fields of one message, read by name.
+struct Fields<'a>(&'a Map<String, Value>);
+
+impl<'a> Fields<'a> {
+    fn get(&self, name: &str) -> Option<&'a Value> {
+        self.0.get(name).filter(|value| !value.is_null())
+    }
+
+    fn whole(&self, name: &str) -> Result<u64, String> {
+        self.get(name).and_then(Value::as_u64).ok_or_else(|| format!("`{name}` is not a whole number"))
+    }
+
+    fn small<T: TryFrom<u64>>(&self, name: &str) -> Result<T, String> {
+        T::try_from(self.whole(name)?).map_err(|_| format!("`{name}` is too large"))
+    }
+
+    fn span(&self, name: &str) -> Result<Duration, String> {
+        self.whole(name).map(Duration::from_micros)
+    }
+
+    fn span_or(&self, name: &str, other: Duration) -> Duration {
+        self.span(name).unwrap_or(other)
+    }
+
+    fn number(&self, name: &str, other: f64) -> f64 {
+        self.get(name).and_then(Value::as_f64).filter(|x| x.is_finite()).unwrap_or(other)
+    }
+
+    fn mark(&self, name: &str) -> bool {
+        self.get(name).and_then(Value::as_bool).unwrap_or(false)
+    }
+
+    fn text(&self, name: &str) -> Result<&'a str, String> {
+        self.get(name).and_then(Value::as_str).ok_or_else(|| format!("`{name}` is not a text"))
+    }
+
+    fn word(&self, name: &str) -> &'a str {
+        self.text(name).unwrap_or_default()
+    }
+
+    fn part(&self, name: &str) -> Fields<'a> {
+        static NOTHING: std::sync::LazyLock<Map<String, Value>> = std::sync::LazyLock::new(Map::new);
+        Fields(self.get(name).and_then(Value::as_object).unwrap_or(&NOTHING))
+    }
+
+    fn row(&self, name: &str) -> &'a [Value] {
+        self.get(name).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+    }
+
+    fn load(&self) -> Vec<f64> {
+        self.row("load").iter().filter_map(Value::as_f64).collect()
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    now: Duration,
+    governors: BTreeMap<u64, Governor>,
+    /// Instances with an event in the batch: only these may act.
+    touched: BTreeSet<u64>,
+    lists: BTreeMap<u64, Vec<Listed>>,
+    /// One copy of each name, shared by all that hold it.
+    names: BTreeSet<ReplicaId>,
+}
+
+impl Host {
+    fn event(&mut self, name: &str, fields: &Map<String, Value>) -> Result<(), String> {
+        let fields = Fields(fields);
+        let now = self.now;
+        if name == "define_list" {
+            let number = fields.whole("list")?;
+            let entries = fields.row("elements").iter().map(|entry| self.entry(entry));
+            let entries = entries.collect::<Result<Vec<_>, _>>()?;
+            self.lists.insert(number, entries);
+            return Ok(());
+        }
+        let id = fields.whole("governor_id")?;
+        if name == "init" {
+            self.governors.insert(id, Governor::new(settings(&fields)?, now));
+            self.touched.insert(id);
+            return Ok(());
+        }
+        if name == "crash_now" {
+            self.touched.remove(&id);
+            return self.governors.remove(&id).map(drop).ok_or_else(|| format!("no instance {id}"));
+        }
+        let replica = fields.text("replica").ok().map(|name| self.name(name));
+        let replica = || replica.ok_or_else(|| "`replica` is not a text".to_string());
+        let governor = self.governors.get_mut(&id).ok_or_else(|| format!("no instance {id}"))?;
+        match name {
+            "directory_update" => match fields.whole("kind")? {
+                3 => governor.list_lost(),
+                kind @ 0..=2 => {
+                    let number = fields.whole("list")?;
+                    let list = self.lists.get(&number).ok_or_else(|| format!("no list {number}"))?;
+                    governor.listed(now, list, kind != 0);
+                }
+                kind => return Err(format!("no such kind of update: {kind}")),
+            },
+            "subscribed" => governor.joined(
+                now,
+                fields.small("forwarder")?,
+                fields.small("hall")?,
+                fields.number("weight", 0.0),
+                fields.mark("set"),
+            ),
+            "left" => governor.left(fields.small("forwarder")?),
+            "tally" => governor.met(
+                now,
+                Met {
+                    zone: fields.small("hall")?,
+                    replica: replica()?,
+                    tries: fields.whole("total")?,
+                    missed: fields.whole("errors").unwrap_or(0),
+                    mean: fields.span("took_us").ok().filter(|mean| !mean.is_zero()),
+                    span: fields.span("elapsed_us")?,
+                    load: fields.load(),
+                },
+            ),
+            "demand" => governor.came(Came {
+                proxy: fields.small("forwarder")?,
+                group: fields.small("cls")?,
+                flows: fields.whole("total")?,
+                missed: fields.whole("errors").unwrap_or(0),
+                span: fields.span("elapsed_us")?,
+            }),
+            "health_result" => {
+                let took = fields.span("took_us")?;
+                governor.probed(
+                    now,
+                    &replica()?,
+                    (fields.whole("how")? == 1).then_some(took),
+                    &fields.load(),
+                );
+            }
+            "deadline_hit" => governor.beat(now),
+            "acked" => governor.acked(fields.span("took_us")?),
+            // Governors tell each other nothing, and slices are not served yet.
+            "message" | "custody" | "on_record" | "key_load" => {}
+            _ => return Err(format!("no such event: `{name}`")),
+        }
+        self.touched.insert(id);
+        Ok(())
+    }
+
+    fn name(&mut self, name: &str) -> ReplicaId {
+        if let Some(known) = self.names.get(name) {
+            return known.clone();
+        }
+        let new: ReplicaId = Arc::from(name);
+        self.names.insert(new.clone());
+        new
+    }
+
+    fn entry(&mut self, entry: &Value) -> Result<Listed, String> {
+        let fields = Fields(entry.as_object().ok_or("a list's entry is no object")?);
+        Ok(Listed {
+            id: self.name(fields.text("replica")?),
+            phase: match fields.whole("phase").unwrap_or(0) {
+                0 => Phase::Gone,
+                1 => Phase::Ready,
+                2 => Phase::Draining,
+                phase => return Err(format!("no such phase: {phase}")),
+            },
+            zone: fields.small("hall").unwrap_or(0),
+            weight: fields.number("weight", 1.0),
+            started: fields.span("started_at_us").ok().filter(|at| !at.is_zero()),
+        })
+    }
+
+    fn reply(&mut self, output: &mut impl Write) -> io::Result<()> {
+        for id in std::mem::take(&mut self.touched) {
+            let Some(governor) = self.governors.get_mut(&id) else { continue };
+            while let Some(decision) = governor.decide(self.now) {
+                encode(id, decision, output)?;
+            }
+        }
+        output.write_all(b"{\"ok\":{}}\n")?;
+        output.flush()
+    }
+}
+
+fn encode(id: u64, decision: Decision, output: &mut impl Write) -> io::Result<()> {
+    let mut put = |line: Value| -> io::Result<()> {
+        serde_json::to_writer(&mut *output, &line)?;
+        output.write_all(b"\n")
+    };
+    match decision {
+        Decision::Wake(after) => {
+            put(json!({"schedule": {"governor_id": id, "handle": 0, "wait_us": after.as_micros() as u64}}))
+        }
+        Decision::Withdraw(replica, out) => {
+            put(json!({"hold_back": {"governor_id": id, "replica": &*replica, "set": out}}))
+        }
+        Decision::Lines(table, lines) => lines.into_iter().try_for_each(|(replica, weight)| {
+            put(json!({"assign": {"governor_id": id, "tbl": table, "replica": &*replica, "weight": weight}}))
+        }),
+        Decision::Follow(proxy, table, groups) => put(json!({"bind": {
+            "governor_id": id, "forwarder": proxy, "tbl": table, "class_bits": groups}})),
+        Decision::Level(groups, level, tries) => {
+            let tries = match tries {
+                FurtherTries::Never => 0,
+                FurtherTries::IfNeverRan => 1,
+                FurtherTries::Once => 2,
+            };
+            put(json!({"admit": {"governor_id": id, "tbl": EVERY_TABLE, "class_bits": groups,
+                "let_in": level, "on_failure": tries}}))
+        }
+        Decision::Mark(number) => put(json!({"seal": {"governor_id": id, "version": number, "set": false}})),
+        Decision::Probe(replica) => put(json!({"touch": {"governor_id": id, "replica": &*replica}})),
+        Decision::Subscribe => put(json!({"watch": {"governor_id": id, "set": true}})),
+    }
+}
+
+fn settings(event: &Fields) -> Result<Settings, String> {
+    let info = event.part("info");
+    let (extra, rules) = (info.part("extra"), info.part("rules"));
+    let (limits, penalties) = (info.part("limits"), info.part("penalties"));
+    let own_zone = extra.row("class_own_zone");
+    let groups = info.row("categories").iter().enumerate().map(|(place, group)| {
+        let group = Fields(group.as_object().ok_or("a category is no object")?);
+        let window = group.span_or("key_ttl_us", Duration::ZERO);
+        let by = match group.word("group") {
+            "all" => Dedupers::All,
+            "cell" => Dedupers::SamePack,
+            _ => Dedupers::SameZone,
+        };
+        Ok(Group {
+            effect: match group.word("effect") {
+                "retryable" => Effect::Retriable,
+                "dedup" => Effect::Deduped { by, window },
+                _ => Effect::NonRetriable,
+            },
+            latency_budget: group.span("objective_us")?,
+            expiry: group.span("deadline_us")?,
+            utility: group.number("worth", 1.0),
+            own_zone: own_zone.get(place).and_then(Value::as_bool).unwrap_or(false),
+        })
+    });
+    let groups = groups.collect::<Result<Vec<_>, String>>()?;
+    let report = info.part("report");
+    let load_fields = report.row("fields").iter().map(|field| match field.as_str() {
+        Some("inflight") => LoadField::InHand,
+        Some("queue") => LoadField::Waiting,
+        Some("latency_ms") => LoadField::ServiceMillis,
+        _ => LoadField::Other,
+    });
+    let cap = extra.whole("update_cap").unwrap_or(0) as usize;
+    Ok(Settings {
+        seed: event.whole("init_seed")?,
+        governors: info.whole("siblings").unwrap_or(1),
+        groups,
+        zones: info.row("zones").len().max(1),
+        slices: extra.whole("shards").unwrap_or(0),
+        proxies: extra.whole("agents").unwrap_or(1),
+        standing: extra.whole("bootstrap").unwrap_or(0) as usize,
+        cold_share: rules.number("cold_from", 1.0),
+        warm_after: rules.span_or("warm_after_us", Duration::ZERO),
+        fall_multiple: rules.number("fall_multiple", f64::MAX),
+        fall_span: rules.span_or("overload_for_us", Duration::ZERO),
+        drain_grace: rules.span_or("drain_grace_us", Duration::MAX),
+        bare_span: extra.span_or("unserved_max_us", Duration::MAX),
+        sums_every: extra.span_or("cycle_us", Duration::from_secs(1)),
+        lines_per_s: extra.number("channel_rate", f64::MAX),
+        head_lines: extra.number("per_message", 0.0),
+        waiting_most: extra.number("most_waiting", f64::MAX),
+        transit_most: extra.span_or("worst_transit_us", Duration::ZERO),
+        messages_most: extra.span("messages_over_us").ok().filter(|_| cap > 0).map(|over| (cap, over)),
+        level_kind: match extra.word("level_kind") {
+            "ratio" => LevelKind::Share,
+            "rps" => LevelKind::Rate,
+            _ => LevelKind::None,
+        },
+        usual_tries: match extra.whole("retry_default") {
+            Ok(0) => FurtherTries::Never,
+            Ok(1) => FurtherTries::IfNeverRan,
+            _ => FurtherTries::Once,
+        },
+        try_wait: extra.number("first_wait", 1.0),
+        crossing_cost: penalties.number("cross_zone", 0.0),
+        probe_cost: limits.mark("probes").then(|| penalties.number("probe", 0.0)),
+        load_fields: load_fields.collect(),
+        list_on_request: info.word("membership_mode") == "subscribe",
+    })
+}
