--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,6 +35,8 @@
 const WORTH_SENDING: f64 = 0.12;
 /// A zone carries up to this multiple of the fleet's utilisation before its default spills over.
 const ZONE_SLACK: f64 = 1.4;
+/// How far one cycle bends a room towards the mean utilisation (an exponent).
+const BEND_STEP: f64 = 0.25;
 /// Answers that should have come by now: with this many, chance leaves none once in some thousand looks.
 const SILENT_AFTER: f64 = 8.0;
 /// First wait before a withdrawn replica is tried again; each failed trial doubles it.
@@ -105,6 +107,10 @@
     /// Counts in the evidence only from here on: what went before was met under other tables.
     since: Duration,
     sights: BTreeMap<usize, Sight>,
+    /// Flows a second it should have been sent of late, averaged.
+    expected: f64,
+    /// How its room bends from its fair share: below 1 for one that holds more than its part.
+    bend: f64,
     in_hand: Option<f64>,
     unanswered_probes: u32,
 }
@@ -250,6 +256,8 @@
     fn restart(&mut self, now: Duration) {
         self.sights.clear();
         self.since = now;
+        self.expected = 0.0;
+        self.bend = 1.0;
         self.in_hand = None;
         self.unanswered_probes = 0;
     }
@@ -316,6 +324,8 @@
                 withdrawn: false,
                 since: now,
                 sights: BTreeMap::new(),
+                expected: 0.0,
+                bend: 1.0,
                 in_hand: None,
                 unanswered_probes: 0,
             });
@@ -449,8 +459,8 @@
     fn settle(&mut self, now: Duration) {
         if std::mem::take(&mut self.wake) {
             self.out.push_back(Decision::Wake(BEAT));
+            self.judge(now);
         }
-        self.judge(now);
         let mut publish = false;
         while let Some((at, _)) = self.due.first()
             && *at <= now
@@ -524,19 +534,21 @@
         let settling =
             figures.transit_most + 3 * figures.sums_every + Duration::from_secs_f64(1.5 * usual_time);
         let mut suspects = Vec::new();
+        let mut rates = Vec::new();
         for (id, replica) in self.replicas.iter().filter(|(_, replica)| replica.ready()) {
             let (answered, missed) = replica.evidence();
+            let last = replica.sights.values().map(|sight| sight.last_answer).max().unwrap_or_default();
+            let from = (last + Duration::from_secs_f64(1.5 * usual_time)).max(replica.since + settling);
             let zones = sending.range((id.clone(), 0)..=(id.clone(), usize::MAX));
-            let due: f64 = zones
-                .map(|((_, zone), rate)| {
-                    let last = replica.sights.get(zone).map_or(Duration::ZERO, |sight| sight.last_answer);
-                    let joined = self.joined.get(zone).copied().unwrap_or(now) + settling;
-                    let from = (last + Duration::from_secs_f64(1.5 * usual_time)).max(joined);
-                    let from = from.max(replica.since + settling);
-                    let heard = self.heard.get(zone).copied().unwrap_or_default();
-                    rate * seconds(heard.saturating_sub(from))
-                })
-                .sum();
+            let (rate, due) = zones.fold((0.0, 0.0), |(all, due), ((_, zone), rate)| {
+                // A zone whose sums stopped, or whose proxies just came, says nothing by its silence.
+                let from = from.max(self.joined.get(zone).copied().unwrap_or(now) + settling);
+                let heard = self.heard.get(zone).copied().unwrap_or_default();
+                (all + rate, due + rate * seconds(heard.saturating_sub(from)))
+            });
+            // A line just widened has sent nothing yet.
+            let due = if rate > 0.0 { due * (replica.expected / rate).min(1.0) } else { 0.0 };
+            rates.push((id.clone(), rate));
             let share = missed / (answered + missed).max(1.0);
             let silent = due >= SILENT_AFTER || replica.unanswered_probes >= 3;
             let failing = missed >= 4.0 && share >= (0.3f64).max(3.0 * usual_miss);
@@ -551,6 +563,11 @@
                 _ => {}
             }
         }
+        for (id, rate) in rates {
+            if let Some(replica) = self.replicas.get_mut(&id) {
+                replica.expected += (rate - replica.expected) * seconds(BEAT) / figures.averaged;
+            }
+        }
         suspects.sort_by(|one, other| other.0.total_cmp(&one.0));
         let ready = self.replicas.values().filter(|replica| replica.ready()).count();
         let mut out = self.replicas.values().filter(|replica| replica.ready() && replica.out()).count();
@@ -594,6 +611,10 @@
         for proxy in self.proxies.values() {
             *demand.entry(proxy.zone).or_insert(0.0) += proxy.demand(GroupSet::MAX);
         }
+        let hurt: BTreeSet<usize> = {
+            let less = |one: &&Replica| one.part(&self.figures, now) < 1.0;
+            self.replicas.values().filter(less).map(|one| one.zone).collect()
+        };
         let mean = demand.values().sum::<f64>() / bears.values().sum::<f64>().max(f64::MIN_POSITIVE);
         let spare = |zone: usize| {
             let used = demand.get(&zone).copied().unwrap_or(0.0);
@@ -603,7 +624,13 @@
         for zone in zones {
             let own = bears.get(&zone).copied().unwrap_or(0.0);
             let wanted = demand.get(&zone).copied().unwrap_or(0.0).max(f64::MIN_POSITIVE);
-            let kept = if own > 0.0 { (ZONE_SLACK * mean * own / wanted).min(1.0) } else { 0.0 };
+            let kept = if !hurt.contains(&zone) && own > 0.0 {
+                1.0
+            } else if own > 0.0 {
+                (ZONE_SLACK * mean * own / wanted).min(1.0)
+            } else {
+                0.0
+            };
             let elsewhere: f64 =
                 bears.keys().filter(|other| **other != zone).map(|other| spare(*other)).sum();
             let lines = |kind: usize| -> Lines {
@@ -785,6 +812,7 @@
 
     /// The critical set: greedy from the previous one, kept small, taken only at a higher payoff.
     fn solve(&mut self, now: Duration) {
+        self.bend(now);
         let field = self.field(now);
         if field.rooms.is_empty() || field.ratio >= TARGET {
             self.below_target = 0;
@@ -824,26 +852,41 @@
         }
     }
 
-    /// What the solver works on: rooms, present rates, and who sends what where.
-    fn field(&self, now: Duration) -> Field {
-        let mut field = Field::default();
-        let open = self.replicas.iter().filter(|(_, one)| one.part(&self.figures, now) > 0.0);
-        let open: Vec<(&ReplicaId, &Replica)> = open.collect();
+    /// Total heard load over total weight, and the peak of the single ones.
+    fn mean_utilisation(&self, now: Duration) -> (f64, f64) {
         let (mut load, mut bears, mut peak) = (0.0, 0.0, 0.0f64);
-        let mut heard = BTreeMap::new();
-        for (id, replica) in &open {
+        for replica in self.replicas.values().filter(|one| one.part(&self.figures, now) > 0.0) {
             if let Some(utilisation) = self.utilisation(replica, now) {
                 let weight = replica.weight * replica.capacity(&self.figures, now);
                 load += utilisation * weight;
                 bears += weight;
                 peak = peak.max(utilisation);
-                heard.insert(*id, utilisation);
             }
         }
-        if load <= 0.0 {
+        (if bears > 0.0 { load / bears } else { 0.0 }, peak)
+    }
+
+    /// The page's Weak: a slow replica holds more flows at the same rate. Room bends towards the rate at which
+    /// its utilisation would be the mean one, by steps, as one step's effect is heard only seconds later.
+    fn bend(&mut self, now: Duration) {
+        let (mean, _) = self.mean_utilisation(now);
+        let heard: Vec<Option<f64>> =
+            self.replicas.values().map(|replica| self.utilisation(replica, now)).collect();
+        for (replica, utilisation) in self.replicas.values_mut().zip(heard) {
+            let aside = utilisation.map_or(1.0, |heard| (mean / heard.max(1e-9)).powf(BEND_STEP));
+            replica.bend = (replica.bend.powf(0.95) * aside.clamp(0.6, 1.2)).clamp(0.25, 1.3);
+        }
+    }
+
+    /// What the solver works on: rooms, present rates, and who sends what where.
+    fn field(&self, now: Duration) -> Field {
+        let mut field = Field::default();
+        let open = self.replicas.iter().filter(|(_, one)| one.part(&self.figures, now) > 0.0);
+        let open: Vec<(&ReplicaId, &Replica)> = open.collect();
+        let (mean, peak) = self.mean_utilisation(now);
+        if mean <= 0.0 {
             return field;
         }
-        let mean = load / bears;
         field.ratio = mean / peak;
         for (&id, proxy) in &self.proxies {
             for kind in 0..2 {
@@ -859,12 +902,7 @@
         let part = |replica: &Replica| replica.weight * replica.part(&self.figures, now);
         let fleet = field.rates.values().sum::<f64>() / open.iter().map(|(_, one)| part(one)).sum::<f64>();
         for (id, replica) in open {
-            // A slow replica holds more flows at the same rate: room shrinks until its utilisation is the
-            // mean one. The root damps it, as what is in hand falls faster than the rate does.
-            let rate = field.rates.get(id).copied().unwrap_or(0.0);
-            let fair = part(replica) * fleet;
-            let bent = heard.get(id).map_or(1.0, |utilisation| (mean / utilisation.max(1e-9)).sqrt());
-            let room = if rate > 0.0 { (rate * bent).clamp(0.3 * fair, 1.6 * fair) } else { fair };
+            let room = part(replica) * fleet * replica.bend;
             field.rooms.insert(id.clone(), (replica.zone, room.max(1e-6)));
         }
         field
