--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,6 +35,10 @@
 const WORTH_SENDING: f64 = 0.12;
 /// A zone carries up to this multiple of the fleet's utilisation before its default spills over.
 const ZONE_SLACK: f64 = 1.4;
+/// Missed share of all tries from which the fleet counts as stressed, and the worst-case share of its capacity
+/// that a cold replica must then have to be sent anything.
+const STRESSED_AT: f64 = 0.05;
+const STRESSED_FLOOR: f64 = 0.6;
 /// How far one cycle bends a room towards the mean utilisation (an exponent).
 const BEND_STEP: f64 = 0.25;
 /// Answers that should have come by now: with this many, chance leaves none once in some thousand looks.
@@ -139,6 +143,8 @@
     /// Critical proxies, by kind of table, and their solved lines.
     critical: BTreeMap<(ProxyId, usize), Lines>,
     below_target: u32,
+    /// Tries miss all over the fleet.
+    stressed: bool,
     /// By zone: when sums of it last came, and when a proxy of it last joined.
     heard: BTreeMap<usize, Duration>,
     joined: BTreeMap<usize, Duration>,
@@ -239,16 +245,6 @@
         figures.cold_share + (1.0 - figures.cold_share) * seconds(age) / seconds(figures.warm_after)
     }
 
-    /// What part of its listed weight it may be sent now.
-    fn part(&self, figures: &Figures, now: Duration) -> f64 {
-        match self.health {
-            _ if !self.ready() => 0.0,
-            Health::Out(..) => 0.0,
-            Health::Trial(..) => TRIAL_SHARE * self.capacity(figures, now),
-            Health::Fit => self.capacity(figures, now),
-        }
-    }
-
     fn evidence(&self) -> (f64, f64) {
         self.sights.values().fold((0.0, 0.0), |(a, m), sight| (a + sight.answered, m + sight.missed))
     }
@@ -288,6 +284,7 @@
             numbers: BTreeMap::new(),
             critical: BTreeMap::new(),
             below_target: 0,
+            stressed: false,
             heard: BTreeMap::new(),
             joined: BTreeMap::new(),
             sheds: 0.0,
@@ -357,7 +354,7 @@
 
     /// A proxy's stream is up; `fresh` if it holds only its standing table.
     pub fn joined(&mut self, now: Duration, proxy: ProxyId, zone: usize, usual: f64, fresh: bool) {
-        let here = |replica: &&Replica| replica.zone == zone && replica.part(&self.figures, now) < 1.0;
+        let here = |replica: &&Replica| replica.zone == zone && self.part(replica, now) < 1.0;
         let rotten = self.replicas.values().any(|replica| here(&replica) && replica.phase != Phase::Gone);
         let standing = fresh.then(|| self.drawn(zone));
         let unsure = !fresh || rotten;
@@ -487,6 +484,17 @@
         self.publish(now, publish);
     }
 
+    /// What part of its listed weight a replica may be sent now. While many tries miss, proxies turn from their
+    /// usual replicas and pile onto any that still answers: a cold one would be pushed over by a planned trickle.
+    fn part(&self, replica: &Replica, now: Duration) -> f64 {
+        let capacity = replica.capacity(&self.figures, now);
+        match replica.health {
+            _ if replica.out() || self.stressed && capacity < STRESSED_FLOOR => 0.0,
+            Health::Trial(..) => TRIAL_SHARE * capacity,
+            _ => capacity,
+        }
+    }
+
     /// Shares of a proxy's flows by replica, as its tables now stand.
     fn holds(&self, id: ProxyId, kind: usize) -> Vec<(&ReplicaId, f64)> {
         let Some(proxy) = self.proxies.get(&id) else { return Vec::new() };
@@ -526,6 +534,9 @@
         let fleet = self.replicas.values().map(Replica::evidence);
         let (answered, missed) = fleet.fold((0.0, 0.0), |(a, m), one| (a + one.0, m + one.1));
         let usual_miss = missed / (answered + missed).max(1.0);
+        let stressed = usual_miss > if self.stressed { 0.5 * STRESSED_AT } else { STRESSED_AT };
+        let mute = self.replicas.values().filter(|one| one.ready() && one.unanswered_probes >= 2).count();
+        let ready = self.replicas.values().filter(|one| one.ready()).count();
         let times = self.replicas.values().flat_map(|replica| replica.sights.values());
         let (flows, time) =
             times.fold((0.0, 0.0), |(n, t), sight| (n + sight.answered, t + sight.answered * sight.time));
@@ -550,7 +561,9 @@
             let due = if rate > 0.0 { due * (replica.expected / rate).min(1.0) } else { 0.0 };
             rates.push((id.clone(), rate));
             let share = missed / (answered + missed).max(1.0);
-            let silent = due >= SILENT_AFTER || replica.unanswered_probes >= 3;
+            // A probe waits behind flows: unanswered ones count only where they are rare in the fleet.
+            let mute = replica.unanswered_probes >= 2 && 5 * mute <= ready;
+            let silent = due >= if mute { 0.25 * SILENT_AFTER } else { SILENT_AFTER };
             let failing = missed >= 4.0 && share >= (0.3f64).max(3.0 * usual_miss);
             let answers_late = replica.sights.values().any(|sight| sight.time > 2.5 * usual_time);
             match replica.health {
@@ -569,7 +582,10 @@
             }
         }
         suspects.sort_by(|one, other| other.0.total_cmp(&one.0));
-        let ready = self.replicas.values().filter(|replica| replica.ready()).count();
+        // Many suspects at once are the fleet's trouble, or the sums': only the worst one goes.
+        if 4 * suspects.len() > ready && usual_miss > 0.2 {
+            suspects.truncate(1);
+        }
         let mut out = self.replicas.values().filter(|replica| replica.ready() && replica.out()).count();
         for (_, id, times) in suspects {
             let zone = self.replicas[&id].zone;
@@ -586,6 +602,8 @@
                 replica.restart(now);
             }
         }
+        self.stressed = stressed;
+        self.keep_one(now);
         for replica in self.replicas.values_mut() {
             let (answered, missed) = replica.evidence();
             match replica.health {
@@ -601,9 +619,23 @@
         }
     }
 
+    /// Where all that is left of a zone (or, with no group bound to zones, of the fleet) is withdrawn for its
+    /// health, a bad replica is better than none: guards against drains that follow a withdrawal.
+    fn keep_one(&mut self, now: Duration) {
+        let bound = self.figures.groups[1] != 0;
+        let scope = |one: &Replica| if bound { one.zone } else { 0 };
+        let fit: BTreeSet<usize> = self.replicas.values().filter(|one| !one.out()).map(scope).collect();
+        for replica in self.replicas.values_mut() {
+            if replica.ready() && !fit.contains(&scope(replica)) {
+                replica.health = Health::Fit;
+                replica.restart(now);
+            }
+        }
+    }
+
     /// The default of each zone, by kind of table: own zone first, spilling over where that can't bear it.
     fn defaults(&self, now: Duration) -> BTreeMap<(usize, usize), Lines> {
-        let part = |replica: &Replica| replica.weight * replica.part(&self.figures, now);
+        let part = |replica: &Replica| replica.weight * self.part(replica, now);
         let zones: BTreeSet<usize> = self.proxies.values().map(|proxy| proxy.zone).collect();
         let mut bears: BTreeMap<usize, f64> = BTreeMap::new();
         let mut demand: BTreeMap<usize, f64> = BTreeMap::new();
@@ -612,7 +644,7 @@
             *demand.entry(proxy.zone).or_insert(0.0) += proxy.demand(GroupSet::MAX);
         }
         let hurt: BTreeSet<usize> = {
-            let less = |one: &&Replica| one.part(&self.figures, now) < 1.0;
+            let less = |one: &&Replica| self.part(one, now) < 1.0;
             self.replicas.values().filter(less).map(|one| one.zone).collect()
         };
         let mean = demand.values().sum::<f64>() / bears.values().sum::<f64>().max(f64::MIN_POSITIVE);
@@ -646,7 +678,13 @@
                     }
                 };
                 let lines = self.replicas.iter().map(|(id, replica)| (id.clone(), weigh(replica)));
-                lines.filter(|(_, weight)| *weight > 0.0).collect()
+                let lines: Lines = lines.filter(|(_, weight)| *weight > 0.0).collect();
+                if !lines.is_empty() {
+                    return lines;
+                }
+                let any =
+                    self.replicas.iter().filter(|(_, one)| !one.out() && (kind == 0 || one.zone == zone));
+                any.map(|(id, one)| (id.clone(), one.weight * one.capacity(&self.figures, now))).collect()
             };
             defaults.insert((zone, 0), lines(0));
             defaults.insert((zone, 1), lines(1));
@@ -661,7 +699,7 @@
         left == 0
             || self.replicas.iter().any(|(id, replica)| {
                 let held = standing.contains(id);
-                let part = replica.part(&self.figures, now);
+                let part = self.part(replica, now);
                 held && part > 0.0 && part < 1.0
                     || whole && !held && replica.zone == proxy.zone && part > 0.0
                     || replica.zone != proxy.zone && !held && default.contains_key(id)
@@ -756,8 +794,7 @@
 
     /// The lines that a proxy should hold: its solved ones while they stand, else its zone's default.
     fn wanted(&self, id: ProxyId, kind: usize, default: &Lines, now: Duration) -> Lines {
-        let open =
-            |id: &ReplicaId| self.replicas.get(id).is_some_and(|one| one.part(&self.figures, now) > 0.0);
+        let open = |id: &ReplicaId| self.replicas.get(id).is_some_and(|one| self.part(one, now) > 0.0);
         let solved = self.critical.get(&(id, kind)).into_iter().flatten().filter(|(id, _)| open(id));
         let solved: Lines = solved.map(|(id, weight)| (id.clone(), *weight)).collect();
         if solved.is_empty() { default.clone() } else { solved }
@@ -855,7 +892,7 @@
     /// Total heard load over total weight, and the peak of the single ones.
     fn mean_utilisation(&self, now: Duration) -> (f64, f64) {
         let (mut load, mut bears, mut peak) = (0.0, 0.0, 0.0f64);
-        for replica in self.replicas.values().filter(|one| one.part(&self.figures, now) > 0.0) {
+        for replica in self.replicas.values().filter(|one| self.part(one, now) > 0.0) {
             if let Some(utilisation) = self.utilisation(replica, now) {
                 let weight = replica.weight * replica.capacity(&self.figures, now);
                 load += utilisation * weight;
@@ -881,7 +918,7 @@
     /// What the solver works on: rooms, present rates, and who sends what where.
     fn field(&self, now: Duration) -> Field {
         let mut field = Field::default();
-        let open = self.replicas.iter().filter(|(_, one)| one.part(&self.figures, now) > 0.0);
+        let open = self.replicas.iter().filter(|(_, one)| self.part(one, now) > 0.0);
         let open: Vec<(&ReplicaId, &Replica)> = open.collect();
         let (mean, peak) = self.mean_utilisation(now);
         if mean <= 0.0 {
@@ -899,7 +936,7 @@
             }
         }
         field.rates = field.totals(&BTreeMap::new());
-        let part = |replica: &Replica| replica.weight * replica.part(&self.figures, now);
+        let part = |replica: &Replica| replica.weight * self.part(replica, now);
         let fleet = field.rates.values().sum::<f64>() / open.iter().map(|(_, one)| part(one)).sum::<f64>();
         for (id, replica) in open {
             let room = part(replica) * fleet * replica.bend;
