--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,6 +25,9 @@
 /// The paper's target for the ratio, and the cycles below it before the solver runs.
 const TARGET: f64 = 0.9;
 const CYCLES_BELOW: u32 = 3;
+/// Levels are looked at this often, and cut once the mean answer takes this share of the latency budget.
+const SHED_EVERY: Duration = Duration::from_secs(1);
+const LATE: f64 = 0.5;
 /// The design page's penalties on rerouted traffic, below and above the target.
 const PENALTIES: (f64, f64) = (0.5, 1.0);
 /// Share of this governor's proxies that may be critical.
@@ -37,6 +40,7 @@
 const ZONE_SLACK: f64 = 1.4;
 /// Missed share of all tries from which the fleet counts as stressed, and the worst-case share of its capacity
 /// that a cold replica must then have to be sent anything.
+const HEARD_ENOUGH: f64 = 50.0;
 const STRESSED_AT: f64 = 0.05;
 const STRESSED_FLOOR: f64 = 0.6;
 /// How far one cycle bends a room towards the mean utilisation (an exponent).
@@ -68,6 +72,8 @@
     /// Seconds over which sums are averaged: the page's 5 reports.
     averaged: f64,
     sums_every: Duration,
+    /// How long an order's effect takes to be heard.
+    echo: Duration,
     publish_every: Duration,
     /// Messages to one proxy within a span, one kept for its joining.
     messages: Option<(usize, Duration)>,
@@ -143,12 +149,15 @@
     /// Critical proxies, by kind of table, and their solved lines.
     critical: BTreeMap<(ProxyId, usize), Lines>,
     below_target: u32,
-    /// Tries miss all over the fleet.
+    /// Tries miss all over the fleet; so taken until enough is heard, as after a restart in mid-trouble.
     stressed: bool,
     /// By zone: when sums of it last came, and when a proxy of it last joined.
     heard: BTreeMap<usize, Duration>,
     joined: BTreeMap<usize, Duration>,
-    sheds: f64,
+    /// The share of flows let in, when it was last cut, and answers and their seconds since it was last looked at.
+    let_in: f64,
+    cut_at: Duration,
+    pulse: (f64, f64),
     levels: Vec<(f64, FurtherTries)>,
     due: BTreeSet<(Duration, Due)>,
     flushes: VecDeque<Duration>,
@@ -165,6 +174,7 @@
 enum Due {
     Publish,
     Solve,
+    Shed,
     Probe(ReplicaId),
 }
 
@@ -202,6 +212,7 @@
             crossing: 1.0 + 4.0 * settings.crossing_cost,
             averaged: 5.0 * seconds(settings.sums_every),
             sums_every: settings.sums_every,
+            echo: settings.transit_most + 3 * settings.sums_every + Duration::from_secs(1),
             publish_every,
             messages: settings.messages_most,
             lines_per_s: settings.lines_per_s.max(1.0),
@@ -273,7 +284,8 @@
 impl Governor {
     pub fn new(settings: Settings, now: Duration) -> Self {
         let figures = Figures::new(&settings);
-        let due = [(now, Due::Publish), (now + SOLVE_EVERY, Due::Solve)].into();
+        let due =
+            [(now, Due::Publish), (now + SOLVE_EVERY, Due::Solve), (now + SOLVE_EVERY, Due::Shed)].into();
         let levels = vec![(1.0, figures.usual_tries); settings.groups.len()];
         let out = figures.subscribes.then_some(Decision::Subscribe).into_iter().collect();
         Governor {
@@ -284,10 +296,12 @@
             numbers: BTreeMap::new(),
             critical: BTreeMap::new(),
             below_target: 0,
-            stressed: false,
+            stressed: true,
             heard: BTreeMap::new(),
             joined: BTreeMap::new(),
-            sheds: 0.0,
+            let_in: 1.0,
+            cut_at: now,
+            pulse: (0.0, 0.0),
             levels,
             due,
             flushes: VecDeque::new(),
@@ -387,6 +401,8 @@
         let blend = 1.0 - (-span / averaged).exp();
         sight.rate += (met.tries as f64 / span - sight.rate) * blend;
         if let Some(mean) = met.mean {
+            self.pulse.0 += answered;
+            self.pulse.1 += answered * seconds(mean);
             let share = answered / sight.answered.max(1.0);
             sight.time += (seconds(mean) - sight.time) * if sight.time > 0.0 { share.min(1.0) } else { 1.0 };
         }
@@ -470,9 +486,12 @@
                 }
                 Some((_, Due::Solve)) => {
                     self.solve(now);
-                    self.shed();
                     self.due.insert((now + SOLVE_EVERY, Due::Solve));
                 }
+                Some((_, Due::Shed)) => {
+                    self.shed(now);
+                    self.due.insert((now + SHED_EVERY, Due::Shed));
+                }
                 Some((_, Due::Probe(id))) => {
                     if self.replicas.get(&id).is_some_and(Replica::ready) {
                         self.out.push_back(Decision::Probe(id));
@@ -534,7 +553,9 @@
         let fleet = self.replicas.values().map(Replica::evidence);
         let (answered, missed) = fleet.fold((0.0, 0.0), |(a, m), one| (a + one.0, m + one.1));
         let usual_miss = missed / (answered + missed).max(1.0);
-        let stressed = usual_miss > if self.stressed { 0.5 * STRESSED_AT } else { STRESSED_AT };
+        let unheard = answered + missed < HEARD_ENOUGH;
+        let stressed = unheard && self.stressed
+            || usual_miss > if self.stressed { 0.5 * STRESSED_AT } else { STRESSED_AT };
         let mute = self.replicas.values().filter(|one| one.ready() && one.unanswered_probes >= 2).count();
         let ready = self.replicas.values().filter(|one| one.ready()).count();
         let times = self.replicas.values().flat_map(|replica| replica.sights.values());
@@ -945,16 +966,19 @@
         field
     }
 
-    /// Levels: lets in less of what brings least utility for its work while the whole fleet answers late.
-    fn shed(&mut self) {
-        let sights = || self.replicas.values().flat_map(|replica| replica.sights.values());
-        let flows: f64 = sights().map(|sight| sight.answered).sum();
-        let time: f64 = sights().map(|sight| sight.answered * sight.time).sum::<f64>() / flows.max(1.0);
-        let late = time / self.figures.budget;
-        if late > 0.8 {
-            self.sheds = (self.sheds + 0.08).min(0.6);
-        } else if late < 0.5 {
-            self.sheds = (self.sheds - 0.05).max(0.0);
+    /// Levels: lets in less of what brings least utility for its work while the mean answer of the whole fleet
+    /// eats the latency budget; a trouble of a few replicas, or of one zone, doesn't move that mean far enough.
+    fn shed(&mut self, now: Duration) {
+        let (answers, time) = std::mem::take(&mut self.pulse);
+        if answers < 0.2 * HEARD_ENOUGH {
+            return;
+        }
+        let late = time / answers / self.figures.budget;
+        if late > LATE && now >= self.cut_at + self.figures.echo {
+            self.let_in = (self.let_in * (LATE / late).clamp(0.7, 0.95)).max(0.25);
+            self.cut_at = now;
+        } else if late < 0.7 * LATE {
+            self.let_in = (self.let_in * 1.06).min(1.0);
         }
     }
 
@@ -964,13 +988,15 @@
             self.proxies.values().map(|proxy| proxy.rates.get(&place).copied().unwrap_or(0.0)).sum()
         };
         let whole: f64 = self.figures.ladder.iter().map(|(place, _)| demand(*place)).sum();
-        let mut excess = if self.figures.levels { self.sheds * whole } else { 0.0 };
+        let mut excess = if self.figures.levels { (1.0 - self.let_in) * whole } else { 0.0 };
         let mut orders = 0;
         for &(place, tries) in &self.figures.ladder {
             let shed = excess.min(demand(place)).max(0.0);
             excess -= shed;
             let level = 1.0 - if shed > 0.0 { shed / demand(place) } else { 0.0 };
             let level = (level * 20.0).round() / 20.0;
+            // A further try in overload takes a place from a first one.
+            let tries = if self.let_in < 1.0 { FurtherTries::Never } else { tries };
             if self.levels[place] != (level, tries) {
                 self.levels[place] = (level, tries);
                 self.out.push_back(Decision::Level(1 << place, level, tries));
