Cut levels deeper at first and return them in proportion to the slack

Cause: an overload ran for 10 s before the level met it, and came back by 6% a second whatever the slack.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -975,10 +975,10 @@
         }
         let late = time / answers / self.figures.budget;
         if late > LATE && now >= self.cut_at + self.figures.echo {
-            self.let_in = (self.let_in * (LATE / late).clamp(0.7, 0.95)).max(0.25);
+            self.let_in = (self.let_in * (LATE / late).clamp(0.5, 0.95)).max(0.25);
             self.cut_at = now;
         } else if late < 0.7 * LATE {
-            self.let_in = (self.let_in * 1.06).min(1.0);
+            self.let_in = (self.let_in * (0.7 * LATE / late).clamp(1.0, 1.15)).min(1.0);
         }
     }
 
