--- a/src/rules.rs
+++ b/src/rules.rs
@@ -37,7 +37,7 @@
 /// A line goes out again once its weight has moved by this share: less is within the noise of the sums.
 const WORTH_SENDING: f64 = 0.12;
 /// A zone carries up to this multiple of the fleet's utilisation before its default spills over.
-const ZONE_SLACK: f64 = 1.4;
+const ZONE_SLACK: f64 = 1.15;
 /// Missed share of all tries from which the fleet counts as stressed, and the worst-case share of its capacity
 /// that a cold replica must then have to be sent anything.
 const HEARD_ENOUGH: f64 = 50.0;
@@ -83,6 +83,7 @@
     transit_most: Duration,
     probe_every: Option<Duration>,
     in_hand_at: Option<usize>,
+    waiting_at: Option<usize>,
 }
 
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -122,6 +123,8 @@
     /// How its room bends from its fair share: below 1 for one that holds more than its part.
     bend: f64,
     in_hand: Option<f64>,
+    /// Flows waiting there, by its last report, and when that came.
+    waiting: Option<(f64, Duration)>,
     unanswered_probes: u32,
 }
 
@@ -221,6 +224,7 @@
             transit_most: settings.transit_most,
             probe_every: settings.probe_cost.map(|_| Duration::from_secs(2)),
             in_hand_at: settings.load_fields.iter().position(|field| *field == LoadField::InHand),
+            waiting_at: settings.load_fields.iter().position(|field| *field == LoadField::Waiting),
         }
     }
 }
@@ -338,6 +342,7 @@
                 expected: 0.0,
                 bend: 1.0,
                 in_hand: None,
+                waiting: None,
                 unanswered_probes: 0,
             });
             if replica.started != entry.started {
@@ -390,8 +395,11 @@
     pub fn met(&mut self, now: Duration, met: Met) {
         self.heard.insert(met.zone, now);
         self.stirred = true;
-        let averaged = self.figures.averaged;
+        let (averaged, waiting_at) = (self.figures.averaged, self.figures.waiting_at);
         let Some(replica) = self.replicas.get_mut(&met.replica) else { return };
+        if let Some(&waiting) = waiting_at.and_then(|at| met.load.get(at)) {
+            replica.waiting = Some((waiting, now));
+        }
         let span = seconds(met.span).max(0.001);
         let answered = met.tries.saturating_sub(met.missed) as f64;
         let sight = replica.sights.entry(met.zone).or_default();
@@ -974,11 +982,23 @@
             return;
         }
         let late = time / answers / self.figures.budget;
-        if late > LATE && now >= self.cut_at + self.figures.echo {
+        // What answers took tells of queues that may have drained since: reports of flows waiting say so.
+        let fresh = |one: &&Replica| one.waiting.is_some_and(|(_, at)| at + self.figures.echo > now);
+        let reports: Vec<f64> = self
+            .replicas
+            .values()
+            .filter(fresh)
+            .filter_map(|one| one.waiting)
+            .map(|(queue, _)| queue)
+            .collect();
+        let queued = reports.iter().filter(|queue| **queue >= 1.0).count();
+        let calm = !reports.is_empty() && 3 * queued < reports.len();
+        let jammed = reports.is_empty() || 2 * queued >= reports.len();
+        if late > LATE && jammed && now >= self.cut_at + self.figures.echo {
             self.let_in = (self.let_in * (LATE / late).clamp(0.5, 0.95)).max(0.25);
             self.cut_at = now;
-        } else if late < 0.7 * LATE {
-            self.let_in = (self.let_in * (0.7 * LATE / late).clamp(1.0, 1.15)).min(1.0);
+        } else if late < 0.7 * LATE || calm {
+            self.let_in = (self.let_in * (0.7 * LATE / late).clamp(1.05, 1.15)).min(1.0);
         }
     }
 
