Defaults heed replicas whose room has bent far

A replica whose room stays bent below 0.7 of its fair share is taken for slow by defaults too. Also guards against starved machines; does harm if sums mislead for long.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,6 +45,8 @@
 const STRESSED_FLOOR: f64 = 0.6;
 /// How far one cycle bends a room towards the mean utilisation (an exponent).
 const BEND_STEP: f64 = 0.25;
+/// A room bent below this is no noise: the few critical proxies can't unload that replica alone.
+const LIMPS_AT: f64 = 0.7;
 /// Answers that should have come by now: with this many, chance leaves none once in some thousand looks.
 const SILENT_AFTER: f64 = 8.0;
 /// First wait before a withdrawn replica is tried again; each failed trial doubles it.
@@ -122,6 +124,8 @@
     expected: f64,
     /// How its room bends from its fair share: below 1 for one that holds more than its part.
     bend: f64,
+    /// Its room has bent so far that defaults must heed it too.
+    limps: bool,
     in_hand: Option<f64>,
     /// Flows waiting there, by its last report, and when that came.
     waiting: Option<(f64, Duration)>,
@@ -269,6 +273,7 @@
         self.since = now;
         self.expected = 0.0;
         self.bend = 1.0;
+        self.limps = false;
         self.in_hand = None;
         self.unanswered_probes = 0;
     }
@@ -341,6 +346,7 @@
                 sights: BTreeMap::new(),
                 expected: 0.0,
                 bend: 1.0,
+                limps: false,
                 in_hand: None,
                 waiting: None,
                 unanswered_probes: 0,
@@ -522,6 +528,11 @@
         }
     }
 
+    /// The part that goes by default: less for one that limps.
+    fn default_part(&self, replica: &Replica, now: Duration) -> f64 {
+        self.part(replica, now) * if replica.limps { replica.bend } else { 1.0 }
+    }
+
     /// Shares of a proxy's flows by replica, as its tables now stand.
     fn holds(&self, id: ProxyId, kind: usize) -> Vec<(&ReplicaId, f64)> {
         let Some(proxy) = self.proxies.get(&id) else { return Vec::new() };
@@ -664,7 +675,7 @@
 
     /// The default of each zone, by kind of table: own zone first, spilling over where that can't bear it.
     fn defaults(&self, now: Duration) -> BTreeMap<(usize, usize), Lines> {
-        let part = |replica: &Replica| replica.weight * self.part(replica, now);
+        let part = |replica: &Replica| replica.weight * self.default_part(replica, now);
         let zones: BTreeSet<usize> = self.proxies.values().map(|proxy| proxy.zone).collect();
         let mut bears: BTreeMap<usize, f64> = BTreeMap::new();
         let mut demand: BTreeMap<usize, f64> = BTreeMap::new();
@@ -673,7 +684,7 @@
             *demand.entry(proxy.zone).or_insert(0.0) += proxy.demand(GroupSet::MAX);
         }
         let hurt: BTreeSet<usize> = {
-            let less = |one: &&Replica| self.part(one, now) < 1.0;
+            let less = |one: &&Replica| self.default_part(one, now) < 1.0;
             self.replicas.values().filter(less).map(|one| one.zone).collect()
         };
         let mean = demand.values().sum::<f64>() / bears.values().sum::<f64>().max(f64::MIN_POSITIVE);
@@ -728,7 +739,7 @@
         left == 0
             || self.replicas.iter().any(|(id, replica)| {
                 let held = standing.contains(id);
-                let part = self.part(replica, now);
+                let part = self.default_part(replica, now);
                 held && part > 0.0 && part < 1.0
                     || whole && !held && replica.zone == proxy.zone && part > 0.0
                     || replica.zone != proxy.zone && !held && default.contains_key(id)
@@ -941,6 +952,7 @@
         for (replica, utilisation) in self.replicas.values_mut().zip(heard) {
             let aside = utilisation.map_or(1.0, |heard| (mean / heard.max(1e-9)).powf(BEND_STEP));
             replica.bend = (replica.bend.powf(0.95) * aside.clamp(0.6, 1.2)).clamp(0.25, 1.3);
+            replica.limps = replica.bend < if replica.limps { 0.85 } else { LIMPS_AT };
         }
     }
 
