--- a/src/rules.rs
+++ b/src/rules.rs
@@ -158,6 +158,8 @@
     below_target: u32,
     /// Tries miss all over the fleet; so taken until enough is heard, as after a restart in mid-trouble.
     stressed: bool,
+    /// Zones (or the fleet, as 0) whose open replicas are mostly cold: nothing warm to hold load on instead.
+    thin: BTreeSet<usize>,
     /// By zone: when sums of it last came, and when a proxy of it last joined.
     heard: BTreeMap<usize, Duration>,
     joined: BTreeMap<usize, Duration>,
@@ -306,6 +308,7 @@
             critical: BTreeMap::new(),
             below_target: 0,
             stressed: true,
+            thin: BTreeSet::new(),
             heard: BTreeMap::new(),
             joined: BTreeMap::new(),
             let_in: 1.0,
@@ -522,7 +525,10 @@
     fn part(&self, replica: &Replica, now: Duration) -> f64 {
         let capacity = replica.capacity(&self.figures, now);
         match replica.health {
-            _ if replica.out() || self.stressed && capacity < STRESSED_FLOOR => 0.0,
+            _ if replica.out() => 0.0,
+            _ if self.stressed && capacity < STRESSED_FLOOR && !self.thin.contains(&self.scope(replica)) => {
+                0.0
+            }
             Health::Trial(..) => TRIAL_SHARE * capacity,
             _ => capacity,
         }
@@ -662,15 +668,30 @@
     /// Where all that is left of a zone (or, with no group bound to zones, of the fleet) is withdrawn for its
     /// health, a bad replica is better than none: guards against drains that follow a withdrawal.
     fn keep_one(&mut self, now: Duration) {
+        let fit = self.replicas.values().filter(|one| !one.out());
+        let fit: BTreeSet<usize> = fit.map(|one| self.scope(one)).collect();
         let bound = self.figures.groups[1] != 0;
-        let scope = |one: &Replica| if bound { one.zone } else { 0 };
-        let fit: BTreeSet<usize> = self.replicas.values().filter(|one| !one.out()).map(scope).collect();
+        let mut open: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
         for replica in self.replicas.values_mut() {
-            if replica.ready() && !fit.contains(&scope(replica)) {
+            let scope = if bound { replica.zone } else { 0 };
+            if replica.ready() && !fit.contains(&scope) {
                 replica.health = Health::Fit;
                 replica.restart(now);
             }
+            if !replica.out() {
+                let capacity = replica.capacity(&self.figures, now);
+                let (warm, all) = open.entry(scope).or_default();
+                *warm += if capacity >= STRESSED_FLOOR { replica.weight * capacity } else { 0.0 };
+                *all += replica.weight * capacity;
+            }
         }
+        self.thin =
+            open.into_iter().filter(|(_, (warm, all))| *warm < 0.6 * all).map(|(scope, _)| scope).collect();
+    }
+
+    /// Within what a replica's load could go elsewhere: its zone where a group is bound to zones.
+    fn scope(&self, replica: &Replica) -> usize {
+        if self.figures.groups[1] != 0 { replica.zone } else { 0 }
     }
 
     /// The default of each zone, by kind of table: own zone first, spilling over where that can't bear it.
@@ -678,28 +699,28 @@
         let part = |replica: &Replica| replica.weight * self.default_part(replica, now);
         let zones: BTreeSet<usize> = self.proxies.values().map(|proxy| proxy.zone).collect();
         let mut bears: BTreeMap<usize, f64> = BTreeMap::new();
-        let mut demand: BTreeMap<usize, f64> = BTreeMap::new();
+        // By zone: flows a second bound to it, and all of them.
+        let mut demand: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
         self.replicas.values().for_each(|one| *bears.entry(one.zone).or_insert(0.0) += part(one));
         for proxy in self.proxies.values() {
-            *demand.entry(proxy.zone).or_insert(0.0) += proxy.demand(GroupSet::MAX);
+            let (bound, all) = demand.entry(proxy.zone).or_default();
+            *bound += proxy.demand(self.figures.groups[1]);
+            *all += proxy.demand(GroupSet::MAX);
         }
-        let hurt: BTreeSet<usize> = {
-            let less = |one: &&Replica| self.default_part(one, now) < 1.0;
-            self.replicas.values().filter(less).map(|one| one.zone).collect()
-        };
-        let mean = demand.values().sum::<f64>() / bears.values().sum::<f64>().max(f64::MIN_POSITIVE);
-        let spare = |zone: usize| {
-            let used = demand.get(&zone).copied().unwrap_or(0.0);
-            (ZONE_SLACK * mean * bears.get(&zone).copied().unwrap_or(0.0) - used).max(0.0)
-        };
+        let less = |one: &&Replica| self.default_part(one, now) < 1.0;
+        let hurt: BTreeSet<usize> = self.replicas.values().filter(less).map(|one| one.zone).collect();
+        let whole: f64 = demand.values().map(|(_, all)| all).sum();
+        let mean = whole / bears.values().sum::<f64>().max(f64::MIN_POSITIVE);
+        let bearable = |zone: usize| ZONE_SLACK * mean * bears.get(&zone).copied().unwrap_or(0.0);
+        let spare = |zone: usize| (bearable(zone) - demand.get(&zone).map_or(0.0, |(_, all)| *all)).max(0.0);
         let mut defaults = BTreeMap::new();
         for zone in zones {
             let own = bears.get(&zone).copied().unwrap_or(0.0);
-            let wanted = demand.get(&zone).copied().unwrap_or(0.0).max(f64::MIN_POSITIVE);
+            let (bound, all) = demand.get(&zone).copied().unwrap_or_default();
             let kept = if !hurt.contains(&zone) && own > 0.0 {
                 1.0
             } else if own > 0.0 {
-                (ZONE_SLACK * mean * own / wanted).min(1.0)
+                ((bearable(zone) - bound) / (all - bound).max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
             } else {
                 0.0
             };
@@ -836,8 +857,18 @@
     fn wanted(&self, id: ProxyId, kind: usize, default: &Lines, now: Duration) -> Lines {
         let open = |id: &ReplicaId| self.replicas.get(id).is_some_and(|one| self.part(one, now) > 0.0);
         let solved = self.critical.get(&(id, kind)).into_iter().flatten().filter(|(id, _)| open(id));
-        let solved: Lines = solved.map(|(id, weight)| (id.clone(), *weight)).collect();
-        if solved.is_empty() { default.clone() } else { solved }
+        let mut solved: Lines = solved.map(|(id, weight)| (id.clone(), *weight)).collect();
+        if solved.is_empty() {
+            return default.clone();
+        }
+        // The solver would lean on a cold replica while its neighbours suffer: no more than by default.
+        let scale = solved.values().sum::<f64>() / default.values().sum::<f64>().max(f64::MIN_POSITIVE);
+        for (id, weight) in &mut solved {
+            if self.replicas[id].capacity(&self.figures, now) < 1.0 {
+                *weight = weight.min(scale * default.get(id).copied().unwrap_or(0.01));
+            }
+        }
+        solved
     }
 
     /// Orders what differs from the table as last sent; gives the lines that this costs.
