--- a/src/rules.rs
+++ b/src/rules.rs
@@ -67,6 +67,9 @@
     sliced: bool,
     subscribes: bool,
     standing: usize,
+    proxies: f64,
+    /// 1 where other governors have proxies too, else 0.
+    unseen: f64,
     cold_share: f64,
     warm_after: Duration,
     /// How much cooler a replica of another zone must be to be preferred.
@@ -216,6 +219,8 @@
             sliced: settings.slices > 0,
             subscribes: settings.list_on_request,
             standing: settings.standing,
+            proxies: settings.proxies as f64,
+            unseen: if settings.governors > 1 { 1.0 } else { 0.0 },
             cold_share: settings.cold_share.clamp(0.01, 1.0),
             warm_after: settings.warm_after,
             crossing: 1.0 + 4.0 * settings.crossing_cost,
@@ -446,7 +451,7 @@
         replica.unanswered_probes = if took.is_some() { 0 } else { replica.unanswered_probes + 1 };
         if let Some(&in_hand) = at.and_then(|at| load.get(at)) {
             let known = replica.in_hand.unwrap_or(in_hand);
-            replica.in_hand = Some(known + (in_hand - known) / 5.0);
+            replica.in_hand = Some(known + (in_hand - known) / 3.0);
         }
         if let Some(every) = self.figures.probe_every.filter(|_| replica.ready()) {
             self.due.insert((now + every, Due::Probe(id.clone())));
@@ -575,6 +580,7 @@
     fn judge(&mut self, now: Duration) {
         let figures = &self.figures;
         let sending = self.sending();
+        let (mean, _) = self.mean_utilisation(now);
         let fleet = self.replicas.values().map(Replica::evidence);
         let (answered, missed) = fleet.fold((0.0, 0.0), |(a, m), one| (a + one.0, m + one.1));
         let usual_miss = missed / (answered + missed).max(1.0);
@@ -611,9 +617,11 @@
             let mute = replica.unanswered_probes >= 2 && 5 * mute <= ready;
             let silent = due >= if mute { 0.25 * SILENT_AFTER } else { SILENT_AFTER };
             let failing = missed >= 4.0 && share >= (0.3f64).max(3.0 * usual_miss);
-            let answers_late = replica.sights.values().any(|sight| sight.time > 2.5 * usual_time);
+            // One that misses for its queue is overloaded: withdrawing it would tip the next.
+            let busy = self.utilisation(replica, now).is_some_and(|held| held > 1.3 * mean)
+                || replica.waiting.is_some_and(|(waiting, _)| waiting >= 2.0);
             match replica.health {
-                Health::Fit if silent || failing && !answers_late => {
+                Health::Fit if silent || failing && !busy => {
                     suspects.push((share + due, id.clone(), 0));
                 }
                 Health::Trial(_, times) if silent || missed >= 2.0 && missed > answered => {
@@ -707,6 +715,15 @@
             *bound += proxy.demand(self.figures.groups[1]);
             *all += proxy.demand(GroupSet::MAX);
         }
+        // Other governors' proxies are unheard: taken to be spread as the fleet's sizes are.
+        let usual: f64 =
+            self.proxies.values().map(|proxy| proxy.usual).sum::<f64>() / self.proxies.len().max(1) as f64;
+        let unheard =
+            (self.figures.proxies - self.proxies.len() as f64).max(0.0) * usual * self.figures.unseen;
+        let sizes: f64 = self.replicas.values().filter(|one| one.ready()).map(|one| one.weight).sum();
+        for replica in self.replicas.values().filter(|one| one.ready()) {
+            demand.entry(replica.zone).or_default().1 += unheard * replica.weight / sizes;
+        }
         let less = |one: &&Replica| self.default_part(one, now) < 1.0;
         let hurt: BTreeSet<usize> = self.replicas.values().filter(less).map(|one| one.zone).collect();
         let whole: f64 = demand.values().map(|(_, all)| all).sum();
