--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,8 +28,8 @@
 /// Levels are looked at this often, and cut once the mean answer takes this share of the latency budget.
 const SHED_EVERY: Duration = Duration::from_secs(1);
 const LATE: f64 = 0.5;
-/// The least that is let in of what jammed replicas answer, while long queues drain.
-const DRAINING: f64 = 0.65;
+/// What is let in of what jammed replicas answer, until their queues have drained.
+const DRAINING: f64 = 0.77;
 /// The design page's penalties on rerouted traffic, below and above the target.
 const PENALTIES: (f64, f64) = (0.5, 1.0);
 /// Share of this governor's proxies that may be critical.
@@ -1058,7 +1058,7 @@
         let jammed = reports.is_empty() || 2 * queued >= reports.len();
         if late > LATE && jammed && now >= self.cut_at + self.figures.echo {
             // Jammed replicas answer as many as they can: let in a little less than that, to drain their queues.
-            let bears = (LATE / late).sqrt().max(DRAINING) * answers / seconds(SHED_EVERY);
+            let bears = DRAINING * answers / seconds(SHED_EVERY);
             let offered: f64 = self.proxies.values().map(|proxy| proxy.demand(GroupSet::MAX)).sum();
             self.let_in = (bears / offered.max(bears)).min(0.95 * self.let_in).max(0.2);
             self.cut_at = now;
