--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -181,7 +181,7 @@
                     zone: fields.small("hall")?,
                     replica: replica()?,
                     tries: fields.whole("total")?,
-                    missed: fields.whole("errors").unwrap_or(0),
+                    dropped: fields.whole("errors").unwrap_or(0),
                     mean: fields.span("took_us").ok().filter(|mean| !mean.is_zero()),
                     span: fields.span("elapsed_us")?,
                     load: fields.load(),
@@ -191,7 +191,7 @@
                 proxy: fields.small("forwarder")?,
                 group: fields.small("cls")?,
                 flows: fields.whole("total")?,
-                missed: fields.whole("errors").unwrap_or(0),
+                dropped: fields.whole("errors").unwrap_or(0),
                 span: fields.span("elapsed_us")?,
             }),
             "health_result" => {
@@ -203,7 +203,7 @@
                     &fields.load(),
                 );
             }
-            "deadline_hit" => governor.beat(now),
+            "deadline_hit" => governor.beat(),
             "acked" => governor.acked(fields.span("took_us")?),
             // Governors tell each other nothing, and slices are not served yet.
             "message" | "custody" | "on_record" | "key_load" => {}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -57,8 +57,9 @@
 }
 
 /// What a proxy does after a try without a good answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum FurtherTries {
+    #[default]
     Never,
     /// One more, elsewhere, once it is proven that the first never ran.
     IfNeverRan,
@@ -124,10 +125,11 @@
 }
 
 /// What the list says of a replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Phase {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
@@ -149,7 +151,7 @@
     pub replica: ReplicaId,
     pub tries: u64,
     /// Tries without a good answer.
-    pub missed: u64,
+    pub dropped: u64,
     /// Mean time of the answered ones; none if there was none.
     pub mean: Option<Duration>,
     pub span: Duration,
@@ -164,7 +166,7 @@
     pub group: usize,
     pub flows: u64,
     /// Let in, and not answered.
-    pub missed: u64,
+    pub dropped: u64,
     pub span: Duration,
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,23 +32,29 @@
 const DRAINING: f64 = 0.77;
 /// The design page's penalties on rerouted traffic, below and above the target.
 const PENALTIES: (f64, f64) = (0.5, 1.0);
+/// A new critical set must beat the old by more than this, else the sums' noise would move it.
+const WORTH_CHANGING: f64 = 0.01;
 /// Share of this governor's proxies that may be critical.
 const CRITICAL_SHARE: f64 = 0.15;
+/// Probes are cheap, but each costs its replica work.
+const PROBE_EVERY: Duration = Duration::from_secs(2);
 /// Most lines in a solved table.
 const COOLEST: usize = 30;
 /// A line goes out again once its weight has moved by this share: less is within the noise of the sums.
 const WORTH_SENDING: f64 = 0.12;
 /// A zone carries up to this multiple of the fleet's utilisation before its default spills over.
 const ZONE_SLACK: f64 = 1.15;
-/// Missed share of all tries from which the fleet counts as stressed, and the worst-case share of its capacity
+/// Dropped share of all tries from which the fleet counts as stressed, and the worst-case share of its capacity
 /// that a cold replica must then have to be sent anything.
 const HEARD_ENOUGH: f64 = 50.0;
 const STRESSED_AT: f64 = 0.05;
 const STRESSED_FLOOR: f64 = 0.6;
 /// How far one cycle bends a room towards the mean utilisation (an exponent).
 const BEND_STEP: f64 = 0.25;
-/// A room bent below this is no noise: the few critical proxies can't unload that replica alone.
-const LIMPS_AT: f64 = 0.7;
+/// A room bent below this (to 0.7 of its fair share) is no noise: the few critical proxies can't unload that replica alone.
+const LIMPS_AT: f64 = -0.35;
+/// What one cycle keeps of a bend: without news it fades over some twenty.
+const BEND_KEPT: f64 = 0.95;
 /// Answers that should have come by now: with this many, chance leaves none once in some thousand looks.
 const SILENT_AFTER: f64 = 8.0;
 /// First wait before a withdrawn replica is tried again; each failed trial doubles it.
@@ -57,56 +63,57 @@
 const TRIAL_SHARE: f64 = 0.1;
 
 /// What the settings come down to.
+#[derive(Default)]
 struct Figures {
     /// The two kinds of table of a proxy: for groups free to cross, and for those bound to the own zone.
     groups: [GroupSet; 2],
-    /// Levels: the groups from the least utility per work up, with what further tries they bear.
-    ladder: Vec<(usize, FurtherTries)>,
+    /// The groups from the least utility per work up.
+    ladder: Vec<usize>,
     levels: bool,
-    usual_tries: FurtherTries,
     /// Seconds within which a typical flow wants its answer.
     budget: f64,
     sliced: bool,
     subscribes: bool,
     standing: usize,
-    proxies: f64,
-    /// 1 where other governors have proxies too, else 0.
-    unseen: f64,
-    cold_share: f64,
-    warm_after: Duration,
+    /// All proxies, where other governors have some of them; else none.
+    shared: f64,
+    /// Worst-case share of its capacity that a replica starts with, and by how much it grows a second.
+    cold: (f64, f64),
     /// How much cooler a replica of another zone must be to be preferred.
     crossing: f64,
     /// Seconds over which sums are averaged: the page's 5 reports.
     averaged: f64,
-    sums_every: Duration,
-    /// How long an order's effect takes to be heard.
+    /// How long an order takes to show in the sums, and to be judged by them.
+    settling: Duration,
     echo: Duration,
     publish_every: Duration,
-    /// Messages to one proxy within a span, one kept for its joining.
-    messages: Option<(usize, Duration)>,
+    /// Flushes within a span; one message to each proxy is kept for its joining.
+    flushes: (usize, Duration),
     lines_per_s: f64,
     head: f64,
+    /// Lines that may wait, less a reserve for what is urgent.
     waiting_most: f64,
-    transit_most: Duration,
+    transit: f64,
     probe_every: Option<Duration>,
     in_hand_at: Option<usize>,
     waiting_at: Option<usize>,
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, Default, PartialEq, Debug)]
 enum Health {
+    #[default]
     Fit,
     /// Withdrawn until then, after so many failures in a row.
     Out(Duration, u32),
-    /// On trial since then.
-    Trial(Duration, u32),
+    /// On trial, after so many failures in a row.
+    Trial(u32),
 }
 
 /// What one zone's proxies met at a replica; evidence fades with time.
 #[derive(Clone, Default)]
 struct Sight {
-    answered: f64,
-    missed: f64,
+    delivered: f64,
+    dropped: f64,
     /// Tries a second and seconds an answer, averaged.
     rate: f64,
     time: f64,
@@ -114,6 +121,7 @@
     last_answer: Duration,
 }
 
+#[derive(Default)]
 struct Replica {
     zone: usize,
     weight: f64,
@@ -122,12 +130,12 @@
     health: Health,
     /// Told to joined proxies.
     withdrawn: bool,
-    /// Counts in the evidence only from here on: what went before was met under other tables.
+    /// Silence counts only from here on: what went before was met under other tables.
     since: Duration,
     sights: BTreeMap<usize, Sight>,
     /// Flows a second it should have been sent of late, averaged.
     expected: f64,
-    /// How its room bends from its fair share: below 1 for one that holds more than its part.
+    /// How its room bends from its fair share (a logarithm): below 0 for one that holds more than its part.
     bend: f64,
     /// Its room has bent so far that defaults must heed it too.
     limps: bool,
@@ -137,44 +145,57 @@
     unanswered_probes: u32,
 }
 
-#[derive(Clone, Default)]
+#[derive(Default)]
 struct Proxy {
     zone: usize,
     usual: f64,
+    /// Flows a second by group.
     rates: BTreeMap<usize, f64>,
     /// What its standing table is taken to hold, while it is on it.
     standing: Option<BTreeSet<ReplicaId>>,
-    /// Holds it knows not what: must follow own tables before anything else can be said of it.
+    /// Holds nobody knows what: must follow own tables before anything else can be said of it.
     unsure: bool,
 }
 
 type Lines = BTreeMap<ReplicaId, f64>;
+/// A proxy's flows of one kind of table.
+type Unit = (ProxyId, usize);
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Publish,
+    Solve,
+    Shed,
+    Probe(ReplicaId),
+}
 
 /// One governor's knowledge, and the decisions that wait to be pulled.
+#[derive(Default)]
 pub struct Governor {
     figures: Figures,
     replicas: BTreeMap<ReplicaId, Replica>,
     proxies: BTreeMap<ProxyId, Proxy>,
     /// The lines of each own table as last sent, kept over a broken stream: tables outlive it here.
-    tables: BTreeMap<(ProxyId, usize), Lines>,
+    tables: BTreeMap<Unit, Lines>,
     numbers: BTreeMap<ProxyId, TableId>,
-    /// Critical proxies, by kind of table, and their solved lines.
-    critical: BTreeMap<(ProxyId, usize), Lines>,
-    below_target: u32,
-    /// Tries miss all over the fleet; so taken until enough is heard, as after a restart in mid-trouble.
+    /// Critical proxies and their solved lines.
+    critical: BTreeMap<Unit, Lines>,
+    cycles_below: u32,
+    /// Tries are dropped all over the fleet; so taken until enough is heard, as after a restart in mid-trouble.
     stressed: bool,
-    /// Zones (or the fleet, as 0) whose open replicas are mostly cold: nothing warm to hold load on instead.
+    /// Scopes whose open replicas are mostly cold: nothing warm to hold load on instead.
     thin: BTreeSet<usize>,
     /// By zone: when sums of it last came, and when a proxy of it last joined.
     heard: BTreeMap<usize, Duration>,
     joined: BTreeMap<usize, Duration>,
-    /// The share of flows let in, when it was last cut, and answers and their seconds since it was last looked at.
+    /// The share of flows let in, when it was last cut, and answers and their seconds since the last look.
     let_in: f64,
     cut_at: Duration,
     pulse: (f64, f64),
     levels: Vec<(f64, FurtherTries)>,
     due: BTreeSet<(Duration, Due)>,
     flushes: VecDeque<Duration>,
+    /// Lines taken to wait in the channel, as of then, and how much slower than stated it seems.
     waiting: f64,
     drained_at: Duration,
     slowed: f64,
@@ -184,76 +205,63 @@
     out: VecDeque<Decision>,
 }
 
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Publish,
-    Solve,
-    Shed,
-    Probe(ReplicaId),
-}
-
 fn seconds(span: Duration) -> f64 {
     span.as_secs_f64()
 }
 
+fn at<K: Ord>(map: &BTreeMap<K, f64>, key: &K) -> f64 {
+    map.get(key).copied().unwrap_or(0.0)
+}
+
+fn per(whole: f64, parts: f64) -> f64 {
+    whole / parts.max(f64::MIN_POSITIVE)
+}
+
 impl Figures {
     fn new(settings: &Settings) -> Self {
-        let bit = |place: usize| 1u64.checked_shl(place as u32).unwrap_or(0);
-        let own = settings.groups.iter().enumerate().filter(|(_, group)| group.own_zone);
-        let own = own.map(|(place, _)| bit(place)).sum::<GroupSet>();
-        let all = (0..settings.groups.len()).map(bit).sum::<GroupSet>();
+        let bits = |wanted: &dyn Fn(&Group) -> bool| -> GroupSet {
+            let places = settings.groups.iter().take(64).enumerate().filter(|(_, group)| wanted(group));
+            places.map(|(place, _)| 1 << place).sum()
+        };
         // The wire tells no group's work: its latency budget stands in, as what needs longer is given longer.
-        let mut ladder: Vec<usize> = (0..settings.groups.len()).collect();
-        let value =
-            |place: &usize| settings.groups[*place].utility / seconds(settings.groups[*place].latency_budget);
+        let value = |place: &usize| {
+            let group = &settings.groups[*place];
+            per(group.utility, seconds(group.latency_budget))
+        };
+        let mut ladder: Vec<usize> = (0..settings.groups.len().min(64)).collect();
         ladder.sort_by(|one, other| value(one).total_cmp(&value(other)));
         let budgets = settings.groups.iter().map(|group| seconds(group.latency_budget));
-        let publish_every = match settings.messages_most {
-            Some((most, over)) => PUBLISH_EVERY.max(over.mul_f64(1.5 / most.max(1) as f64)),
-            None => PUBLISH_EVERY,
-        };
+        let field = |wanted| settings.load_fields.iter().position(|field| *field == wanted);
+        let (most, over) = settings.messages_most.unwrap_or((usize::MAX, Duration::ZERO));
+        let cold = settings.cold_share.clamp(0.01, 1.0);
+        let settling = settings.transit_most + 3 * settings.sums_every;
         Figures {
-            groups: [all & !own, own],
-            ladder: ladder.into_iter().map(|place| (place, FurtherTries::IfNeverRan)).collect(),
+            groups: [bits(&|group| !group.own_zone), bits(&|group| group.own_zone)],
+            ladder,
             levels: settings.level_kind == LevelKind::Share,
-            usual_tries: settings.usual_tries,
-            budget: budgets.sum::<f64>() / settings.groups.len().max(1) as f64,
+            budget: per(budgets.sum(), settings.groups.len() as f64),
             sliced: settings.slices > 0,
             subscribes: settings.list_on_request,
             standing: settings.standing,
-            proxies: settings.proxies as f64,
-            unseen: if settings.governors > 1 { 1.0 } else { 0.0 },
-            cold_share: settings.cold_share.clamp(0.01, 1.0),
-            warm_after: settings.warm_after,
+            shared: if settings.governors > 1 { settings.proxies as f64 } else { 0.0 },
+            cold: (cold, per(1.0 - cold, seconds(settings.warm_after))),
             crossing: 1.0 + 4.0 * settings.crossing_cost,
             averaged: 5.0 * seconds(settings.sums_every),
-            sums_every: settings.sums_every,
-            echo: settings.transit_most + 3 * settings.sums_every + Duration::from_secs(1),
-            publish_every,
-            messages: settings.messages_most,
+            settling,
+            echo: settling + Duration::from_secs(1),
+            publish_every: PUBLISH_EVERY.max(over.mul_f64(1.5 / most.max(1) as f64)),
+            flushes: (most.saturating_sub(2), over),
             lines_per_s: settings.lines_per_s.max(1.0),
             head: settings.head_lines,
-            waiting_most: settings.waiting_most,
-            transit_most: settings.transit_most,
-            probe_every: settings.probe_cost.map(|_| Duration::from_secs(2)),
-            in_hand_at: settings.load_fields.iter().position(|field| *field == LoadField::InHand),
-            waiting_at: settings.load_fields.iter().position(|field| *field == LoadField::Waiting),
+            waiting_most: 0.8 * settings.waiting_most,
+            transit: seconds(settings.transit_most),
+            probe_every: settings.probe_cost.map(|_| PROBE_EVERY),
+            in_hand_at: field(LoadField::InHand),
+            waiting_at: field(LoadField::Waiting),
         }
     }
 }
 
-impl Sight {
-    fn fade(&mut self, by: f64) {
-        self.answered *= by;
-        self.missed *= by;
-    }
-
-    /// Flows in hand (Little's law), fading while nothing more is heard.
-    fn load(&self, heard: Duration, averaged: f64) -> f64 {
-        self.rate * self.time * (-seconds(heard.saturating_sub(self.last)) / averaged).exp()
-    }
-}
-
 impl Replica {
     fn ready(&self) -> bool {
         self.phase == Phase::Ready
@@ -265,26 +273,22 @@
 
     /// The share of its warm capacity that it has at the worst.
     fn capacity(&self, figures: &Figures, now: Duration) -> f64 {
-        let Some(started) = self.started else { return 1.0 };
-        let age = now.saturating_sub(started);
-        if age >= figures.warm_after {
-            return 1.0;
-        }
-        figures.cold_share + (1.0 - figures.cold_share) * seconds(age) / seconds(figures.warm_after)
+        let (cold, growth) = figures.cold;
+        self.started.map_or(1.0, |at| (cold + growth * seconds(now.saturating_sub(at))).min(1.0))
     }
 
+    /// Tries delivered and dropped of late, as all zones' proxies met them.
     fn evidence(&self) -> (f64, f64) {
-        self.sights.values().fold((0.0, 0.0), |(a, m), sight| (a + sight.answered, m + sight.missed))
+        self.sights.values().fold((0.0, 0.0), |(d, m), sight| (d + sight.delivered, m + sight.dropped))
     }
 
-    fn restart(&mut self, now: Duration) {
-        self.sights.clear();
+    /// From here on it is judged by what comes, not by what was.
+    fn judge_anew(&mut self, now: Duration, health: Health) {
+        self.health = health;
         self.since = now;
-        self.expected = 0.0;
-        self.bend = 1.0;
-        self.limps = false;
-        self.in_hand = None;
-        self.unanswered_probes = 0;
+        self.sights.clear();
+        (self.expected, self.bend, self.limps) = (0.0, 0.0, false);
+        (self.in_hand, self.unanswered_probes) = (None, 0);
     }
 }
 
@@ -302,35 +306,19 @@
 impl Governor {
     pub fn new(settings: Settings, now: Duration) -> Self {
         let figures = Figures::new(&settings);
-        let due =
-            [(now, Due::Publish), (now + SOLVE_EVERY, Due::Solve), (now + SOLVE_EVERY, Due::Shed)].into();
-        let levels = vec![(1.0, figures.usual_tries); settings.groups.len()];
-        let out = figures.subscribes.then_some(Decision::Subscribe).into_iter().collect();
         Governor {
-            figures,
-            replicas: BTreeMap::new(),
-            proxies: BTreeMap::new(),
-            tables: BTreeMap::new(),
-            numbers: BTreeMap::new(),
-            critical: BTreeMap::new(),
-            below_target: 0,
             stressed: true,
-            thin: BTreeSet::new(),
-            heard: BTreeMap::new(),
-            joined: BTreeMap::new(),
             let_in: 1.0,
-            cut_at: now,
-            pulse: (0.0, 0.0),
-            levels,
-            due,
-            flushes: VecDeque::new(),
-            waiting: 0.0,
+            levels: vec![(1.0, settings.usual_tries); figures.ladder.len()],
+            due: [(now, Due::Publish), (now + SOLVE_EVERY, Due::Solve), (now + SOLVE_EVERY, Due::Shed)]
+                .into(),
             drained_at: now,
             slowed: 1.0,
-            marks: 0,
             wake: true,
             stirred: true,
-            out,
+            out: figures.subscribes.then_some(Decision::Subscribe).into_iter().collect(),
+            figures,
+            ..Governor::default()
         }
     }
 
@@ -338,43 +326,22 @@
     pub fn listed(&mut self, now: Duration, entries: &[Listed], complete: bool) {
         if complete {
             let named: BTreeSet<&ReplicaId> = entries.iter().map(|entry| &entry.id).collect();
-            for (id, replica) in &mut self.replicas {
-                if !named.contains(id) {
-                    replica.phase = Phase::Gone;
-                }
-            }
+            let unnamed = self.replicas.iter_mut().filter(|(id, _)| !named.contains(id));
+            unnamed.for_each(|(_, replica)| replica.phase = Phase::Gone);
         }
         for entry in entries {
-            let replica = self.replicas.entry(entry.id.clone()).or_insert_with(|| Replica {
-                zone: entry.zone,
-                weight: entry.weight,
-                phase: Phase::Gone,
-                started: entry.started,
-                health: Health::Fit,
-                withdrawn: false,
-                since: now,
-                sights: BTreeMap::new(),
-                expected: 0.0,
-                bend: 1.0,
-                limps: false,
-                in_hand: None,
-                waiting: None,
-                unanswered_probes: 0,
-            });
-            if replica.started != entry.started {
+            let replica = self.replicas.entry(entry.id.clone()).or_default();
+            if replica.started != entry.started || replica.weight == 0.0 {
                 // A new process: what was held against the old one says nothing of it.
                 replica.started = entry.started;
-                replica.health = Health::Fit;
-                replica.restart(now);
+                replica.judge_anew(now, Health::Fit);
             }
-            if replica.phase != Phase::Ready && entry.phase == Phase::Ready {
+            if !replica.ready() && entry.phase == Phase::Ready {
                 replica.since = now;
-                if let Some(every) = self.figures.probe_every {
-                    self.due.insert((now + every, Due::Probe(entry.id.clone())));
-                }
+                let probe = self.figures.probe_every.map(|every| (now + every, Due::Probe(entry.id.clone())));
+                self.due.extend(probe);
             }
-            replica.phase = entry.phase;
-            replica.zone = entry.zone;
+            (replica.phase, replica.zone) = (entry.phase, entry.zone);
             replica.weight = entry.weight.max(f64::MIN_POSITIVE);
         }
         self.stirred = true;
@@ -382,22 +349,19 @@
 
     /// The subscription to the list dropped, or could not be had.
     pub fn list_lost(&mut self) {
-        if self.figures.subscribes {
-            self.out.push_back(Decision::Subscribe);
-        }
+        self.out.extend(self.figures.subscribes.then_some(Decision::Subscribe));
     }
 
     /// A proxy's stream is up; `fresh` if it holds only its standing table.
     pub fn joined(&mut self, now: Duration, proxy: ProxyId, zone: usize, usual: f64, fresh: bool) {
-        let here = |replica: &&Replica| replica.zone == zone && self.part(replica, now) < 1.0;
-        let rotten = self.replicas.values().any(|replica| here(&replica) && replica.phase != Phase::Gone);
-        let standing = fresh.then(|| self.drawn(zone));
-        let unsure = !fresh || rotten;
+        self.left(proxy);
+        let unlike =
+            |one: &Replica| one.zone == zone && one.phase != Phase::Gone && self.part(one, now) < 1.0;
+        let unsure = !fresh || self.replicas.values().any(unlike);
         let next = self.numbers.len() as TableId;
         self.numbers.entry(proxy).or_insert(next);
-        self.critical.retain(|(critical, _), _| *critical != proxy);
-        let known = Proxy { zone, usual, rates: BTreeMap::new(), standing, unsure };
-        self.proxies.insert(proxy, known);
+        let standing = fresh.then(|| self.drawn(zone));
+        self.proxies.insert(proxy, Proxy { zone, usual, standing, unsure, ..Proxy::default() });
         self.joined.insert(zone, now);
         self.stirred = true;
     }
@@ -411,75 +375,68 @@
     pub fn met(&mut self, now: Duration, met: Met) {
         self.heard.insert(met.zone, now);
         self.stirred = true;
-        let (averaged, waiting_at) = (self.figures.averaged, self.figures.waiting_at);
         let Some(replica) = self.replicas.get_mut(&met.replica) else { return };
-        if let Some(&waiting) = waiting_at.and_then(|at| met.load.get(at)) {
+        if let Some(&waiting) = self.figures.waiting_at.and_then(|at| met.load.get(at)) {
             replica.waiting = Some((waiting, now));
         }
         let span = seconds(met.span).max(0.001);
-        let answered = met.tries.saturating_sub(met.missed) as f64;
+        let kept = (-span / self.figures.averaged).exp();
+        let delivered = met.tries.saturating_sub(met.dropped) as f64;
         let sight = replica.sights.entry(met.zone).or_default();
-        sight.fade((-span / averaged).exp());
-        sight.answered += answered;
-        sight.missed += met.missed as f64;
-        let blend = 1.0 - (-span / averaged).exp();
-        sight.rate += (met.tries as f64 / span - sight.rate) * blend;
-        if let Some(mean) = met.mean {
-            self.pulse.0 += answered;
-            self.pulse.1 += answered * seconds(mean);
-            let share = answered / sight.answered.max(1.0);
-            sight.time += (seconds(mean) - sight.time) * if sight.time > 0.0 { share.min(1.0) } else { 1.0 };
-        }
+        sight.delivered = sight.delivered * kept + delivered;
+        sight.dropped = sight.dropped * kept + met.dropped as f64;
+        sight.rate += (met.tries as f64 / span - sight.rate) * (1.0 - kept);
         sight.last = now;
-        if answered > 0.0 {
+        if let Some(mean) = met.mean.map(seconds) {
+            self.pulse = (self.pulse.0 + delivered, self.pulse.1 + delivered * mean);
+            let share = if sight.time > 0.0 { per(delivered, sight.delivered.max(1.0)) } else { 1.0 };
+            sight.time += (mean - sight.time) * share;
+        }
+        if delivered > 0.0 {
             sight.last_answer = now;
         }
     }
 
     /// Flows of a group that came to a proxy.
     pub fn came(&mut self, came: Came) {
-        let averaged = self.figures.averaged;
         let Some(proxy) = self.proxies.get_mut(&came.proxy) else { return };
         let span = seconds(came.span).max(0.001);
         let seen = came.flows as f64 / span;
         let rate = proxy.rates.entry(came.group).or_insert(seen);
-        *rate += (seen - *rate) * (1.0 - (-span / averaged).exp());
+        *rate += (seen - *rate) * (1.0 - (-span / self.figures.averaged).exp());
     }
 
     /// What a probe found: how long the answer took, if one came.
     pub fn probed(&mut self, now: Duration, id: &ReplicaId, took: Option<Duration>, load: &[f64]) {
-        let at = self.figures.in_hand_at;
         let Some(replica) = self.replicas.get_mut(id) else { return };
         replica.unanswered_probes = if took.is_some() { 0 } else { replica.unanswered_probes + 1 };
-        if let Some(&in_hand) = at.and_then(|at| load.get(at)) {
+        if let Some(&in_hand) = self.figures.in_hand_at.and_then(|at| load.get(at)) {
             let known = replica.in_hand.unwrap_or(in_hand);
             replica.in_hand = Some(known + (in_hand - known) / 3.0);
         }
-        if let Some(every) = self.figures.probe_every.filter(|_| replica.ready()) {
-            self.due.insert((now + every, Due::Probe(id.clone())));
-        }
+        let next = self.figures.probe_every.filter(|_| replica.ready());
+        self.due.extend(next.map(|every| (now + every, Due::Probe(id.clone()))));
         self.stirred = true;
     }
 
     /// A marked message took effect this long after it was ordered.
     pub fn acked(&mut self, took: Duration) {
-        let usual = seconds(self.figures.transit_most) + self.waiting / self.figures.lines_per_s;
-        let seen = (seconds(took) / usual.max(0.01)).clamp(1.0, 8.0);
+        let usual = self.figures.transit + self.waiting / self.figures.lines_per_s;
+        let seen = per(seconds(took), usual).clamp(1.0, 8.0);
         self.slowed += (seen - self.slowed) * if seen > self.slowed { 0.3 } else { 0.05 };
     }
 
     /// The timer asked for by [`Decision::Wake`] fell due.
-    pub fn beat(&mut self, _now: Duration) {
-        self.wake = true;
-        self.stirred = true;
+    pub fn beat(&mut self) {
+        (self.wake, self.stirred) = (true, true);
     }
 
     /// The replicas that a proxy starting now would draw its standing table from.
     fn drawn(&self, zone: usize) -> BTreeSet<ReplicaId> {
-        let ready = || self.replicas.iter().filter(|(_, replica)| replica.ready());
-        let own = ready().filter(|(_, replica)| replica.zone == zone);
-        let own: BTreeSet<ReplicaId> = own.map(|(id, _)| id.clone()).collect();
-        if own.len() >= 3 { own } else { ready().map(|(id, _)| id.clone()).collect() }
+        let ready = self.replicas.iter().filter(|(_, replica)| replica.ready());
+        let (own, other): (Vec<_>, Vec<_>) = ready.partition(|(_, replica)| replica.zone == zone);
+        let few = own.len() < 3;
+        own.into_iter().chain(other.into_iter().filter(|_| few)).map(|(id, _)| id.clone()).collect()
     }
 }
 
@@ -498,276 +455,258 @@
             self.out.push_back(Decision::Wake(BEAT));
             self.judge(now);
         }
-        let mut publish = false;
-        while let Some((at, _)) = self.due.first()
-            && *at <= now
-        {
-            match self.due.pop_first() {
+        let mut ordinary = false;
+        while self.due.first().is_some_and(|(at, _)| *at <= now) {
+            let next = match self.due.pop_first() {
                 Some((_, Due::Publish)) => {
-                    publish = true;
-                    let every = self.figures.publish_every.mul_f64(self.slowed);
-                    self.due.insert((now + every, Due::Publish));
+                    ordinary = true;
+                    Some((now + self.figures.publish_every.mul_f64(self.slowed), Due::Publish))
                 }
                 Some((_, Due::Solve)) => {
+                    self.bend(now);
                     self.solve(now);
-                    self.due.insert((now + SOLVE_EVERY, Due::Solve));
+                    Some((now + SOLVE_EVERY, Due::Solve))
                 }
                 Some((_, Due::Shed)) => {
                     self.shed(now);
-                    self.due.insert((now + SHED_EVERY, Due::Shed));
+                    Some((now + SHED_EVERY, Due::Shed))
                 }
                 Some((_, Due::Probe(id))) => {
-                    if self.replicas.get(&id).is_some_and(Replica::ready) {
-                        self.out.push_back(Decision::Probe(id));
-                    }
+                    let ready = self.replicas.get(&id).is_some_and(Replica::ready);
+                    self.out.extend(ready.then_some(Decision::Probe(id)));
+                    None
                 }
-                None => break,
-            }
+                None => None,
+            };
+            self.due.extend(next);
         }
-        self.publish(now, publish);
+        self.publish(now, ordinary);
+    }
+
+    /// Within what a replica's load could go elsewhere: its zone where a group is bound to zones, else the fleet.
+    fn scope(&self, replica: &Replica) -> usize {
+        if self.figures.groups[1] != 0 { replica.zone } else { 0 }
     }
 
-    /// What part of its listed weight a replica may be sent now. While many tries miss, proxies turn from their
-    /// usual replicas and pile onto any that still answers: a cold one would be pushed over by a planned trickle.
+    /// What part of its listed weight a replica may be sent now. While many tries are dropped, proxies turn from
+    /// their usual replicas and pile onto any that still answers: a cold one would fall under a planned trickle.
     fn part(&self, replica: &Replica, now: Duration) -> f64 {
         let capacity = replica.capacity(&self.figures, now);
+        let held_back =
+            self.stressed && capacity < STRESSED_FLOOR && !self.thin.contains(&self.scope(replica));
         match replica.health {
-            _ if replica.out() => 0.0,
-            _ if self.stressed && capacity < STRESSED_FLOOR && !self.thin.contains(&self.scope(replica)) => {
-                0.0
-            }
-            Health::Trial(..) => TRIAL_SHARE * capacity,
+            _ if replica.out() || held_back => 0.0,
+            Health::Trial(_) => TRIAL_SHARE * capacity,
             _ => capacity,
         }
     }
 
-    /// The part that goes by default: less for one that limps.
-    fn default_part(&self, replica: &Replica, now: Duration) -> f64 {
-        self.part(replica, now) * if replica.limps { replica.bend } else { 1.0 }
+    /// The weight that goes by default: less for one that limps.
+    fn default_weight(&self, replica: &Replica, now: Duration) -> f64 {
+        let limp = if replica.limps { replica.bend.exp() } else { 1.0 };
+        replica.weight * self.part(replica, now) * limp
     }
 
-    /// Shares of a proxy's flows by replica, as its tables now stand.
-    fn holds(&self, id: ProxyId, kind: usize) -> Vec<(&ReplicaId, f64)> {
-        let Some(proxy) = self.proxies.get(&id) else { return Vec::new() };
+    /// Flows a second by replica that a proxy's tables now stand for.
+    fn sends(&self, unit: Unit) -> Lines {
+        let Some(proxy) = self.proxies.get(&unit.0) else { return Lines::new() };
         let open = |id: &ReplicaId| self.replicas.get(id).filter(|replica| !replica.withdrawn);
-        let mut lines: Vec<(&ReplicaId, f64)> = match &proxy.standing {
-            Some(standing) => {
-                standing.iter().filter_map(|id| open(id).map(|known| (id, known.weight))).collect()
-            }
-            None => {
-                let lines = self.tables.get(&(id, kind)).into_iter().flatten();
-                lines.filter(|(id, _)| open(id).is_some()).map(|(id, weight)| (id, *weight)).collect()
-            }
+        let mut lines: Lines = match &proxy.standing {
+            Some(held) => held.iter().filter_map(|id| Some((id.clone(), open(id)?.weight))).collect(),
+            None => self.tables.get(&unit).cloned().unwrap_or_default(),
         };
-        let whole: f64 = lines.iter().map(|(_, weight)| weight).sum();
-        lines.iter_mut().for_each(|(_, weight)| *weight /= whole.max(f64::MIN_POSITIVE));
+        lines.retain(|id, _| open(id).is_some());
+        let scale = per(proxy.demand(self.figures.groups[unit.1]), lines.values().sum());
+        lines.values_mut().for_each(|rate| *rate *= scale);
         lines
     }
 
-    /// Flows a second that each zone's proxies should be sending to each replica.
-    fn sending(&self) -> BTreeMap<(ReplicaId, usize), f64> {
-        let mut rates = BTreeMap::new();
-        for (&id, proxy) in &self.proxies {
-            for kind in 0..2 {
-                let demand = proxy.demand(self.figures.groups[kind]);
-                for (replica, share) in self.holds(id, kind) {
-                    *rates.entry((replica.clone(), proxy.zone)).or_insert(0.0) += demand * share;
+    /// Health, by symptom: no answers where answers are due, or far more drops than the fleet has.
+    fn judge(&mut self, now: Duration) {
+        let fleet = self.replicas.values().map(Replica::evidence);
+        let (delivered, dropped) = fleet.fold((0.0, 0.0), |(d, m), one| (d + one.0, m + one.1));
+        let usual_drops = per(dropped, (delivered + dropped).max(1.0));
+        let stressed_at = STRESSED_AT * if self.stressed { 0.5 } else { 1.0 };
+        self.stressed = usual_drops > stressed_at || self.stressed && delivered + dropped < HEARD_ENOUGH;
+        let suspects = self.suspects(now, usual_drops);
+        self.withdraw_worst(now, suspects, usual_drops);
+        self.keep_one(now);
+        for replica in self.replicas.values_mut() {
+            let (delivered, dropped) = replica.evidence();
+            match replica.health {
+                Health::Out(until, times) if now >= until && replica.unanswered_probes == 0 => {
+                    replica.judge_anew(now, Health::Trial(times));
+                }
+                Health::Trial(_) if delivered >= 4.0 && dropped < 0.25 * delivered => {
+                    replica.health = Health::Fit;
                 }
+                _ => {}
             }
         }
-        rates
     }
 
-    /// Health, by symptom: no answers where answers are due, or far more misses than the fleet has.
-    fn judge(&mut self, now: Duration) {
-        let figures = &self.figures;
-        let sending = self.sending();
-        let (mean, _) = self.mean_utilisation(now);
-        let fleet = self.replicas.values().map(Replica::evidence);
-        let (answered, missed) = fleet.fold((0.0, 0.0), |(a, m), one| (a + one.0, m + one.1));
-        let usual_miss = missed / (answered + missed).max(1.0);
-        let unheard = answered + missed < HEARD_ENOUGH;
-        let stressed = unheard && self.stressed
-            || usual_miss > if self.stressed { 0.5 * STRESSED_AT } else { STRESSED_AT };
-        let mute = self.replicas.values().filter(|one| one.ready() && one.unanswered_probes >= 2).count();
-        let ready = self.replicas.values().filter(|one| one.ready()).count();
-        let times = self.replicas.values().flat_map(|replica| replica.sights.values());
+    /// Replicas that look ill beside the fleet, by how ill; those that failed their trial come first.
+    fn suspects(&mut self, now: Duration, usual_drops: f64) -> Vec<(f64, ReplicaId)> {
+        let mut sending: BTreeMap<ReplicaId, BTreeMap<usize, f64>> = BTreeMap::new();
+        for (&id, proxy) in &self.proxies {
+            for (replica, rate) in (0..2).flat_map(|kind| self.sends((id, kind))) {
+                *sending.entry(replica).or_default().entry(proxy.zone).or_insert(0.0) += rate;
+            }
+        }
+        let sights = self.replicas.values().flat_map(|replica| replica.sights.values());
         let (flows, time) =
-            times.fold((0.0, 0.0), |(n, t), sight| (n + sight.answered, t + sight.answered * sight.time));
-        let usual_time = time / flows.max(1.0);
+            sights.fold((0.0, 0.0), |(n, t), sight| (n + sight.delivered, t + sight.delivered * sight.time));
         // Tables, answers and sums all take their time before silence means anything.
-        let settling =
-            figures.transit_most + 3 * figures.sums_every + Duration::from_secs_f64(1.5 * usual_time);
+        let answering = Duration::from_secs_f64(1.5 * time / flows.max(1.0));
+        let settling = self.figures.settling + answering;
+        let ready = self.replicas.values().filter(|one| one.ready());
+        let (ready, mute) =
+            ready.fold((0, 0), |(n, m), one| (n + 1, m + u32::from(one.unanswered_probes >= 2)));
+        let (mean, _) = self.mean_utilisation(now);
         let mut suspects = Vec::new();
-        let mut rates = Vec::new();
         for (id, replica) in self.replicas.iter().filter(|(_, replica)| replica.ready()) {
-            let (answered, missed) = replica.evidence();
+            let (delivered, dropped) = replica.evidence();
             let last = replica.sights.values().map(|sight| sight.last_answer).max().unwrap_or_default();
-            let from = (last + Duration::from_secs_f64(1.5 * usual_time)).max(replica.since + settling);
-            let zones = sending.range((id.clone(), 0)..=(id.clone(), usize::MAX));
-            let (rate, due) = zones.fold((0.0, 0.0), |(all, due), ((_, zone), rate)| {
+            let from = (last + answering).max(replica.since + settling);
+            let zones = sending.get(id).into_iter().flatten();
+            let (rate, due) = zones.fold((0.0, 0.0), |(all, due), (zone, rate)| {
                 // A zone whose sums stopped, or whose proxies just came, says nothing by its silence.
                 let from = from.max(self.joined.get(zone).copied().unwrap_or(now) + settling);
                 let heard = self.heard.get(zone).copied().unwrap_or_default();
                 (all + rate, due + rate * seconds(heard.saturating_sub(from)))
             });
             // A line just widened has sent nothing yet.
-            let due = if rate > 0.0 { due * (replica.expected / rate).min(1.0) } else { 0.0 };
-            rates.push((id.clone(), rate));
-            let share = missed / (answered + missed).max(1.0);
+            let due = due * per(replica.expected, rate).min(1.0);
+            let share = per(dropped, (delivered + dropped).max(1.0));
             // A probe waits behind flows: unanswered ones count only where they are rare in the fleet.
             let mute = replica.unanswered_probes >= 2 && 5 * mute <= ready;
             let silent = due >= if mute { 0.25 * SILENT_AFTER } else { SILENT_AFTER };
-            let failing = missed >= 4.0 && share >= (0.3f64).max(3.0 * usual_miss);
-            // One that misses for its queue is overloaded: withdrawing it would tip the next.
+            let failing = dropped >= 4.0 && share >= (0.3f64).max(3.0 * usual_drops);
+            // One that drops for its queue is overloaded: withdrawing it would tip the next.
             let busy = self.utilisation(replica, now).is_some_and(|held| held > 1.3 * mean)
                 || replica.waiting.is_some_and(|(waiting, _)| waiting >= 2.0);
             match replica.health {
-                Health::Fit if silent || failing && !busy => {
-                    suspects.push((share + due, id.clone(), 0));
-                }
-                Health::Trial(_, times) if silent || missed >= 2.0 && missed > answered => {
-                    suspects.push((f64::MAX, id.clone(), times));
+                Health::Fit if silent || failing && !busy => suspects.push((share + due, id.clone())),
+                Health::Trial(_) if silent || dropped >= 2.0 && dropped > delivered => {
+                    suspects.push((f64::MAX, id.clone()));
                 }
                 _ => {}
             }
         }
-        for (id, rate) in rates {
-            if let Some(replica) = self.replicas.get_mut(&id) {
-                replica.expected += (rate - replica.expected) * seconds(BEAT) / figures.averaged;
-            }
+        for (id, replica) in &mut self.replicas {
+            let rate: f64 = sending.get(id).map_or(0.0, |zones| zones.values().sum());
+            replica.expected += (rate - replica.expected) * seconds(BEAT) / self.figures.averaged;
         }
         suspects.sort_by(|one, other| other.0.total_cmp(&one.0));
+        suspects
+    }
+
+    /// Withdraws the worst, never so many that the rest, or what is left of a zone, could not bear it.
+    fn withdraw_worst(&mut self, now: Duration, mut suspects: Vec<(f64, ReplicaId)>, usual_drops: f64) {
+        let ready = self.replicas.values().filter(|one| one.ready()).count();
+        let mut out = self.replicas.values().filter(|one| one.ready() && one.out()).count();
         // Many suspects at once are the fleet's trouble, or the sums': only the worst one goes.
-        if 4 * suspects.len() > ready && usual_miss > 0.2 {
+        if 4 * suspects.len() > ready && usual_drops > 0.2 {
             suspects.truncate(1);
         }
-        let mut out = self.replicas.values().filter(|replica| replica.ready() && replica.out()).count();
-        for (_, id, times) in suspects {
+        for (_, id) in suspects {
             let zone = self.replicas[&id].zone;
-            let own = self.replicas.values().filter(|replica| replica.zone == zone && replica.ready());
+            let own = self.replicas.values().filter(|one| one.zone == zone && one.ready());
             let (own, left) = own.fold((0, 0), |(own, left), one| (own + 1, left + usize::from(!one.out())));
-            let bares = self.figures.groups[1] != 0 && 3 * (left - 1) < own;
-            if times == 0 && (10 * (out + 1) > 4 * ready || bares || left == 0) {
+            let bares = self.figures.groups[1] != 0 && 3 * left < own + 3;
+            let Some(replica) = self.replicas.get_mut(&id) else { continue };
+            let times = if let Health::Trial(times) = replica.health { times } else { 0 };
+            if times == 0 && (10 * (out + 1) > 4 * ready || bares) {
                 continue;
             }
             out += 1;
-            let wait = FIRST_WAIT * 2u32.pow(times.min(4));
-            if let Some(replica) = self.replicas.get_mut(&id) {
-                replica.health = Health::Out(now + wait, times + 1);
-                replica.restart(now);
-            }
-        }
-        self.stressed = stressed;
-        self.keep_one(now);
-        for replica in self.replicas.values_mut() {
-            let (answered, missed) = replica.evidence();
-            match replica.health {
-                Health::Out(until, times) if now >= until && replica.unanswered_probes == 0 => {
-                    replica.health = Health::Trial(now, times);
-                    replica.restart(now);
-                }
-                Health::Trial(..) if answered >= 4.0 && missed < 0.25 * answered => {
-                    replica.health = Health::Fit
-                }
-                _ => {}
-            }
+            let until = now + FIRST_WAIT * 2u32.pow(times.min(4));
+            replica.judge_anew(now, Health::Out(until, times + 1));
         }
     }
 
-    /// Where all that is left of a zone (or, with no group bound to zones, of the fleet) is withdrawn for its
-    /// health, a bad replica is better than none: guards against drains that follow a withdrawal.
+    /// Where all that is left of a scope is withdrawn for its health, a bad replica is better than none: guards
+    /// against drains that follow a withdrawal. Also finds the scopes that have too little warm capacity.
     fn keep_one(&mut self, now: Duration) {
-        let fit = self.replicas.values().filter(|one| !one.out());
-        let fit: BTreeSet<usize> = fit.map(|one| self.scope(one)).collect();
-        let bound = self.figures.groups[1] != 0;
-        let mut open: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
-        for replica in self.replicas.values_mut() {
-            let scope = if bound { replica.zone } else { 0 };
-            if replica.ready() && !fit.contains(&scope) {
-                replica.health = Health::Fit;
-                replica.restart(now);
-            }
-            if !replica.out() {
-                let capacity = replica.capacity(&self.figures, now);
-                let (warm, all) = open.entry(scope).or_default();
-                *warm += if capacity >= STRESSED_FLOOR { replica.weight * capacity } else { 0.0 };
-                *all += replica.weight * capacity;
-            }
+        let open = self.replicas.values().filter(|one| !one.out());
+        let open: BTreeSet<usize> = open.map(|one| self.scope(one)).collect();
+        let bare = |one: &&ReplicaId| {
+            let one = &self.replicas[*one];
+            one.ready() && !open.contains(&self.scope(one))
+        };
+        let bare: Vec<ReplicaId> = self.replicas.keys().filter(bare).cloned().collect();
+        for id in bare {
+            self.replicas.entry(id).and_modify(|replica| replica.judge_anew(now, Health::Fit));
         }
-        self.thin =
-            open.into_iter().filter(|(_, (warm, all))| *warm < 0.6 * all).map(|(scope, _)| scope).collect();
-    }
-
-    /// Within what a replica's load could go elsewhere: its zone where a group is bound to zones.
-    fn scope(&self, replica: &Replica) -> usize {
-        if self.figures.groups[1] != 0 { replica.zone } else { 0 }
+        let mut bears: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
+        for replica in self.replicas.values().filter(|one| !one.out()) {
+            let capacity = replica.capacity(&self.figures, now);
+            let (warm, all) = bears.entry(self.scope(replica)).or_default();
+            *warm += if capacity >= STRESSED_FLOOR { replica.weight * capacity } else { 0.0 };
+            *all += replica.weight * capacity;
+        }
+        bears.retain(|_, (warm, all)| *warm < STRESSED_FLOOR * *all);
+        self.thin = bears.into_keys().collect();
     }
 
     /// The default of each zone, by kind of table: own zone first, spilling over where that can't bear it.
     fn defaults(&self, now: Duration) -> BTreeMap<(usize, usize), Lines> {
-        let part = |replica: &Replica| replica.weight * self.default_part(replica, now);
-        let zones: BTreeSet<usize> = self.proxies.values().map(|proxy| proxy.zone).collect();
         let mut bears: BTreeMap<usize, f64> = BTreeMap::new();
-        // By zone: flows a second bound to it, and all of them.
-        let mut demand: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
-        self.replicas.values().for_each(|one| *bears.entry(one.zone).or_insert(0.0) += part(one));
+        let mut bound: BTreeMap<usize, f64> = BTreeMap::new();
+        let mut all: BTreeMap<usize, f64> = BTreeMap::new();
         for proxy in self.proxies.values() {
-            let (bound, all) = demand.entry(proxy.zone).or_default();
-            *bound += proxy.demand(self.figures.groups[1]);
-            *all += proxy.demand(GroupSet::MAX);
+            *bound.entry(proxy.zone).or_insert(0.0) += proxy.demand(self.figures.groups[1]);
+            *all.entry(proxy.zone).or_insert(0.0) += proxy.demand(GroupSet::MAX);
         }
+        let zones: Vec<usize> = all.keys().copied().collect();
         // Other governors' proxies are unheard: taken to be spread as the fleet's sizes are.
-        let usual: f64 =
-            self.proxies.values().map(|proxy| proxy.usual).sum::<f64>() / self.proxies.len().max(1) as f64;
-        let unheard =
-            (self.figures.proxies - self.proxies.len() as f64).max(0.0) * usual * self.figures.unseen;
+        let usual: f64 = self.proxies.values().map(|proxy| proxy.usual).sum();
+        let joined = self.proxies.len() as f64;
+        let unheard = per(usual, joined) * (self.figures.shared - joined).max(0.0);
         let sizes: f64 = self.replicas.values().filter(|one| one.ready()).map(|one| one.weight).sum();
-        for replica in self.replicas.values().filter(|one| one.ready()) {
-            demand.entry(replica.zone).or_default().1 += unheard * replica.weight / sizes;
+        let mut hurt = BTreeSet::new();
+        for replica in self.replicas.values() {
+            let weight = self.default_weight(replica, now);
+            *bears.entry(replica.zone).or_insert(0.0) += weight;
+            if replica.ready() {
+                *all.entry(replica.zone).or_insert(0.0) += unheard * replica.weight / sizes;
+            }
+            if weight < replica.weight {
+                hurt.insert(replica.zone);
+            }
         }
-        let less = |one: &&Replica| self.default_part(one, now) < 1.0;
-        let hurt: BTreeSet<usize> = self.replicas.values().filter(less).map(|one| one.zone).collect();
-        let whole: f64 = demand.values().map(|(_, all)| all).sum();
-        let mean = whole / bears.values().sum::<f64>().max(f64::MIN_POSITIVE);
-        let bearable = |zone: usize| ZONE_SLACK * mean * bears.get(&zone).copied().unwrap_or(0.0);
-        let spare = |zone: usize| (bearable(zone) - demand.get(&zone).map_or(0.0, |(_, all)| *all)).max(0.0);
+        let slack = ZONE_SLACK * per(all.values().sum(), bears.values().sum());
+        let spare = |zone: &usize| (slack * at(&bears, zone) - at(&all, zone)).max(0.0);
         let mut defaults = BTreeMap::new();
         for zone in zones {
-            let own = bears.get(&zone).copied().unwrap_or(0.0);
-            let (bound, all) = demand.get(&zone).copied().unwrap_or_default();
-            let kept = if !hurt.contains(&zone) && own > 0.0 {
-                1.0
-            } else if own > 0.0 {
-                ((bearable(zone) - bound) / (all - bound).max(f64::MIN_POSITIVE)).clamp(0.0, 1.0)
-            } else {
-                0.0
+            let own = at(&bears, &zone);
+            let (bound, all) = (at(&bound, &zone), at(&all, &zone));
+            let kept = match hurt.contains(&zone) {
+                false => 1.0,
+                true => per(slack * own - bound, all - bound).clamp(0.0, 1.0),
             };
-            let elsewhere: f64 =
-                bears.keys().filter(|other| **other != zone).map(|other| spare(*other)).sum();
-            let lines = |kind: usize| -> Lines {
-                let weigh = |replica: &Replica| {
-                    let whole = bears[&replica.zone].max(f64::MIN_POSITIVE);
-                    if replica.zone == zone {
-                        part(replica) * if kind == 0 { kept.max(0.05) } else { 1.0 }
-                    } else if kind == 0 && kept < 0.95 {
-                        let share = spare(replica.zone) / elsewhere.max(f64::MIN_POSITIVE);
-                        own.max(1.0) * (1.0 - kept) * share * part(replica) / whole
-                    } else {
-                        0.0
+            let elsewhere: f64 = bears.keys().filter(|other| **other != zone).map(spare).sum();
+            for kind in 0..2 {
+                let weigh = |replica: &Replica| match (replica.zone == zone, kind) {
+                    (true, 0) => kept.max(0.05) * self.default_weight(replica, now),
+                    (true, _) => self.default_weight(replica, now),
+                    (false, 0) if kept < 0.95 => {
+                        let share = per(spare(&replica.zone), elsewhere) * (1.0 - kept);
+                        own.max(1.0) * share * per(self.default_weight(replica, now), bears[&replica.zone])
                     }
+                    _ => 0.0,
                 };
-                let lines = self.replicas.iter().map(|(id, replica)| (id.clone(), weigh(replica)));
-                let lines: Lines = lines.filter(|(_, weight)| *weight > 0.0).collect();
-                if !lines.is_empty() {
-                    return lines;
+                let lines = self.replicas.iter().map(|(id, one)| (id.clone(), weigh(one)));
+                let mut lines: Lines = lines.filter(|(_, weight)| *weight > 0.0).collect();
+                if lines.is_empty() {
+                    let any =
+                        self.replicas.iter().filter(|(_, one)| !one.out() && (kind == 0 || one.zone == zone));
+                    lines = any
+                        .map(|(id, one)| (id.clone(), one.weight * one.capacity(&self.figures, now)))
+                        .collect();
                 }
-                let any =
-                    self.replicas.iter().filter(|(_, one)| !one.out() && (kind == 0 || one.zone == zone));
-                any.map(|(id, one)| (id.clone(), one.weight * one.capacity(&self.figures, now))).collect()
-            };
-            defaults.insert((zone, 0), lines(0));
-            defaults.insert((zone, 1), lines(1));
+                defaults.insert((zone, kind), lines);
+            }
         }
         defaults
     }
@@ -775,208 +714,138 @@
     /// Whether a standing table no longer does what the zone's default would.
     fn rotten(&self, proxy: &Proxy, standing: &BTreeSet<ReplicaId>, default: &Lines, now: Duration) -> bool {
         let whole = standing.len() <= self.figures.standing;
-        let left = standing.iter().filter(|id| self.replicas.get(*id).is_some_and(|one| !one.out())).count();
-        left == 0
-            || self.replicas.iter().any(|(id, replica)| {
-                let held = standing.contains(id);
-                let part = self.default_part(replica, now);
-                held && part > 0.0 && part < 1.0
-                    || whole && !held && replica.zone == proxy.zone && part > 0.0
-                    || replica.zone != proxy.zone && !held && default.contains_key(id)
-            })
+        let open = |id: &ReplicaId| self.replicas.get(id).is_some_and(|one| !one.out());
+        let differs = |(id, replica): (&ReplicaId, &Replica)| {
+            let weight = self.default_weight(replica, now);
+            match (standing.contains(id), replica.zone == proxy.zone) {
+                (true, _) => weight > 0.0 && weight < replica.weight,
+                (false, true) => whole && weight > 0.0,
+                (false, false) => default.contains_key(id),
+            }
+        };
+        !standing.iter().any(open) || self.replicas.iter().any(differs)
     }
 
     /// Pace: all orders leave here, urgent ones first, as one message to each proxy concerned.
     fn publish(&mut self, now: Duration, ordinary: bool) {
         let drained = seconds(now - self.drained_at) * self.figures.lines_per_s / self.slowed;
-        self.waiting = (self.waiting - drained).max(0.0);
-        self.drained_at = now;
-        if let Some((_, over)) = self.figures.messages {
-            while self.flushes.front().is_some_and(|at| *at + over <= now) {
-                self.flushes.pop_front();
+        (self.waiting, self.drained_at) = ((self.waiting - drained).max(0.0), now);
+        let (most, over) = self.figures.flushes;
+        self.flushes.retain(|at| *at + over > now);
+        let due = self.replicas.iter_mut().filter(|(_, one)| one.out() && !one.withdrawn);
+        let mut due = due.peekable();
+        let urgent = due.peek().is_some();
+        let flush = (ordinary || urgent) && self.flushes.len() < most && !self.proxies.is_empty();
+        let first = self.out.len();
+        if flush {
+            for (id, replica) in due {
+                replica.withdrawn = true;
+                self.out.push_back(Decision::Withdraw(id.clone(), true));
             }
         }
-        let withdraw: Vec<ReplicaId> = {
-            let due = self.replicas.iter().filter(|(_, one)| one.out() && !one.withdrawn);
-            due.map(|(id, _)| id.clone()).collect()
-        };
-        let unsure = self.proxies.values().any(|proxy| proxy.unsure);
-        let urgent = !withdraw.is_empty();
-        let most = self.figures.messages.map_or(usize::MAX, |(most, _)| most.saturating_sub(2));
-        let flush = (ordinary || urgent) && self.flushes.len() < most && !self.proxies.is_empty();
-        if !flush && !unsure || self.figures.sliced && !urgent {
-            return;
+        if !self.figures.sliced && (flush || self.proxies.values().any(|proxy| proxy.unsure)) {
+            self.tables(now, flush);
         }
-        if flush {
-            for id in withdraw {
-                if let Some(replica) = self.replicas.get_mut(&id) {
-                    replica.withdrawn = true;
-                }
-                self.waiting += self.proxies.len() as f64;
-                self.out.push_back(Decision::Withdraw(id, true));
+        if flush && !self.figures.sliced {
+            for (id, replica) in self.replicas.iter_mut().filter(|(_, one)| one.withdrawn && !one.out()) {
+                replica.withdrawn = false;
+                self.out.push_back(Decision::Withdraw(id.clone(), false));
             }
+            self.level();
         }
-        if self.figures.sliced {
-            return;
+        let to_all = |one: &&Decision| matches!(one, Decision::Withdraw(..) | Decision::Level(..));
+        self.waiting += (self.out.iter().skip(first).filter(to_all).count() * self.proxies.len()) as f64;
+        if flush && self.out.len() > first {
+            self.flushes.push_back(now);
+            self.marks = (self.marks + 1) % u16::MAX;
+            self.out.push_back(Decision::Mark(self.marks));
         }
+    }
+
+    /// Default repair and solved tables: what each proxy should hold, to those whose table it is not.
+    fn tables(&mut self, now: Duration, flush: bool) {
         let defaults = self.defaults(now);
         let ids: Vec<ProxyId> = self.proxies.keys().copied().collect();
-        let mut reached = 0;
         for id in ids {
             let proxy = &self.proxies[&id];
-            let bind = proxy.unsure
-                || proxy.standing.as_ref().is_some_and(|standing| {
-                    self.critical.keys().any(|(critical, _)| *critical == id)
-                        || self.rotten(proxy, standing, &defaults[&(proxy.zone, 0)], now)
-                });
-            if !(flush && (bind || proxy.standing.is_none()) || proxy.unsure) {
+            let zone = proxy.zone;
+            let rotten = proxy.standing.as_ref().is_some_and(|standing| {
+                self.critical.keys().any(|(critical, _)| *critical == id)
+                    || self.rotten(proxy, standing, &defaults[&(zone, 0)], now)
+            });
+            let bind = proxy.unsure || flush && rotten;
+            if !(bind || flush && proxy.standing.is_none()) {
                 continue;
             }
-            let cost = self.figures.head + 2.0 + self.replicas.len() as f64;
-            if self.waiting + cost > 0.8 * self.figures.waiting_most {
+            let dearest = self.figures.head + 2.0 + self.replicas.len() as f64;
+            if self.waiting + dearest > self.figures.waiting_most {
                 break;
             }
-            let zone = proxy.zone;
             let mut sent = 0;
-            for kind in 0..2 {
-                if self.figures.groups[kind] == 0 {
-                    continue;
-                }
-                let wanted = self.wanted(id, kind, &defaults[&(zone, kind)], now);
-                sent += self.lay(id, kind, wanted, bind);
+            let groups = self.figures.groups;
+            for kind in (0..2).filter(|kind| groups[*kind] != 0) {
+                let wanted = self.wanted((id, kind), &defaults[&(zone, kind)], now);
+                sent += self.lay((id, kind), wanted, bind);
             }
-            if sent > 0 {
-                reached += 1;
-                self.waiting += self.figures.head + sent as f64;
-            }
-            if bind && let Some(proxy) = self.proxies.get_mut(&id) {
-                proxy.unsure = false;
-                proxy.standing = None;
-            }
-        }
-        if !flush {
-            return;
-        }
-        for (id, replica) in &mut self.replicas {
-            if replica.withdrawn && !replica.out() {
-                replica.withdrawn = false;
-                reached += 1;
-                self.out.push_back(Decision::Withdraw(id.clone(), false));
+            self.waiting += if sent > 0 { self.figures.head + sent as f64 } else { 0.0 };
+            if let Some(proxy) = self.proxies.get_mut(&id).filter(|_| bind) {
+                (proxy.unsure, proxy.standing) = (false, None);
             }
         }
-        reached += self.level();
-        if reached > 0 || urgent {
-            self.flushes.push_back(now);
-            self.marks = (self.marks + 1) % u16::MAX;
-            self.out.push_back(Decision::Mark(self.marks));
-        }
     }
 
     /// The lines that a proxy should hold: its solved ones while they stand, else its zone's default.
-    fn wanted(&self, id: ProxyId, kind: usize, default: &Lines, now: Duration) -> Lines {
-        let open = |id: &ReplicaId| self.replicas.get(id).is_some_and(|one| self.part(one, now) > 0.0);
-        let solved = self.critical.get(&(id, kind)).into_iter().flatten().filter(|(id, _)| open(id));
-        let mut solved: Lines = solved.map(|(id, weight)| (id.clone(), *weight)).collect();
-        if solved.is_empty() {
-            return default.clone();
-        }
+    fn wanted(&self, unit: Unit, default: &Lines, now: Duration) -> Lines {
+        let mut solved = self.critical.get(&unit).cloned().unwrap_or_default();
+        solved.retain(|id, _| self.part(&self.replicas[id], now) > 0.0);
         // The solver would lean on a cold replica while its neighbours suffer: no more than by default.
-        let scale = solved.values().sum::<f64>() / default.values().sum::<f64>().max(f64::MIN_POSITIVE);
+        let scale = per(solved.values().sum(), default.values().sum());
         for (id, weight) in &mut solved {
             if self.replicas[id].capacity(&self.figures, now) < 1.0 {
-                *weight = weight.min(scale * default.get(id).copied().unwrap_or(0.01));
+                *weight = weight.min(scale * at(default, id).max(0.01));
             }
         }
-        solved
+        if solved.is_empty() { default.clone() } else { solved }
     }
 
     /// Orders what differs from the table as last sent; gives the lines that this costs.
-    fn lay(&mut self, id: ProxyId, kind: usize, wanted: Lines, bind: bool) -> usize {
+    fn lay(&mut self, unit: Unit, wanted: Lines, bind: bool) -> usize {
         if wanted.is_empty() {
             return 0;
         }
-        let table = self.tables.entry((id, kind)).or_default();
-        let mut lines = Vec::new();
-        for (replica, weight) in &wanted {
-            let weight = (weight * 1000.0).round().max(1.0) / 1000.0;
-            let held = table.get(replica).copied().unwrap_or(0.0);
+        let table = self.tables.entry(unit).or_default();
+        let gone = table.keys().filter(|id| !wanted.contains_key(*id));
+        let mut lines: Vec<(ReplicaId, f64)> = gone.map(|id| (id.clone(), 0.0)).collect();
+        for (id, weight) in &wanted {
+            let (weight, held) = ((weight * 1000.0).round().max(1.0) / 1000.0, at(table, id));
             if (weight - held).abs() > WORTH_SENDING * weight.max(held) {
-                lines.push((replica.clone(), weight));
-            }
-        }
-        let gone = table.keys().filter(|replica| !wanted.contains_key(*replica));
-        lines.extend(gone.map(|replica| (replica.clone(), 0.0)));
-        for (replica, weight) in &lines {
-            if *weight > 0.0 {
-                table.insert(replica.clone(), *weight);
-            } else {
-                table.remove(replica);
+                lines.push((id.clone(), weight));
             }
         }
-        let mut cost = lines.len();
-        let number = 2 * self.numbers[&id] + kind as TableId;
+        table.extend(lines.iter().cloned());
+        table.retain(|_, weight| *weight > 0.0);
+        let number = 2 * self.numbers[&unit.0] + unit.1 as TableId;
+        let cost = if bind { 1 + table.len() } else { lines.len() };
         if !lines.is_empty() {
             self.out.push_back(Decision::Lines(number, lines));
         }
         if bind {
-            cost = 1 + table.len();
-            self.out.push_back(Decision::Follow(id, number, self.figures.groups[kind]));
+            self.out.push_back(Decision::Follow(unit.0, number, self.figures.groups[unit.1]));
         }
         cost
     }
 
-    /// Heard load by listed weight, where any is heard.
+    /// Heard load by listed weight, where any is heard: flows in hand, by probes or else by Little's law.
     fn utilisation(&self, replica: &Replica, now: Duration) -> Option<f64> {
         let bears = replica.weight * replica.capacity(&self.figures, now);
-        let load = replica.in_hand.or_else(|| {
-            let sums = replica.sights.iter().filter(|(_, sight)| sight.rate > 0.0);
-            let heard = |zone: &usize| self.heard.get(zone).copied().unwrap_or_default();
-            let loads = sums.map(|(zone, sight)| sight.load(heard(zone), self.figures.averaged));
-            loads.reduce(|one, other| one + other)
-        });
-        load.map(|load| load / bears)
-    }
-
-    /// The critical set: greedy from the previous one, kept small, taken only at a higher payoff.
-    fn solve(&mut self, now: Duration) {
-        self.bend(now);
-        let field = self.field(now);
-        if field.rooms.is_empty() || field.ratio >= TARGET {
-            self.below_target = 0;
-            return;
-        }
-        self.below_target += 1;
-        if self.below_target < CYCLES_BELOW {
-            return;
-        }
-        let most = (self.proxies.len() as f64 * CRITICAL_SHARE).ceil() as usize;
-        let mut set: BTreeSet<ProxyId> = self.critical.keys().map(|(id, _)| *id).collect();
-        let stay = field.payoff(&BTreeMap::new());
-        let mut best = (stay + 0.01, None);
-        loop {
-            let solved = field.fill(&set, self.figures.crossing);
-            let payoff = field.payoff(&solved);
-            let ratio = field.ratio_with(&solved);
-            if payoff > best.0 && !solved.is_empty() {
-                best = (payoff, Some(solved.clone()));
-            }
-            if ratio >= TARGET || set.len() >= most {
-                break;
-            }
-            match field.sends_most(&solved, &set) {
-                Some(next) => set.insert(next),
-                None => break,
-            };
-        }
-        if let (_, Some(solved)) = best {
-            let whole = |rates: &Lines| rates.values().sum::<f64>().max(f64::MIN_POSITIVE);
-            let tables = solved.into_iter().map(|(unit, rates)| {
-                let whole = whole(&rates);
-                let lines = rates.into_iter().map(|(id, rate)| (id, 100.0 * rate / whole));
-                (unit, lines.filter(|(_, weight)| *weight >= 1.5).collect())
-            });
-            self.critical = tables.collect();
-        }
+        let load = |(zone, sight): (&usize, &Sight)| {
+            let heard = self.heard.get(zone).copied().unwrap_or_default();
+            sight.rate
+                * sight.time
+                * (-seconds(heard.saturating_sub(sight.last)) / self.figures.averaged).exp()
+        };
+        let loads = replica.sights.iter().filter(|(_, sight)| sight.rate > 0.0).map(load);
+        replica.in_hand.or_else(|| loads.reduce(|one, other| one + other)).map(|load| load / bears)
     }
 
     /// Total heard load over total weight, and the peak of the single ones.
@@ -985,53 +854,72 @@
         for replica in self.replicas.values().filter(|one| self.part(one, now) > 0.0) {
             if let Some(utilisation) = self.utilisation(replica, now) {
                 let weight = replica.weight * replica.capacity(&self.figures, now);
-                load += utilisation * weight;
-                bears += weight;
+                (load, bears) = (load + utilisation * weight, bears + weight);
                 peak = peak.max(utilisation);
             }
         }
-        (if bears > 0.0 { load / bears } else { 0.0 }, peak)
+        (per(load, bears), peak)
     }
 
     /// The page's Weak: a slow replica holds more flows at the same rate. Room bends towards the rate at which
     /// its utilisation would be the mean one, by steps, as one step's effect is heard only seconds later.
     fn bend(&mut self, now: Duration) {
         let (mean, _) = self.mean_utilisation(now);
-        let heard: Vec<Option<f64>> =
-            self.replicas.values().map(|replica| self.utilisation(replica, now)).collect();
-        for (replica, utilisation) in self.replicas.values_mut().zip(heard) {
-            let aside = utilisation.map_or(1.0, |heard| (mean / heard.max(1e-9)).powf(BEND_STEP));
-            replica.bend = (replica.bend.powf(0.95) * aside.clamp(0.6, 1.2)).clamp(0.25, 1.3);
-            replica.limps = replica.bend < if replica.limps { 0.85 } else { LIMPS_AT };
+        let heard: Vec<Option<f64>> = self.replicas.values().map(|one| self.utilisation(one, now)).collect();
+        for (replica, heard) in self.replicas.values_mut().zip(heard) {
+            let step = heard.map_or(0.0, |heard| BEND_STEP * per(mean, heard.max(1e-9)).max(1e-9).ln());
+            replica.bend = (BEND_KEPT * replica.bend + step.clamp(-0.5, 0.2)).clamp(-1.4, 0.25);
+            replica.limps = replica.bend < LIMPS_AT * if replica.limps { 0.5 } else { 1.0 };
         }
     }
 
-    /// What the solver works on: rooms, present rates, and who sends what where.
-    fn field(&self, now: Duration) -> Field {
-        let mut field = Field::default();
-        let open = self.replicas.iter().filter(|(_, one)| self.part(one, now) > 0.0);
-        let open: Vec<(&ReplicaId, &Replica)> = open.collect();
+    /// The critical set: greedy from the previous one, kept small, taken only at a higher payoff.
+    fn solve(&mut self, now: Duration) {
         let (mean, peak) = self.mean_utilisation(now);
-        if mean <= 0.0 {
-            return field;
+        self.cycles_below = if mean < TARGET * peak { self.cycles_below + 1 } else { 0 };
+        if self.cycles_below < CYCLES_BELOW {
+            return;
+        }
+        let field = self.field(now);
+        let most = (self.proxies.len() as f64 * CRITICAL_SHARE).ceil() as usize;
+        let mut set: BTreeSet<ProxyId> = self.critical.keys().map(|(id, _)| *id).collect();
+        let mut best = field.payoff(&Solved::new()) + WORTH_CHANGING;
+        loop {
+            let solved = field.fill(&set, self.figures.crossing);
+            let (payoff, ratio) = (field.payoff(&solved), field.ratio(&solved));
+            let next = field.sends_most(&solved, &set).filter(|_| ratio < TARGET && set.len() < most);
+            if payoff > best && !solved.is_empty() {
+                best = payoff;
+                self.critical = solved;
+                for lines in self.critical.values_mut() {
+                    let scale = per(100.0, lines.values().sum());
+                    lines.values_mut().for_each(|rate| *rate *= scale);
+                    lines.retain(|_, weight| *weight >= 1.5);
+                }
+            }
+            match next {
+                Some(next) => set.insert(next),
+                None => break,
+            };
         }
-        field.ratio = mean / peak;
+    }
+
+    /// What the solver works on: rooms, and who sends what where.
+    fn field(&self, now: Duration) -> Field {
+        let mut field = Field::default();
         for (&id, proxy) in &self.proxies {
-            for kind in 0..2 {
-                let demand = proxy.demand(self.figures.groups[kind]);
-                let rates = self.holds(id, kind).into_iter().map(|(id, share)| (id.clone(), share * demand));
-                let rates: Lines = rates.collect();
-                if demand > 0.0 && !rates.is_empty() {
-                    field.units.insert((id, kind), (proxy.zone, demand, rates));
+            for unit in [(id, 0), (id, 1)] {
+                let rates = self.sends(unit);
+                if rates.values().sum::<f64>() > 0.0 {
+                    field.units.insert(unit, (proxy.zone, rates));
                 }
             }
         }
-        field.rates = field.totals(&BTreeMap::new());
-        let part = |replica: &Replica| replica.weight * self.part(replica, now);
-        let fleet = field.rates.values().sum::<f64>() / open.iter().map(|(_, one)| part(one)).sum::<f64>();
-        for (id, replica) in open {
-            let room = part(replica) * fleet * replica.bend;
-            field.rooms.insert(id.clone(), (replica.zone, room.max(1e-6)));
+        let weight = |one: &Replica| one.weight * self.part(one, now);
+        field.whole = field.totals(&Solved::new()).values().sum();
+        let fleet = per(field.whole, self.replicas.values().map(weight).sum());
+        for (id, replica) in self.replicas.iter().filter(|(_, one)| weight(one) > 0.0) {
+            field.rooms.insert(id.clone(), (replica.zone, fleet * weight(replica) * replica.bend.exp()));
         }
         field
     }
@@ -1045,72 +933,60 @@
         }
         let late = time / answers / self.figures.budget;
         // What answers took tells of queues that may have drained since: reports of flows waiting say so.
-        let fresh = |one: &&Replica| one.waiting.is_some_and(|(_, at)| at + self.figures.echo > now);
-        let reports: Vec<f64> = self
-            .replicas
-            .values()
-            .filter(fresh)
-            .filter_map(|one| one.waiting)
-            .map(|(queue, _)| queue)
-            .collect();
-        let queued = reports.iter().filter(|queue| **queue >= 1.0).count();
-        let calm = !reports.is_empty() && 3 * queued < reports.len();
-        let jammed = reports.is_empty() || 2 * queued >= reports.len();
+        let reports = self.replicas.values().filter_map(|one| one.waiting);
+        let reports = reports.filter(|(_, at)| *at + self.figures.echo > now);
+        let (all, queued) = reports.fold((0, 0), |(n, q), (queue, _)| (n + 1, q + u32::from(queue >= 1.0)));
+        let jammed = 2 * queued >= all;
+        let calm = 3 * queued < all;
         if late > LATE && jammed && now >= self.cut_at + self.figures.echo {
             // Jammed replicas answer as many as they can: let in a little less than that, to drain their queues.
             let bears = DRAINING * answers / seconds(SHED_EVERY);
             let offered: f64 = self.proxies.values().map(|proxy| proxy.demand(GroupSet::MAX)).sum();
-            self.let_in = (bears / offered.max(bears)).min(0.95 * self.let_in).max(0.2);
+            self.let_in = per(bears, offered).min(0.95 * self.let_in).max(0.2);
             self.cut_at = now;
         } else if late < 0.7 * LATE || calm {
             self.let_in = (self.let_in * (0.7 * LATE / late).clamp(1.05, 1.15)).min(1.0);
         }
     }
 
-    /// Orders the levels and further tries that changed; gives the number of orders.
-    fn level(&mut self) -> usize {
-        let demand = |place: usize| -> f64 {
-            self.proxies.values().map(|proxy| proxy.rates.get(&place).copied().unwrap_or(0.0)).sum()
-        };
-        let whole: f64 = self.figures.ladder.iter().map(|(place, _)| demand(*place)).sum();
-        let mut excess = if self.figures.levels { (1.0 - self.let_in) * whole } else { 0.0 };
-        let mut orders = 0;
-        for &(place, tries) in &self.figures.ladder {
-            let shed = excess.min(demand(place)).max(0.0);
-            excess -= shed;
-            let level = 1.0 - if shed > 0.0 { shed / demand(place) } else { 0.0 };
-            let level = (level * 20.0).round() / 20.0;
-            // A further try in overload takes a place from a first one.
-            let tries = if self.let_in < 1.0 { FurtherTries::Never } else { tries };
-            if self.levels[place] != (level, tries) {
-                self.levels[place] = (level, tries);
-                self.out.push_back(Decision::Level(1 << place, level, tries));
-                orders += 1;
+    /// Orders the levels and further tries that changed.
+    fn level(&mut self) {
+        let demand =
+            |place: &usize| -> f64 { self.proxies.values().map(|proxy| at(&proxy.rates, place)).sum() };
+        let demand: Vec<f64> = self.figures.ladder.iter().map(demand).collect();
+        let cut = if self.figures.levels { 1.0 - self.let_in } else { 0.0 };
+        let mut excess = cut * demand.iter().sum::<f64>();
+        // A further try in overload takes a place from a first one; a proven first drop is safe to try again.
+        let tries = if self.let_in < 1.0 { FurtherTries::Never } else { FurtherTries::IfNeverRan };
+        for (&place, demand) in self.figures.ladder.iter().zip(demand) {
+            let level = 1.0 - per(excess.clamp(0.0, demand), demand).min(1.0);
+            excess -= demand;
+            let level = ((level * 20.0).round() / 20.0, tries);
+            if self.levels[place] != level {
+                self.levels[place] = level;
+                self.out.push_back(Decision::Level(1 << place, level.0, tries));
             }
         }
-        self.waiting += (orders * self.proxies.len()) as f64;
-        orders
     }
 }
 
-/// A proxy's flows of one kind: its zone, flows a second, and where they now go.
-type Unit = (usize, f64, Lines);
-type Solved = BTreeMap<(ProxyId, usize), Lines>;
+type Solved = BTreeMap<Unit, Lines>;
 
+/// What the solver works on.
 #[derive(Default)]
 struct Field {
-    ratio: f64,
     /// By replica: its zone, and the rate at which its utilisation is taken to be the mean one.
     rooms: BTreeMap<ReplicaId, (usize, f64)>,
-    rates: Lines,
-    units: BTreeMap<(ProxyId, usize), Unit>,
+    /// By unit: its zone, and its present rates.
+    units: BTreeMap<Unit, (usize, Lines)>,
+    whole: f64,
 }
 
 impl Field {
     /// Rates by replica with these units' lines in place of their present ones.
     fn totals(&self, solved: &Solved) -> Lines {
         let mut totals = Lines::new();
-        for (unit, (_, _, rates)) in &self.units {
+        for (unit, (_, rates)) in &self.units {
             for (id, rate) in solved.get(unit).unwrap_or(rates) {
                 *totals.entry(id.clone()).or_insert(0.0) += rate;
             }
@@ -1118,38 +994,33 @@
         totals
     }
 
-    fn hottest(&self, solved: &Solved) -> Option<(ReplicaId, f64)> {
+    fn hottest(&self, solved: &Solved) -> Option<(&ReplicaId, f64)> {
         let totals = self.totals(solved);
-        let loads =
-            self.rooms.iter().map(|(id, (_, room))| (id, totals.get(id).copied().unwrap_or(0.0) / room));
-        loads.max_by(|one, other| one.1.total_cmp(&other.1)).map(|(id, load)| (id.clone(), load))
+        let loads = self.rooms.iter().map(|(id, (_, room))| (id, per(at(&totals, id), *room)));
+        loads.max_by(|one, other| one.1.total_cmp(&other.1))
     }
 
-    fn ratio_with(&self, solved: &Solved) -> f64 {
-        let rooms: f64 = self.rooms.values().map(|(_, room)| room).sum();
-        let mean = self.rates.values().sum::<f64>() / rooms;
-        self.hottest(solved).map_or(1.0, |(_, peak)| (mean / peak.max(1e-9)).min(1.0))
+    fn ratio(&self, solved: &Solved) -> f64 {
+        let mean = per(self.whole, self.rooms.values().map(|(_, room)| room).sum());
+        self.hottest(solved).map_or(1.0, |(_, peak)| per(mean, peak).min(1.0))
     }
 
     /// The page's payoff: the ratio, less the rerouted share of traffic times a penalty.
     fn payoff(&self, solved: &Solved) -> f64 {
-        let mut moved = 0.0;
-        for (unit, lines) in solved {
-            let old = &self.units[unit].2;
-            moved +=
-                lines.iter().map(|(id, rate)| (rate - old.get(id).unwrap_or(&0.0)).max(0.0)).sum::<f64>();
-        }
-        let ratio = self.ratio_with(solved);
-        let whole = self.rates.values().sum::<f64>().max(f64::MIN_POSITIVE);
-        ratio - moved / whole * if ratio < TARGET { PENALTIES.0 } else { PENALTIES.1 }
+        let moves = solved.iter().flat_map(|(unit, lines)| {
+            let old = &self.units[unit].1;
+            lines.iter().map(|(id, rate)| (rate - at(old, id)).max(0.0))
+        });
+        let ratio = self.ratio(solved);
+        ratio - per(moves.sum(), self.whole) * if ratio < TARGET { PENALTIES.0 } else { PENALTIES.1 }
     }
 
     /// The proxy outside the set that sends most to the hottest replica.
     fn sends_most(&self, solved: &Solved, set: &BTreeSet<ProxyId>) -> Option<ProxyId> {
         let (hottest, _) = self.hottest(solved)?;
         let mut sends: BTreeMap<ProxyId, f64> = BTreeMap::new();
-        for ((id, _), (_, _, rates)) in self.units.iter().filter(|((id, _), _)| !set.contains(id)) {
-            *sends.entry(*id).or_insert(0.0) += rates.get(&hottest).copied().unwrap_or(0.0);
+        for ((id, _), (_, rates)) in self.units.iter().filter(|((id, _), _)| !set.contains(id)) {
+            *sends.entry(*id).or_insert(0.0) += at(rates, hottest);
         }
         let most = sends.into_iter().max_by(|one, other| one.1.total_cmp(&other.1));
         most.filter(|(_, rate)| *rate > 0.0).map(|(id, _)| id)
@@ -1158,36 +1029,35 @@
     /// Water-fills the units of the set, largest first, against all others, twice over.
     fn fill(&self, set: &BTreeSet<ProxyId>, crossing: f64) -> Solved {
         let chosen = self.units.iter().filter(|((id, _), _)| set.contains(id));
-        let mut chosen: Vec<(&(ProxyId, usize), &Unit)> = chosen.collect();
-        chosen.sort_by(|one, other| other.1.1.total_cmp(&one.1.1));
+        let mut chosen: Vec<(&Unit, usize, f64)> =
+            chosen.map(|(unit, (zone, rates))| (unit, *zone, rates.values().sum())).collect();
+        chosen.sort_by(|one, other| other.2.total_cmp(&one.2));
         let mut solved = Solved::new();
-        for _ in 0..2 {
-            for &(unit, (zone, demand, _)) in &chosen {
-                solved.insert(*unit, Lines::new());
-                let others = self.totals(&solved);
-                let reach = self.rooms.iter().filter(|(_, (there, _))| unit.1 == 0 || there == zone);
-                let mut vessels: Vec<(f64, f64, &ReplicaId)> = reach
-                    .map(|(id, (there, room))| {
-                        let price = if there == zone { 1.0 } else { crossing };
-                        (others.get(id).copied().unwrap_or(0.0) * price / room, room / price, id)
-                    })
-                    .collect();
-                vessels.sort_by(|one, other| one.0.total_cmp(&other.0));
-                vessels.truncate(COOLEST);
-                solved.insert(*unit, pour(*demand, &vessels));
-            }
+        for &(unit, zone, demand) in chosen.iter().chain(&chosen) {
+            solved.insert(*unit, Lines::new());
+            let others = self.totals(&solved);
+            let reach = self.rooms.iter().filter(|(_, (there, _))| unit.1 == 0 || *there == zone);
+            let vessels = reach.map(|(id, (there, room))| {
+                let price = if *there == zone { 1.0 } else { crossing };
+                (per(at(&others, id) * price, *room), room / price, id)
+            });
+            let mut vessels: Vec<_> = vessels.collect();
+            vessels.sort_by(|one, other| one.0.total_cmp(&other.0));
+            vessels.truncate(COOLEST);
+            solved.insert(*unit, pour(demand, &vessels));
         }
+        solved.retain(|_, lines| !lines.is_empty());
         solved
     }
 }
 
 /// Pours a rate into vessels of (level, room), coolest first, so that the highest level stays lowest.
 fn pour(rate: f64, vessels: &[(f64, f64, &ReplicaId)]) -> Lines {
-    let (mut room, mut held, mut level) = (0.0, 0.0, 0.0);
+    let (mut room, mut held, mut level) = (0.0, rate, 0.0);
     for (place, vessel) in vessels.iter().enumerate() {
         room += vessel.1;
         held += vessel.0 * vessel.1;
-        level = (rate + held) / room;
+        level = per(held, room);
         if vessels.get(place + 1).is_none_or(|next| next.0 >= level) {
             break;
         }
