An unanswered probe tells of load, not of nothing

Symptom: 17 replicas left, a fifth of flows late, busiest at twice the mean. Cause: probes of overloaded replicas time out, so their last calm report stood and nothing moved away from them. Told from ill health: their sums still showed answers. Change: each unanswered probe raises what a replica is taken to hold. Guards against any report that fails exactly when it matters; harms where probes are lost for another cause, by moving load off a healthy replica.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,6 +38,9 @@
 const CRITICAL_SHARE: f64 = 0.15;
 /// Probes are cheap, but each costs its replica work.
 const PROBE_EVERY: Duration = Duration::from_secs(2);
+/// Flows in hand are taken to grow by this with each unanswered probe, up to what swamps any replica.
+const MUTE_GROWTH: f64 = 1.3;
+const MUTE_MOST: f64 = 50.0;
 /// Most lines in a solved table.
 const COOLEST: usize = 30;
 /// A line goes out again once its weight has moved by this share: less is within the noise of the sums.
@@ -410,10 +413,13 @@
     pub fn probed(&mut self, now: Duration, id: &ReplicaId, took: Option<Duration>, load: &[f64]) {
         let Some(replica) = self.replicas.get_mut(id) else { return };
         replica.unanswered_probes = if took.is_some() { 0 } else { replica.unanswered_probes + 1 };
-        if let Some(&in_hand) = self.figures.in_hand_at.and_then(|at| load.get(at)) {
-            let known = replica.in_hand.unwrap_or(in_hand);
-            replica.in_hand = Some(known + (in_hand - known) / 3.0);
-        }
+        let known = replica.in_hand.or(self.figures.in_hand_at.map(|_| 1.0));
+        replica.in_hand = match self.figures.in_hand_at.and_then(|at| load.get(at)) {
+            Some(in_hand) => known.map(|known| known + (in_hand - known) / 3.0),
+            // A probe waits behind flows: one unanswered tells of load where those answered tell of none.
+            None if took.is_none() => known.map(|known| (MUTE_GROWTH * known.max(1.0)).min(MUTE_MOST)),
+            None => known,
+        };
         let next = self.figures.probe_every.filter(|_| replica.ready());
         self.due.extend(next.map(|every| (now + every, Due::Probe(id.clone()))));
         self.stirred = true;
@@ -728,7 +734,7 @@
 
     /// Pace: all orders leave here, urgent ones first, as one message to each proxy concerned.
     fn publish(&mut self, now: Duration, ordinary: bool) {
-        let drained = seconds(now - self.drained_at) * self.figures.lines_per_s / self.slowed;
+        let drained = seconds(now.saturating_sub(self.drained_at)) * self.figures.lines_per_s / self.slowed;
         (self.waiting, self.drained_at) = ((self.waiting - drained).max(0.0), now);
         let (most, over) = self.figures.flushes;
         self.flushes.retain(|at| *at + over > now);
