Dead replicas go at once; urgent flushes are spaced; cuts go by averaged answers

Cause: one second's sums hold one or three reports, so the measured answers, and the cut, were off by half.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -588,11 +588,14 @@
             let mute = replica.unanswered_probes >= 2 && 5 * mute <= ready;
             let silent = due >= if mute { 0.25 * SILENT_AFTER } else { SILENT_AFTER };
             let failing = dropped >= 4.0 && share >= (0.3f64).max(3.0 * usual_drops);
+            // One that answers nothing is dead, however many others are too.
+            let silent = silent || dropped >= 4.0 && share > 0.95;
             // One that drops for its queue is overloaded: withdrawing it would tip the next.
             let busy = self.utilisation(replica, now).is_some_and(|held| held > 1.3 * mean)
                 || replica.waiting.is_some_and(|(waiting, _)| waiting >= 2.0);
             match replica.health {
-                Health::Fit if silent || failing && !busy => suspects.push((share + due, id.clone())),
+                Health::Fit if silent => suspects.push((1.0 + due, id.clone())),
+                Health::Fit if failing && !busy => suspects.push((share, id.clone())),
                 Health::Trial(_) if silent || dropped >= 2.0 && dropped > delivered => {
                     suspects.push((f64::MAX, id.clone()));
                 }
@@ -611,9 +614,10 @@
     fn withdraw_worst(&mut self, now: Duration, mut suspects: Vec<(f64, ReplicaId)>, usual_drops: f64) {
         let ready = self.replicas.values().filter(|one| one.ready()).count();
         let mut out = self.replicas.values().filter(|one| one.ready() && one.out()).count();
-        // Many suspects at once are the fleet's trouble, or the sums': only the worst one goes.
+        // Many that drop in part are the fleet's trouble: of these only the worst one goes.
         if 4 * suspects.len() > ready && usual_drops > 0.2 {
-            suspects.truncate(1);
+            let worst = suspects.first().map_or(0.0, |(ill, _)| *ill);
+            suspects.retain(|(ill, _)| *ill >= worst.min(1.0));
         }
         for (_, id) in suspects {
             let zone = self.replicas[&id].zone;
@@ -741,7 +745,10 @@
         let due = self.replicas.iter_mut().filter(|(_, one)| one.out() && !one.withdrawn);
         let mut due = due.peekable();
         let urgent = due.peek().is_some();
-        let flush = (ordinary || urgent) && self.flushes.len() < most && !self.proxies.is_empty();
+        // The fuller the span already is, the longer an urgent one waits for others to go with it.
+        let gap = over.mul_f64(self.flushes.len() as f64 / (most as f64).powi(2));
+        let soon = self.flushes.back().is_some_and(|last| now < *last + gap);
+        let flush = (ordinary || urgent && !soon) && self.flushes.len() < most && !self.proxies.is_empty();
         let first = self.out.len();
         if flush {
             for (id, replica) in due {
@@ -946,7 +953,9 @@
         let calm = 3 * queued < all;
         if late > LATE && jammed && now >= self.cut_at + self.figures.echo {
             // Jammed replicas answer as many as they can: let in a little less than that, to drain their queues.
-            let bears = DRAINING * answers / seconds(SHED_EVERY);
+            let sights = self.replicas.values().flat_map(|one| one.sights.values());
+            let answered = |one: &Sight| one.rate * per(one.delivered, one.delivered + one.dropped);
+            let bears = DRAINING * sights.map(answered).sum::<f64>();
             let offered: f64 = self.proxies.values().map(|proxy| proxy.demand(GroupSet::MAX)).sum();
             self.let_in = per(bears, offered).min(0.95 * self.let_in).max(0.2);
             self.cut_at = now;
