A replica kept out of tables owes no answers

Symptom: service fell further after new replicas came. Cause: new replicas, held back while cold, were judged silent from their listing on and withdrawn as soon as their first lines went out. Told from ill health by their sums: not one try.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -605,6 +605,10 @@
         for (id, replica) in &mut self.replicas {
             let rate: f64 = sending.get(id).map_or(0.0, |zones| zones.values().sum());
             replica.expected += (rate - replica.expected) * seconds(BEAT) / self.figures.averaged;
+            // Kept out of all tables it owes no answers, nor for those that the first lines take to come.
+            if rate == 0.0 {
+                replica.since = now;
+            }
         }
         suspects.sort_by(|one, other| other.0.total_cmp(&one.0));
         suspects
