--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,8 +60,6 @@
 const BEND_KEPT: f64 = 0.95;
 /// Answers that should have come by now: with this many, chance leaves none once in some thousand looks.
 const SILENT_AFTER: f64 = 8.0;
-/// Tries dropped with no answer between: an overloaded replica still answers some.
-const DEAD_AFTER: u64 = 6;
 /// First wait before a withdrawn replica is tried again; each failed trial doubles it.
 const FIRST_WAIT: Duration = Duration::from_secs(4);
 /// A replica on trial is sent this share of its usual part, and all of it once the trial is over.
@@ -124,8 +122,6 @@
     time: f64,
     last: Duration,
     last_answer: Duration,
-    /// Tries dropped since.
-    run: u64,
 }
 
 #[derive(Default)]
@@ -399,9 +395,8 @@
             let share = if sight.time > 0.0 { per(delivered, sight.delivered.max(1.0)) } else { 1.0 };
             sight.time += (mean - sight.time) * share;
         }
-        sight.run += met.dropped;
         if delivered > 0.0 {
-            (sight.last_answer, sight.run) = (now, 0);
+            sight.last_answer = now;
         }
     }
 
@@ -595,8 +590,7 @@
             let unusual = (3.0 * usual_drops).min(0.5 + 0.5 * usual_drops).max(0.3);
             let failing = dropped >= 4.0 && share >= unusual;
             // One that only drops is dead, however many others are too.
-            let run = replica.sights.values().map(|sight| sight.run).min().unwrap_or(0);
-            let silent = silent || run >= DEAD_AFTER;
+            let silent = silent || dropped >= 4.0 && share > 0.95;
             // One that drops for its queue is overloaded: withdrawing it would tip the next.
             let busy = self.utilisation(replica, now).is_some_and(|held| held > 1.3 * mean)
                 || replica.waiting.is_some_and(|(waiting, _)| waiting >= 2.0);
