In stress cold replicas get their capacity squared, from 0.35 on

Symptom: 51% blocked after a zone was lost while new replicas stood by. Cause: held back until 0.6 of capacity, eight seconds of each start. Change: a smaller share sooner.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,7 +51,8 @@
 /// that a cold replica must then have to be sent anything.
 const HEARD_ENOUGH: f64 = 50.0;
 const STRESSED_AT: f64 = 0.05;
-const STRESSED_FLOOR: f64 = 0.6;
+const WARM_ENOUGH: f64 = 0.6;
+const STRESSED_FLOOR: f64 = 0.35;
 /// How far one cycle bends a room towards the mean utilisation (an exponent).
 const BEND_STEP: f64 = 0.25;
 /// A room bent below this (to 0.7 of its fair share) is no noise: the few critical proxies can't unload that replica alone.
@@ -498,11 +499,11 @@
     /// their usual replicas and pile onto any that still answers: a cold one would fall under a planned trickle.
     fn part(&self, replica: &Replica, now: Duration) -> f64 {
         let capacity = replica.capacity(&self.figures, now);
-        let held_back =
-            self.stressed && capacity < STRESSED_FLOOR && !self.thin.contains(&self.scope(replica));
+        let wary = self.stressed && capacity < 1.0 && !self.thin.contains(&self.scope(replica));
         match replica.health {
-            _ if replica.out() || held_back => 0.0,
+            _ if replica.out() || wary && capacity < STRESSED_FLOOR => 0.0,
             Health::Trial(_) => TRIAL_SHARE * capacity,
+            _ if wary => capacity * capacity,
             _ => capacity,
         }
     }
@@ -657,10 +658,10 @@
         for replica in self.replicas.values().filter(|one| !one.out()) {
             let capacity = replica.capacity(&self.figures, now);
             let (warm, all) = bears.entry(self.scope(replica)).or_default();
-            *warm += if capacity >= STRESSED_FLOOR { replica.weight * capacity } else { 0.0 };
+            *warm += if capacity >= WARM_ENOUGH { replica.weight * capacity } else { 0.0 };
             *all += replica.weight * capacity;
         }
-        bears.retain(|_, (warm, all)| *warm < STRESSED_FLOOR * *all);
+        bears.retain(|_, (warm, all)| *warm < WARM_ENOUGH * *all);
         self.thin = bears.into_keys().collect();
     }
 
