Cold replicas get less the more tries are dropped

Symptom: a replica 11.7 s after its start got 4.2 times what it could do with a planned share of less than its capacity. Cause: every replica was brought more than twice its capacity. Change: in stress the share of a cold one shrinks by the share of tries dropped.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -185,8 +185,9 @@
     /// Critical proxies and their solved lines.
     critical: BTreeMap<Unit, Lines>,
     cycles_below: u32,
-    /// Tries are dropped all over the fleet; so taken until enough is heard, as after a restart in mid-trouble.
-    stressed: bool,
+    /// The share of tries dropped all over the fleet, where that is no longer little. Half is assumed until
+    /// enough is heard: a governor may restart in mid-trouble.
+    stress: f64,
     /// Scopes whose open replicas are mostly cold: nothing warm to hold load on instead.
     thin: BTreeSet<usize>,
     /// By zone: when sums of it last came, and when a proxy of it last joined.
@@ -311,7 +312,7 @@
     pub fn new(settings: Settings, now: Duration) -> Self {
         let figures = Figures::new(&settings);
         Governor {
-            stressed: true,
+            stress: 0.5,
             let_in: 1.0,
             levels: vec![(1.0, settings.usual_tries); figures.ladder.len()],
             due: [(now, Due::Publish), (now + SOLVE_EVERY, Due::Solve), (now + SOLVE_EVERY, Due::Shed)]
@@ -496,14 +497,15 @@
     }
 
     /// What part of its listed weight a replica may be sent now. While many tries are dropped, proxies turn from
-    /// their usual replicas and pile onto any that still answers: a cold one would fall under a planned trickle.
+    /// their usual replicas and pile onto any that still answers, and overload brings every replica a multiple of what it can do: a cold
+    /// one would fall under a planned trickle.
     fn part(&self, replica: &Replica, now: Duration) -> f64 {
         let capacity = replica.capacity(&self.figures, now);
-        let wary = self.stressed && capacity < 1.0 && !self.thin.contains(&self.scope(replica));
+        let wary = self.stress > 0.0 && capacity < 1.0 && !self.thin.contains(&self.scope(replica));
         match replica.health {
             _ if replica.out() || wary && capacity < STRESSED_FLOOR => 0.0,
             Health::Trial(_) => TRIAL_SHARE * capacity,
-            _ if wary => capacity * capacity,
+            _ if wary => capacity * capacity * (1.0 - self.stress),
             _ => capacity,
         }
     }
@@ -533,8 +535,10 @@
         let fleet = self.replicas.values().map(Replica::evidence);
         let (delivered, dropped) = fleet.fold((0.0, 0.0), |(d, m), one| (d + one.0, m + one.1));
         let usual_drops = per(dropped, (delivered + dropped).max(1.0));
-        let stressed_at = STRESSED_AT * if self.stressed { 0.5 } else { 1.0 };
-        self.stressed = usual_drops > stressed_at || self.stressed && delivered + dropped < HEARD_ENOUGH;
+        let stressed_at = STRESSED_AT * if self.stress > 0.0 { 0.5 } else { 1.0 };
+        if delivered + dropped >= HEARD_ENOUGH {
+            self.stress = if usual_drops > stressed_at { usual_drops } else { 0.0 };
+        }
         let suspects = self.suspects(now, usual_drops);
         self.withdraw_worst(now, suspects, usual_drops);
         self.keep_one(now);
