Count let-in demand, seed a joiner's rates, and budget zones without warm replicas

Change: demand is what levels let in; a joiner counts its usual rate until heard; in a zone that lists nothing warm only as many proxies keep lines for bound groups as its cold replicas bear (rule 1 allows that, and it ends when one is warm).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -53,6 +53,9 @@
 const STRESSED_AT: f64 = 0.05;
 const WARM_ENOUGH: f64 = 0.6;
 const STRESSED_FLOOR: f64 = 0.35;
+/// What the cold replicas of a zone without warm ones are sent, by what the fleet's replicas answer for their
+/// capacity: they fall at a stated multiple, 2 or more, and chance takes its part.
+const COLD_SLACK: f64 = 1.2;
 /// How far one cycle bends a room towards the mean utilisation (an exponent).
 const BEND_STEP: f64 = 0.25;
 /// A room bent below this (to 0.7 of its fair share) is no noise: the few critical proxies can't unload that replica alone.
@@ -149,12 +152,11 @@
     unanswered_probes: u32,
 }
 
-#[derive(Default)]
 struct Proxy {
     zone: usize,
     usual: f64,
-    /// Flows a second by group.
-    rates: BTreeMap<usize, f64>,
+    /// Flows a second by group, blocked ones too.
+    rates: Vec<f64>,
     /// What its standing table is taken to hold, while it is on it.
     standing: Option<BTreeSet<ReplicaId>>,
     /// Holds nobody knows what: must follow own tables before anything else can be said of it.
@@ -297,16 +299,6 @@
     }
 }
 
-impl Proxy {
-    fn demand(&self, groups: GroupSet) -> f64 {
-        if self.rates.is_empty() {
-            return if groups == 0 { 0.0 } else { self.usual };
-        }
-        let of = |place: &usize| groups >> (*place).min(63) & 1 == 1;
-        self.rates.iter().filter(|(place, _)| of(place)).map(|(_, rate)| rate).sum()
-    }
-}
-
 /// Inputs: they only update what is known.
 impl Governor {
     pub fn new(settings: Settings, now: Duration) -> Self {
@@ -366,7 +358,9 @@
         let next = self.numbers.len() as TableId;
         self.numbers.entry(proxy).or_insert(next);
         let standing = fresh.then(|| self.drawn(zone));
-        self.proxies.insert(proxy, Proxy { zone, usual, standing, unsure, ..Proxy::default() });
+        let groups = self.levels.len();
+        let rates = vec![per(usual, groups as f64); groups];
+        self.proxies.insert(proxy, Proxy { zone, usual, rates, standing, unsure });
         self.joined.insert(zone, now);
         self.stirred = true;
     }
@@ -404,10 +398,10 @@
 
     /// Flows of a group that came to a proxy.
     pub fn came(&mut self, came: Came) {
-        let Some(proxy) = self.proxies.get_mut(&came.proxy) else { return };
+        let proxy = self.proxies.get_mut(&came.proxy);
+        let Some(rate) = proxy.and_then(|proxy| proxy.rates.get_mut(came.group)) else { return };
         let span = seconds(came.span).max(0.001);
         let seen = came.flows as f64 / span;
-        let rate = proxy.rates.entry(came.group).or_insert(seen);
         *rate += (seen - *rate) * (1.0 - (-span / self.figures.averaged).exp());
     }
 
@@ -516,6 +510,13 @@
         replica.weight * self.part(replica, now) * limp
     }
 
+    /// Flows a second of these groups that a proxy lets in.
+    fn demand(&self, proxy: &Proxy, groups: GroupSet) -> f64 {
+        let rates = proxy.rates.iter().zip(&self.levels).enumerate();
+        let rates = rates.filter(|(place, _)| groups >> (*place).min(63) & 1 == 1);
+        rates.map(|(_, (rate, (level, _)))| rate * level).sum()
+    }
+
     /// Flows a second by replica that a proxy's tables now stand for.
     fn sends(&self, unit: Unit) -> Lines {
         let Some(proxy) = self.proxies.get(&unit.0) else { return Lines::new() };
@@ -525,7 +526,7 @@
             None => self.tables.get(&unit).cloned().unwrap_or_default(),
         };
         lines.retain(|id, _| open(id).is_some());
-        let scale = per(proxy.demand(self.figures.groups[unit.1]), lines.values().sum());
+        let scale = per(self.demand(proxy, self.figures.groups[unit.1]), lines.values().sum());
         lines.values_mut().for_each(|rate| *rate *= scale);
         lines
     }
@@ -675,8 +676,8 @@
         let mut bound: BTreeMap<usize, f64> = BTreeMap::new();
         let mut all: BTreeMap<usize, f64> = BTreeMap::new();
         for proxy in self.proxies.values() {
-            *bound.entry(proxy.zone).or_insert(0.0) += proxy.demand(self.figures.groups[1]);
-            *all.entry(proxy.zone).or_insert(0.0) += proxy.demand(GroupSet::MAX);
+            *bound.entry(proxy.zone).or_insert(0.0) += self.demand(proxy, self.figures.groups[1]);
+            *all.entry(proxy.zone).or_insert(0.0) += self.demand(proxy, GroupSet::MAX);
         }
         let zones: Vec<usize> = all.keys().copied().collect();
         // Other governors' proxies are unheard: taken to be spread as the fleet's sizes are.
@@ -788,6 +789,7 @@
     /// Default repair and solved tables: what each proxy should hold, to those whose table it is not.
     fn tables(&mut self, now: Duration, flush: bool) {
         let defaults = self.defaults(now);
+        let mut bearable = self.cold_zones(now);
         let ids: Vec<ProxyId> = self.proxies.keys().copied().collect();
         for id in ids {
             let proxy = &self.proxies[&id];
@@ -807,7 +809,11 @@
             let mut sent = 0;
             let groups = self.figures.groups;
             for kind in (0..2).filter(|kind| groups[*kind] != 0) {
-                let wanted = self.wanted((id, kind), &defaults[&(zone, kind)], now);
+                let mut wanted = self.wanted((id, kind), &defaults[&(zone, kind)], now);
+                if let Some(left) = bearable.get_mut(&zone).filter(|_| kind == 1) {
+                    *left -= self.demand(&self.proxies[&id], groups[1]);
+                    wanted.retain(|_, _| *left > 0.0);
+                }
                 sent += self.lay((id, kind), wanted, bind);
             }
             self.waiting += if sent > 0 { self.figures.head + sent as f64 } else { 0.0 };
@@ -817,6 +823,22 @@
         }
     }
 
+    /// Flows a second that the proxies here may send within zones that list nothing warm. What is bound to such
+    /// a zone and more than its cold replicas bear goes nowhere: some proxies keep no line until one is warm.
+    fn cold_zones(&self, now: Duration) -> BTreeMap<usize, f64> {
+        let open = self.replicas.values().filter(|one| !one.out());
+        let fleet: f64 = open.map(|one| one.weight * one.capacity(&self.figures, now)).sum();
+        let each = COLD_SLACK * per(self.answered(), fleet);
+        let mut bears: BTreeMap<usize, f64> = BTreeMap::new();
+        for replica in self.replicas.values().filter(|one| one.ready()) {
+            let capacity = replica.capacity(&self.figures, now);
+            *bears.entry(replica.zone).or_insert(0.0) +=
+                if capacity < 1.0 { each * replica.weight * capacity } else { f64::INFINITY };
+        }
+        bears.retain(|_, bears| bears.is_finite());
+        bears
+    }
+
     /// The lines that a proxy should hold: its solved ones while they stand, else its zone's default.
     fn wanted(&self, unit: Unit, default: &Lines, now: Duration) -> Lines {
         let mut solved = self.critical.get(&unit).cloned().unwrap_or_default();
@@ -833,9 +855,6 @@
 
     /// Orders what differs from the table as last sent; gives the lines that this costs.
     fn lay(&mut self, unit: Unit, wanted: Lines, bind: bool) -> usize {
-        if wanted.is_empty() {
-            return 0;
-        }
         let table = self.tables.entry(unit).or_default();
         let gone = table.keys().filter(|id| !wanted.contains_key(*id));
         let mut lines: Vec<(ReplicaId, f64)> = gone.map(|id| (id.clone(), 0.0)).collect();
@@ -963,10 +982,8 @@
         let calm = 3 * queued < all;
         if late > LATE && jammed && now >= self.cut_at + self.figures.echo {
             // Jammed replicas answer as many as they can: let in a little less than that, to drain their queues.
-            let sights = self.replicas.values().flat_map(|one| one.sights.values());
-            let answered = |one: &Sight| one.rate * per(one.delivered, one.delivered + one.dropped);
-            let bears = DRAINING * sights.map(answered).sum::<f64>();
-            let offered: f64 = self.proxies.values().map(|proxy| proxy.demand(GroupSet::MAX)).sum();
+            let bears = DRAINING * self.answered();
+            let offered: f64 = self.proxies.values().flat_map(|proxy| &proxy.rates).sum();
             self.let_in = per(bears, offered).min(0.95 * self.let_in).max(0.2);
             self.cut_at = now;
         } else if late < 0.7 * LATE || calm {
@@ -974,10 +991,17 @@
         }
     }
 
+    /// Answers a second, as the sums tell of late.
+    fn answered(&self) -> f64 {
+        let sights = self.replicas.values().flat_map(|one| one.sights.values());
+        sights.map(|one| one.rate * per(one.delivered, one.delivered + one.dropped)).sum()
+    }
+
     /// Orders the levels and further tries that changed.
     fn level(&mut self) {
-        let demand =
-            |place: &usize| -> f64 { self.proxies.values().map(|proxy| at(&proxy.rates, place)).sum() };
+        let demand = |place: &usize| -> f64 {
+            self.proxies.values().filter_map(|proxy| proxy.rates.get(*place)).sum()
+        };
         let demand: Vec<f64> = self.figures.ladder.iter().map(demand).collect();
         let cut = if self.figures.levels { 1.0 - self.let_in } else { 0.0 };
         let mut excess = cut * demand.iter().sum::<f64>();
