Cold replicas: floor by stress, solved tables never colder than defaults, no levels unheard

Change: a solved table with more cold share than the default's gives way to it; a cold replica needs 1.2 times the stress as capacity; levels wait until the fleet is heard.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,12 +47,11 @@
 const WORTH_SENDING: f64 = 0.12;
 /// A zone carries up to this multiple of the fleet's utilisation before its default spills over.
 const ZONE_SLACK: f64 = 1.15;
-/// Dropped share of all tries from which the fleet counts as stressed, and the worst-case share of its capacity
-/// that a cold replica must then have to be sent anything.
+/// Tries heard before their drops mean anything, and the share of drops from which the fleet counts as stressed.
 const HEARD_ENOUGH: f64 = 50.0;
 const STRESSED_AT: f64 = 0.05;
-const WARM_ENOUGH: f64 = 0.6;
-const STRESSED_FLOOR: f64 = 0.35;
+/// A cold replica must have this multiple of the stress as capacity to be sent anything.
+const STRESSED_FLOOR: f64 = 1.2;
 /// What the cold replicas of a zone without warm ones are sent, by what the fleet's replicas answer for their
 /// capacity: they fall at a stated multiple, 2 or more, and chance takes its part.
 const COLD_SLACK: f64 = 1.2;
@@ -190,7 +189,8 @@
     /// The share of tries dropped all over the fleet, where that is no longer little. Half is assumed until
     /// enough is heard: a governor may restart in mid-trouble.
     stress: f64,
-    /// Scopes whose open replicas are mostly cold: nothing warm to hold load on instead.
+    unheard: bool,
+    /// Scopes with no warm replica open: nothing to hold load on instead.
     thin: BTreeSet<usize>,
     /// By zone: when sums of it last came, and when a proxy of it last joined.
     heard: BTreeMap<usize, Duration>,
@@ -305,6 +305,7 @@
         let figures = Figures::new(&settings);
         Governor {
             stress: 0.5,
+            unheard: true,
             let_in: 1.0,
             levels: vec![(1.0, settings.usual_tries); figures.ladder.len()],
             due: [(now, Due::Publish), (now + SOLVE_EVERY, Due::Solve), (now + SOLVE_EVERY, Due::Shed)]
@@ -497,7 +498,7 @@
         let capacity = replica.capacity(&self.figures, now);
         let wary = self.stress > 0.0 && capacity < 1.0 && !self.thin.contains(&self.scope(replica));
         match replica.health {
-            _ if replica.out() || wary && capacity < STRESSED_FLOOR => 0.0,
+            _ if replica.out() || wary && capacity < STRESSED_FLOOR * self.stress => 0.0,
             Health::Trial(_) => TRIAL_SHARE * capacity,
             _ if wary => capacity * capacity * (1.0 - self.stress),
             _ => capacity,
@@ -538,7 +539,7 @@
         let usual_drops = per(dropped, (delivered + dropped).max(1.0));
         let stressed_at = STRESSED_AT * if self.stress > 0.0 { 0.5 } else { 1.0 };
         if delivered + dropped >= HEARD_ENOUGH {
-            self.stress = if usual_drops > stressed_at { usual_drops } else { 0.0 };
+            (self.stress, self.unheard) = (if usual_drops > stressed_at { usual_drops } else { 0.0 }, false);
         }
         let suspects = self.suspects(now, usual_drops);
         self.withdraw_worst(now, suspects, usual_drops);
@@ -647,7 +648,7 @@
     }
 
     /// Where all that is left of a scope is withdrawn for its health, a bad replica is better than none: guards
-    /// against drains that follow a withdrawal. Also finds the scopes that have too little warm capacity.
+    /// against drains that follow a withdrawal. Also finds the scopes where nothing is warm.
     fn keep_one(&mut self, now: Duration) {
         let open = self.replicas.values().filter(|one| !one.out());
         let open: BTreeSet<usize> = open.map(|one| self.scope(one)).collect();
@@ -659,15 +660,10 @@
         for id in bare {
             self.replicas.entry(id).and_modify(|replica| replica.judge_anew(now, Health::Fit));
         }
-        let mut bears: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
-        for replica in self.replicas.values().filter(|one| !one.out()) {
-            let capacity = replica.capacity(&self.figures, now);
-            let (warm, all) = bears.entry(self.scope(replica)).or_default();
-            *warm += if capacity >= WARM_ENOUGH { replica.weight * capacity } else { 0.0 };
-            *all += replica.weight * capacity;
-        }
-        bears.retain(|_, (warm, all)| *warm < WARM_ENOUGH * *all);
-        self.thin = bears.into_keys().collect();
+        let warm = |one: &&Replica| !one.out() && one.capacity(&self.figures, now) >= 1.0;
+        let warm: BTreeSet<usize> = self.replicas.values().filter(warm).map(|one| self.scope(one)).collect();
+        self.thin =
+            self.replicas.values().map(|one| self.scope(one)).filter(|one| !warm.contains(one)).collect();
     }
 
     /// The default of each zone, by kind of table: own zone first, spilling over where that can't bear it.
@@ -775,7 +771,9 @@
                 replica.withdrawn = false;
                 self.out.push_back(Decision::Withdraw(id.clone(), false));
             }
-            self.level();
+            if !self.unheard {
+                self.level();
+            }
         }
         let to_all = |one: &&Decision| matches!(one, Decision::Withdraw(..) | Decision::Level(..));
         self.waiting += (self.out.iter().skip(first).filter(to_all).count() * self.proxies.len()) as f64;
@@ -843,14 +841,12 @@
     fn wanted(&self, unit: Unit, default: &Lines, now: Duration) -> Lines {
         let mut solved = self.critical.get(&unit).cloned().unwrap_or_default();
         solved.retain(|id, _| self.part(&self.replicas[id], now) > 0.0);
-        // The solver would lean on a cold replica while its neighbours suffer: no more than by default.
-        let scale = per(solved.values().sum(), default.values().sum());
-        for (id, weight) in &mut solved {
-            if self.replicas[id].capacity(&self.figures, now) < 1.0 {
-                *weight = weight.min(scale * at(default, id).max(0.01));
-            }
-        }
-        if solved.is_empty() { default.clone() } else { solved }
+        // The solver, or the loss of its other lines, would lean on a cold replica while its neighbours suffer.
+        let cold = |lines: &Lines| {
+            let cold = lines.iter().filter(|(id, _)| self.replicas[*id].capacity(&self.figures, now) < 1.0);
+            per(cold.map(|(_, weight)| weight).sum(), lines.values().sum())
+        };
+        if solved.is_empty() || cold(&solved) > cold(default) { default.clone() } else { solved }
     }
 
     /// Orders what differs from the table as last sent; gives the lines that this costs.
