--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -3,6 +3,9 @@
 //! A line that can't be understood is named on standard error and left out; what the rest of the batch says
 //! still counts. A batch without its end is never answered.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead, Write};
 use std::sync::Arc;
--- /dev/null
+++ b/crates/adapter/src/wire/tests.rs
@@ -0,0 +1,95 @@
+use super::serve;
+
+const INFO: &str = r#"{"categories":[{"deadline_us":5000000,"effect":"retryable","objective_us":2000000}],
+"extra":{"agents":1,"channel_rate":1000,"most_waiting":2000,"cycle_us":500000},"zones":["a"],"unknown":{"x":[1]}}"#;
+
+/// One instance with one ready replica and one proxy, in a batch without its end.
+fn start() -> String {
+    let info = INFO.replace('\n', "");
+    [
+        r#"{"begin_batch":{"ts_us":1000000}}"#,
+        &format!(r#"{{"init":{{"governor_id":3,"init_seed":1,"info":{info}}}}}"#),
+        r#"{"define_list":{"list":0,"elements":[{"replica":"r1","phase":1,"weight":1}]}}"#,
+        r#"{"directory_update":{"governor_id":3,"kind":2,"list":0,"version":1}}"#,
+        r#"{"subscribed":{"governor_id":3,"weight":5,"forwarder":0,"hall":0}}"#,
+        "",
+    ]
+    .join("\n")
+}
+
+fn answer(input: &str) -> (bool, String, String) {
+    let (mut output, mut errors) = (Vec::new(), Vec::new());
+    let good = serve(input.as_bytes(), &mut output, &mut errors).is_ok();
+    let text = |bytes| String::from_utf8(bytes).expect("the adapter writes UTF-8");
+    (good, text(output), text(errors))
+}
+
+#[test]
+fn an_empty_batch_is_answered() {
+    let (good, output, errors) = answer("{\"begin_batch\":{\"ts_us\":5}}\n{\"go\":{}}\n");
+    assert_eq!((good, output.as_str(), errors.as_str()), (true, "{\"ok\":{}}\n", ""));
+}
+
+#[test]
+fn a_joiner_is_bound_and_lines_come_before() {
+    let (_, output, errors) = answer(&(start() + "{\"go\":{}}\n"));
+    assert_eq!(errors, "");
+    let assign = output.find(r#"{"assign":"#).expect("a line");
+    assert!(output.find(r#"{"bind":"#).is_some_and(|bind| assign < bind));
+    assert!(output.ends_with("{\"ok\":{}}\n"));
+}
+
+#[test]
+fn bad_lines_are_named_and_left_out() {
+    let bad = [
+        ("nonsense", "line 6: not JSON"),
+        ("[1]", "line 6: not an object"),
+        ("{}", "line 6: a message has one name"),
+        (r#"{"go":1}"#, "line 6: `go` holds no object"),
+        (r#"{"surprise":{"governor_id":3}}"#, "line 6: no such event: `surprise`"),
+        (r#"{"left":{"governor_id":9,"forwarder":0}}"#, "line 6: no instance 9"),
+        (r#"{"left":{"governor_id":3,"forwarder":70000}}"#, "line 6: `forwarder` is too large"),
+        (r#"{"tally":{"governor_id":3,"hall":0,"replica":"r1"}}"#, "line 6: `total` is not a whole number"),
+        (r#"{"directory_update":{"governor_id":3,"kind":1,"list":7}}"#, "line 6: no list 7"),
+        (r#"{"begin_batch":{"ts_us":2000000}}"#, "line 6: a batch begins before"),
+    ];
+    let (_, clean, _) = answer(&(start() + "{\"go\":{}}\n"));
+    for (line, why) in bad {
+        let (good, output, errors) = answer(&format!("{}{line}\n{{\"go\":{{}}}}\n", start()));
+        assert!(good && errors.contains(why), "{line}: {errors}");
+        assert_eq!(output, clean, "{line}");
+    }
+}
+
+#[test]
+fn a_batch_without_its_end_is_not_answered() {
+    let (good, output, _) = answer(&start());
+    assert_eq!((good, output.as_str()), (false, ""));
+}
+
+#[test]
+fn an_event_outside_a_batch_is_named() {
+    let (good, output, errors) = answer("{\"left\":{\"governor_id\":3,\"forwarder\":0}}\n");
+    assert!(good && output.is_empty() && errors.contains("line 1: `left` outside a batch"));
+}
+
+#[test]
+fn a_killed_instance_may_start_again_in_one_batch() {
+    let again = start().lines().skip(1).map(|line| format!("{line}\n")).collect::<String>();
+    let killed = format!("{}{{\"crash_now\":{{\"governor_id\":3}}}}\n{again}{{\"go\":{{}}}}\n", start());
+    let (good, output, errors) = answer(&killed);
+    assert!(good && errors.is_empty());
+    assert_eq!(output, answer(&(start() + "{\"go\":{}}\n")).1);
+}
+
+#[test]
+fn a_list_number_means_the_newest_list() {
+    let newer =
+        "{\"define_list\":{\"list\":0,\"elements\":[{\"replica\":\"r2\",\"phase\":1,\"weight\":1}]}}\n";
+    let update = "{\"directory_update\":{\"governor_id\":3,\"kind\":1,\"list\":0,\"version\":2}}\n";
+    let (_, output, _) = answer(&format!("{}{newer}{update}{{\"go\":{{}}}}\n", start()));
+    assert!(
+        output.contains(r#""replica":"r2""#)
+            && !output.contains(r#""assign":{"governor_id":3,"replica":"r1""#)
+    );
+}
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -1,1 +1,571 @@
+//! Each test builds the state it needs and calls one function.
 
+use super::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn id(name: &str) -> ReplicaId {
+    name.into()
+}
+
+fn group(effect: Effect, own_zone: bool, utility: f64) -> Group {
+    Group { effect, latency_budget: SECOND, expiry: 3 * SECOND, utility, own_zone }
+}
+
+fn settings() -> Settings {
+    Settings {
+        seed: 7,
+        governors: 1,
+        groups: vec![group(Effect::Retriable, false, 1.0), group(Effect::NonRetriable, false, 3.0)],
+        zones: 2,
+        slices: 0,
+        proxies: 4,
+        standing: 8,
+        cold_share: 0.2,
+        warm_after: 10 * SECOND,
+        fall_multiple: 2.5,
+        fall_span: SECOND,
+        drain_grace: 2 * SECOND,
+        bare_span: 5 * SECOND,
+        sums_every: SECOND / 2,
+        lines_per_s: 1000.0,
+        head_lines: 5.0,
+        waiting_most: 1000.0,
+        transit_most: SECOND / 2,
+        messages_most: Some((10, 10 * SECOND)),
+        level_kind: LevelKind::Share,
+        usual_tries: FurtherTries::Never,
+        try_wait: 1.0,
+        crossing_cost: 0.05,
+        probe_cost: None,
+        load_fields: vec![LoadField::Waiting],
+        list_on_request: false,
+    }
+}
+
+fn governor() -> Governor {
+    Governor { unheard: false, stress: 0.0, ..Governor::new(settings(), Duration::ZERO) }
+}
+
+/// One whose second group is bound to the proxy's own zone.
+fn bound() -> Governor {
+    let groups = vec![group(Effect::Retriable, false, 1.0), group(Effect::Retriable, true, 3.0)];
+    Governor { stress: 0.0, ..Governor::new(Settings { groups, ..settings() }, Duration::ZERO) }
+}
+
+fn warm(zone: usize) -> Replica {
+    Replica { zone, weight: 1.0, phase: Phase::Ready, ..Replica::default() }
+}
+
+fn cold(zone: usize, started: Duration) -> Replica {
+    Replica { started: Some(started), ..warm(zone) }
+}
+
+fn seen(delivered: f64, dropped: f64, time: f64, last: Duration) -> BTreeMap<usize, Sight> {
+    let rate = delivered + dropped;
+    [(0, Sight { delivered, dropped, rate, time, last, last_answer: last })].into()
+}
+
+/// A proxy that follows its own table with these lines and receives 10 flows a second.
+fn follower(governor: &mut Governor, proxy: ProxyId, zone: usize, lines: &[(&str, f64)]) {
+    let rates = vec![5.0, 5.0];
+    governor.proxies.insert(proxy, Proxy { zone, usual: 10.0, rates, standing: None, unsure: false });
+    governor.numbers.insert(proxy, proxy);
+    governor.joined.insert(zone, Duration::ZERO);
+    let lines: Lines = lines.iter().map(|(name, weight)| (id(name), *weight)).collect();
+    for kind in 0..2 {
+        governor.tables.insert((proxy, kind), lines.clone());
+    }
+}
+
+fn listed(name: &str, phase: Phase) -> Listed {
+    Listed { id: id(name), phase, zone: 0, weight: 1.0, started: None }
+}
+
+fn out(governor: &Governor) -> Vec<&Decision> {
+    governor.out.iter().collect()
+}
+
+#[test]
+fn what_a_complete_list_leaves_out_is_gone() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), warm(0));
+    governor.listed(SECOND, &[listed("b", Phase::Ready)], true);
+    assert_eq!(governor.replicas[&id("a")].phase, Phase::Gone);
+}
+
+#[test]
+fn a_new_start_clears_what_was_held_against_the_old_process() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), Replica { health: Health::Out(SECOND, 3), ..warm(0) });
+    governor.listed(SECOND, &[Listed { started: Some(SECOND), ..listed("a", Phase::Ready) }], false);
+    assert_eq!(governor.replicas[&id("a")].health, Health::Fit);
+}
+
+#[test]
+fn a_joiner_with_unknown_holdings_is_unsure_and_a_fresh_one_stands() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), warm(0));
+    governor.joined(SECOND, 1, 0, 4.0, false);
+    governor.joined(SECOND, 2, 0, 4.0, true);
+    assert!(governor.proxies[&1].unsure && !governor.proxies[&2].unsure);
+    assert_eq!(governor.proxies[&2].rates, vec![2.0, 2.0]);
+}
+
+#[test]
+fn a_fresh_joiner_may_hold_a_cold_replica_so_it_is_unsure() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), cold(0, SECOND));
+    governor.joined(2 * SECOND, 1, 0, 4.0, true);
+    assert!(governor.proxies[&1].unsure);
+}
+
+#[test]
+fn withdrawing_comes_first_and_changed_lines_after() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[("a", 1.0), ("b", 1.0)]);
+    governor.replicas.insert(id("a"), Replica { phase: Phase::Draining, ..warm(0) });
+    governor.replicas.insert(id("b"), warm(0));
+    governor.publish(SECOND, false);
+    assert_eq!(out(&governor)[0], &Decision::Withdraw(id("a"), true));
+    assert_eq!(out(&governor)[1], &Decision::Lines(2, vec![(id("a"), 0.0)]));
+}
+
+#[test]
+fn lines_of_a_returning_replica_go_before_it_is_let_back() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[("b", 1.0)]);
+    governor.replicas.insert(id("a"), Replica { withdrawn: true, ..cold(0, SECOND) });
+    governor.replicas.insert(id("b"), warm(0));
+    governor.publish(SECOND, true);
+    let orders = out(&governor);
+    let line = orders.iter().position(|one| **one == Decision::Lines(2, vec![(id("a"), 0.2)]));
+    let back = orders.iter().position(|one| **one == Decision::Withdraw(id("a"), false));
+    assert!(line.is_some() && line < back);
+}
+
+#[test]
+fn an_unsure_joiner_is_bound_at_once_to_what_is_open() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), Replica { phase: Phase::Gone, ..warm(0) });
+    governor.replicas.insert(id("b"), warm(0));
+    governor.joined(SECOND, 3, 0, 4.0, false);
+    governor.publish(SECOND, false);
+    let orders = out(&governor);
+    assert!(orders.contains(&&Decision::Lines(0, vec![(id("b"), 1.0)])));
+    assert!(orders.contains(&&Decision::Follow(3, 0, 0b11)));
+}
+
+#[test]
+fn a_full_span_of_messages_holds_orders_back() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[("a", 1.0)]);
+    governor.replicas.insert(id("a"), Replica { phase: Phase::Draining, ..warm(0) });
+    governor.flushes = vec![SECOND; 8].into();
+    governor.publish(2 * SECOND, true);
+    assert!(governor.out.is_empty());
+}
+
+#[test]
+fn a_full_channel_lets_no_table_out() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[]);
+    governor.replicas.insert(id("a"), warm(0));
+    governor.waiting = 800.0;
+    governor.tables(Duration::ZERO, true);
+    assert!(governor.out.is_empty());
+}
+
+#[test]
+fn a_late_acknowledgement_tells_of_a_slow_channel() {
+    let mut governor = governor();
+    governor.acked(4 * SECOND);
+    assert!(governor.slowed > 2.0);
+}
+
+#[test]
+fn the_part_of_a_cold_replica_grows_with_its_age_and_shrinks_with_stress() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), warm(0));
+    let replica = cold(0, Duration::ZERO);
+    assert!((governor.part(&replica, 5 * SECOND) - 0.6).abs() < 1e-9);
+    governor.stress = 0.2;
+    assert!((governor.part(&replica, 5 * SECOND) - 0.36 * 0.8).abs() < 1e-9);
+    governor.stress = 0.6;
+    assert_eq!(governor.part(&replica, 5 * SECOND), 0.0);
+    governor.thin.insert(0);
+    assert!((governor.part(&replica, 5 * SECOND) - 0.6).abs() < 1e-9);
+}
+
+#[test]
+fn stress_is_assumed_until_the_fleet_is_heard() {
+    let mut governor = Governor::new(settings(), Duration::ZERO);
+    governor.replicas.insert(id("a"), Replica { sights: seen(20.0, 0.0, 0.1, SECOND), ..warm(0) });
+    governor.judge(SECOND);
+    assert!(governor.stress > 0.0);
+    governor.replicas.insert(id("a"), Replica { sights: seen(60.0, 0.0, 0.1, SECOND), ..warm(0) });
+    governor.judge(SECOND);
+    assert_eq!(governor.stress, 0.0);
+}
+
+#[test]
+fn levels_wait_until_the_fleet_is_heard() {
+    let mut governor = Governor { unheard: true, ..governor() };
+    follower(&mut governor, 1, 0, &[]);
+    governor.publish(SECOND, true);
+    assert!(!out(&governor).iter().any(|one| matches!(one, Decision::Level(..))));
+}
+
+/// Two replicas sent 5 flows a second each, `a` last heard of 10 s ago.
+fn silence() -> Governor {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[("a", 1.0), ("b", 1.0)]);
+    for (name, last) in [("a", 20), ("b", 30)] {
+        let sights = seen(20.0, 0.0, 0.1, last * SECOND);
+        governor.replicas.insert(id(name), Replica { sights, expected: 5.0, ..warm(0) });
+    }
+    governor.heard.insert(0, 30 * SECOND);
+    governor
+}
+
+fn suspected(mut governor: Governor) -> Vec<ReplicaId> {
+    governor.suspects(30 * SECOND, 0.0).into_iter().map(|(_, id)| id).collect()
+}
+
+#[test]
+fn a_replica_that_owes_answers_is_suspected() {
+    assert_eq!(suspected(silence()), vec![id("a")]);
+}
+
+#[test]
+fn silence_counts_only_while_the_zones_sums_come() {
+    let mut governor = silence();
+    governor.heard.insert(0, 20 * SECOND);
+    assert!(suspected(governor).is_empty());
+}
+
+#[test]
+fn proxies_that_just_joined_say_nothing_by_their_silence() {
+    let mut governor = silence();
+    governor.joined.insert(0, 29 * SECOND);
+    assert!(suspected(governor).is_empty());
+}
+
+#[test]
+fn a_line_just_widened_owes_no_answers_yet() {
+    let mut governor = silence();
+    governor.replicas.entry(id("a")).and_modify(|one| one.expected = 0.2);
+    assert!(suspected(governor).is_empty());
+}
+
+#[test]
+fn a_replica_in_no_table_starts_to_owe_answers_once_it_is_in_one() {
+    let mut governor = silence();
+    governor.tables.clear();
+    governor.suspects(30 * SECOND, 0.0);
+    assert_eq!(governor.replicas[&id("a")].since, 30 * SECOND);
+}
+
+#[test]
+fn unanswered_probes_shorten_the_wait_only_where_they_are_rare() {
+    let mut governor = silence();
+    let last = 29 * SECOND;
+    for name in ["a", "c", "d", "e", "f", "g"] {
+        governor.replicas.insert(id(name), Replica { sights: seen(20.0, 0.0, 0.1, last), ..warm(0) });
+    }
+    governor.replicas.entry(id("a")).and_modify(|one| {
+        (one.expected, one.unanswered_probes) = (5.0, 2);
+    });
+    assert_eq!(governor.suspects(30 * SECOND, 0.0).len(), 1);
+    governor.replicas.values_mut().for_each(|one| one.unanswered_probes = 2);
+    assert!(governor.suspects(30 * SECOND, 0.0).is_empty());
+}
+
+#[test]
+fn one_that_drops_unlike_the_fleet_is_suspected_unless_it_is_busy() {
+    let mut governor = silence();
+    let sights = seen(10.0, 10.0, 0.1, 30 * SECOND);
+    governor.replicas.insert(id("a"), Replica { sights, ..warm(0) });
+    assert_eq!(governor.suspects(30 * SECOND, 0.05).len(), 1);
+    assert!(governor.suspects(30 * SECOND, 0.4).is_empty());
+    governor.replicas.entry(id("a")).and_modify(|one| one.waiting = Some((9.0, 30 * SECOND)));
+    assert!(governor.suspects(30 * SECOND, 0.05).is_empty());
+}
+
+#[test]
+fn an_unanswered_probe_raises_what_a_replica_is_taken_to_hold() {
+    let probed = Settings { probe_cost: Some(0.0), load_fields: vec![LoadField::InHand], ..settings() };
+    let mut governor = Governor::new(probed, Duration::ZERO);
+    governor.replicas.insert(id("a"), Replica { in_hand: Some(2.0), ..warm(0) });
+    governor.probed(SECOND, &id("a"), None, &[]);
+    assert_eq!(governor.replicas[&id("a")].in_hand, Some(2.6));
+}
+
+#[test]
+fn at_most_four_in_ten_are_withdrawn_for_their_health() {
+    let mut governor = governor();
+    let names = ["a", "b", "c", "d", "e"];
+    names.iter().for_each(|name| drop(governor.replicas.insert(id(name), warm(0))));
+    governor.withdraw_worst(SECOND, names.iter().map(|name| (2.0, id(name))).collect(), 0.0);
+    assert_eq!(governor.replicas.values().filter(|one| one.out()).count(), 2);
+}
+
+#[test]
+fn many_that_drop_in_part_lose_only_the_worst() {
+    let mut governor = governor();
+    let names = ["a", "b", "c", "d", "e"];
+    names.iter().for_each(|name| drop(governor.replicas.insert(id(name), warm(0))));
+    governor.withdraw_worst(SECOND, vec![(0.9, id("a")), (0.8, id("b"))], 0.5);
+    assert!(governor.replicas[&id("a")].out() && !governor.replicas[&id("b")].out());
+}
+
+#[test]
+fn a_zone_to_which_groups_are_bound_keeps_a_third() {
+    let mut governor = bound();
+    ["a", "b"].iter().for_each(|name| drop(governor.replicas.insert(id(name), warm(0))));
+    (0..8).for_each(|other| drop(governor.replicas.insert(id(&format!("z{other}")), warm(1))));
+    governor.withdraw_worst(SECOND, vec![(2.0, id("a")), (2.0, id("b"))], 0.0);
+    assert!(governor.replicas[&id("a")].out() && !governor.replicas[&id("b")].out());
+}
+
+#[test]
+fn a_failed_trial_doubles_the_wait() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), Replica { health: Health::Trial(2), ..warm(0) });
+    governor.withdraw_worst(SECOND, vec![(f64::MAX, id("a"))], 0.0);
+    assert_eq!(governor.replicas[&id("a")].health, Health::Out(SECOND + 4 * FIRST_WAIT, 3));
+}
+
+#[test]
+fn a_withdrawn_replica_goes_on_trial_and_passes_by_answers() {
+    let mut governor = governor();
+    governor.replicas.insert(id("b"), warm(0));
+    governor.replicas.insert(id("a"), Replica { health: Health::Out(SECOND, 1), ..warm(0) });
+    governor.judge(SECOND);
+    assert_eq!(governor.replicas[&id("a")].health, Health::Trial(1));
+    governor.replicas.entry(id("a")).and_modify(|one| one.sights = seen(4.0, 0.0, 0.1, SECOND));
+    governor.judge(SECOND);
+    assert_eq!(governor.replicas[&id("a")].health, Health::Fit);
+}
+
+#[test]
+fn the_last_of_a_zone_is_taken_back_however_ill() {
+    let mut governor = bound();
+    governor.replicas.insert(id("a"), Replica { health: Health::Out(9 * SECOND, 1), ..warm(0) });
+    governor.replicas.insert(id("b"), Replica { phase: Phase::Draining, ..warm(0) });
+    governor.replicas.insert(id("z"), warm(1));
+    governor.keep_one(SECOND);
+    assert!(!governor.replicas[&id("a")].out());
+}
+
+#[test]
+fn a_default_stays_in_its_zone_until_the_zone_is_hurt() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[]);
+    follower(&mut governor, 2, 1, &[]);
+    for (name, zone) in [("a", 0), ("b", 0), ("y", 1), ("z", 1)] {
+        governor.replicas.insert(id(name), warm(zone));
+    }
+    assert_eq!(governor.defaults(SECOND)[&(0, 0)].len(), 2);
+    governor.replicas.entry(id("b")).and_modify(|one| one.phase = Phase::Gone);
+    let spilled = governor.defaults(SECOND);
+    assert!(spilled[&(0, 0)].contains_key("z") && !spilled[&(0, 1)].contains_key("z"));
+}
+
+#[test]
+fn unheard_proxies_of_other_governors_count_in_a_zones_demand() {
+    let mut governor = governor();
+    governor.figures.shared = 40.0;
+    follower(&mut governor, 1, 0, &[]);
+    governor.replicas.insert(id("a"), warm(0));
+    governor.replicas.insert(id("b"), cold(0, Duration::ZERO));
+    governor.replicas.insert(id("z"), warm(1));
+    let kept = at(&governor.defaults(SECOND)[&(0, 0)], &id("a"));
+    governor.figures.shared = 0.0;
+    assert!(at(&governor.defaults(SECOND)[&(0, 0)], &id("a")) < kept + 1e-9);
+}
+
+#[test]
+fn a_limping_replica_shrinks_in_the_default() {
+    let mut governor = governor();
+    let replica = Replica { limps: true, bend: -0.7, ..warm(0) };
+    assert!(governor.default_weight(&replica, SECOND) < 0.5);
+    governor.replicas.insert(id("a"), Replica { bend: -0.4, in_hand: Some(9.0), ..warm(0) });
+    governor.replicas.insert(id("b"), Replica { in_hand: Some(1.0), ..warm(0) });
+    governor.bend(SECOND);
+    assert!(governor.replicas[&id("a")].limps && governor.replicas[&id("b")].bend > 0.0);
+}
+
+#[test]
+fn a_standing_table_rots_by_a_new_replica_a_partial_one_or_the_loss_of_all() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[]);
+    governor.replicas.insert(id("a"), warm(0));
+    let standing: BTreeSet<ReplicaId> = [id("a")].into();
+    let rotten =
+        |governor: &Governor| governor.rotten(&governor.proxies[&1], &standing, &Lines::new(), SECOND);
+    assert!(!rotten(&governor));
+    governor.replicas.insert(id("b"), warm(0));
+    assert!(rotten(&governor));
+    governor.replicas.remove(&id("b"));
+    governor.replicas.insert(id("a"), cold(0, SECOND));
+    assert!(rotten(&governor));
+    governor.replicas.insert(id("a"), Replica { phase: Phase::Gone, ..warm(0) });
+    assert!(rotten(&governor));
+}
+
+#[test]
+fn only_what_cold_replicas_bear_goes_to_a_zone_with_nothing_warm() {
+    let mut governor = bound();
+    for proxy in 1..5 {
+        follower(&mut governor, proxy, 0, &[]);
+    }
+    follower(&mut governor, 9, 1, &[]);
+    governor.replicas.insert(id("a"), cold(0, Duration::ZERO));
+    let sights = seen(20.0, 0.0, 0.1, SECOND);
+    governor.replicas.insert(id("z"), Replica { sights, ..warm(1) });
+    governor.tables(SECOND, true);
+    let bound = (1..5).filter(|proxy| !governor.tables[&(*proxy, 1)].is_empty()).count();
+    assert_eq!(bound, 1);
+}
+
+#[test]
+fn a_solved_table_colder_than_the_default_gives_way() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), cold(0, SECOND));
+    governor.replicas.insert(id("b"), Replica { phase: Phase::Draining, ..warm(0) });
+    governor.replicas.insert(id("c"), warm(0));
+    governor.critical.insert((1, 0), [(id("a"), 10.0), (id("b"), 90.0)].into());
+    let default: Lines = [(id("a"), 0.2), (id("c"), 1.0)].into();
+    assert_eq!(governor.wanted((1, 0), &default, SECOND), default);
+}
+
+#[test]
+fn small_changes_of_a_line_stay_unsent() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[("a", 1.0), ("b", 1.0)]);
+    let cost = governor.lay((1, 0), [(id("a"), 1.05), (id("b"), 1.5)].into(), false);
+    assert_eq!((cost, out(&governor)), (1, vec![&Decision::Lines(2, vec![(id("b"), 1.5)])]));
+}
+
+#[test]
+fn demand_is_what_levels_let_in() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[]);
+    governor.levels[0].0 = 0.2;
+    assert_eq!(governor.demand(&governor.proxies[&1], 0b11), 6.0);
+}
+
+/// Proxies 1 and 2 send 10 flows a second each to `a`, and `b` idles beside it.
+fn field() -> Field {
+    let rooms = [(id("a"), (0, 10.0)), (id("b"), (0, 10.0))].into();
+    let unit = |rate: f64| (0, Lines::from([(id("a"), rate)]));
+    Field { rooms, units: [((1, 0), unit(12.0)), ((2, 0), unit(8.0))].into(), whole: 20.0 }
+}
+
+#[test]
+fn the_greedy_step_takes_who_sends_most_to_the_hottest() {
+    assert_eq!(field().sends_most(&Solved::new(), &BTreeSet::new()), Some(1));
+    assert_eq!(field().sends_most(&Solved::new(), &[1].into()), Some(2));
+}
+
+#[test]
+fn filling_lowers_the_peak_and_payoff_charges_what_moves() {
+    let field = field();
+    let solved = field.fill(&[1].into(), 1.0);
+    assert!(field.ratio(&solved) > 0.99 && field.ratio(&Solved::new()) < 0.51);
+    assert!(field.payoff(&solved) < field.ratio(&solved) - 0.4);
+}
+
+#[test]
+fn a_crossing_replica_must_be_cooler_by_its_price() {
+    let mut field = field();
+    field.rooms.insert(id("b"), (1, 10.0));
+    let solved = field.fill(&[1, 2].into(), 1.5);
+    let totals = field.totals(&solved);
+    assert!(at(&totals, &id("a")) > 1.4 * at(&totals, &id("b")));
+}
+
+#[test]
+fn the_solver_waits_for_cycles_below_the_target() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[("a", 1.0)]);
+    follower(&mut governor, 2, 0, &[("a", 1.0), ("b", 1.0)]);
+    governor.replicas.insert(id("a"), Replica { in_hand: Some(9.0), ..warm(0) });
+    governor.replicas.insert(id("b"), Replica { in_hand: Some(1.0), ..warm(0) });
+    governor.solve(SECOND);
+    assert!(governor.critical.is_empty());
+    governor.cycles_below = CYCLES_BELOW;
+    governor.solve(SECOND);
+    assert!(!governor.critical.is_empty());
+}
+
+#[test]
+fn pouring_fills_the_coolest_first() {
+    let (a, b) = (id("a"), id("b"));
+    let poured = pour(4.0, &[(0.0, 2.0, &a), (1.0, 2.0, &b)]);
+    assert_eq!((at(&poured, &a), at(&poured, &b)), (3.0, 1.0));
+}
+
+/// Late answers from replicas of which `queued` report flows waiting, with 100 flows a second offered.
+fn late(queued: usize) -> Governor {
+    let mut governor = Governor { pulse: (50.0, 60.0), ..governor() };
+    follower(&mut governor, 1, 0, &[]);
+    governor.proxies.entry(1).and_modify(|one| one.rates = vec![50.0, 50.0]);
+    for (place, name) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        let waiting = Some((if place < queued { 5.0 } else { 0.0 }, 9 * SECOND));
+        let sights = seen(10.0, 0.0, 1.0, 9 * SECOND);
+        governor.replicas.insert(id(name), Replica { waiting, sights, ..warm(0) });
+    }
+    governor
+}
+
+#[test]
+fn levels_are_cut_to_what_jammed_replicas_answer() {
+    let mut governor = late(4);
+    governor.shed(10 * SECOND);
+    assert!((governor.let_in - DRAINING * 0.4).abs() < 1e-9);
+    governor.pulse = (50.0, 60.0);
+    governor.shed(11 * SECOND);
+    assert!((governor.let_in - DRAINING * 0.4).abs() < 1e-9);
+}
+
+#[test]
+fn late_answers_of_drained_queues_cut_nothing() {
+    let mut governor = late(1);
+    governor.shed(10 * SECOND);
+    assert_eq!(governor.let_in, 1.0);
+}
+
+#[test]
+fn the_least_useful_group_is_cut_first_and_tries_end() {
+    let mut governor = late(4);
+    governor.let_in = 0.7;
+    governor.level();
+    let never = FurtherTries::Never;
+    assert_eq!(governor.levels, vec![(0.4, never), (1.0, never)]);
+}
+
+#[test]
+fn further_tries_are_only_those_that_cannot_act_twice() {
+    let mut governor = late(0);
+    governor.level();
+    let tries = governor.levels.iter().map(|(_, tries)| *tries);
+    assert!(tries.into_iter().all(|tries| tries == FurtherTries::IfNeverRan));
+}
+
+#[test]
+fn where_levels_are_not_heeded_none_is_cut() {
+    let mut governor = late(4);
+    (governor.figures.levels, governor.let_in) = (false, 0.5);
+    governor.level();
+    assert!(governor.levels.iter().all(|(level, _)| *level == 1.0));
+}
+
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for_again_when_lost() {
+    let mut governor = governor();
+    governor.figures.subscribes = true;
+    governor.list_lost();
+    assert_eq!(out(&governor), vec![&Decision::Subscribe]);
+}
