Cold replicas: stress by zone, more wariness where proxies avoid, a zone's last warm one stays

Change: stress is also taken by zone, where proxies avoid a cold replica needs twice the stress as capacity, and a zone to which groups are bound keeps its last warm replica and a third of what it bears.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -332,6 +332,7 @@
         fall_multiple: rules.number("fall_multiple", f64::MAX),
         fall_span: rules.span_or("overload_for_us", Duration::ZERO),
         drain_grace: rules.span_or("drain_grace_us", Duration::MAX),
+        proxies_avoid: extra.whole("ejects").unwrap_or(0) > 0,
         bare_span: extra.span_or("unserved_max_us", Duration::MAX),
         sums_every: extra.span_or("cycle_us", Duration::from_secs(1)),
         lines_per_s: extra.number("channel_rate", f64::MAX),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -98,6 +98,8 @@
     pub fall_span: Duration,
     /// Proxies must have stopped sending to a draining or gone replica this long after it is known.
     pub drain_grace: Duration,
+    /// Proxies turn for some seconds from a replica that dropped a few of their own tries in a row.
+    pub proxies_avoid: bool,
     /// A proxy may be without a line to pick for this long.
     pub bare_span: Duration,
     /// How often sums are gathered.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,8 +50,9 @@
 /// Tries heard before their drops mean anything, and the share of drops from which the fleet counts as stressed.
 const HEARD_ENOUGH: f64 = 50.0;
 const STRESSED_AT: f64 = 0.05;
-/// A cold replica must have this multiple of the stress as capacity to be sent anything.
-const STRESSED_FLOOR: f64 = 1.2;
+/// A cold replica must have this multiple of the stress as capacity to be sent anything: the second where proxies
+/// avoid replicas that fail them, and so may leave it alone with all their flows.
+const WARINESS: (f64, f64) = (1.2, 2.0);
 /// What the cold replicas of a zone without warm ones are sent, by what the fleet's replicas answer for their
 /// capacity: they fall at a stated multiple, 2 or more, and chance takes its part.
 const COLD_SLACK: f64 = 1.2;
@@ -85,6 +86,8 @@
     shared: f64,
     /// Worst-case share of its capacity that a replica starts with, and by how much it grows a second.
     cold: (f64, f64),
+    /// What multiple of the stress a cold replica must have as capacity.
+    wariness: f64,
     /// How much cooler a replica of another zone must be to be preferred.
     crossing: f64,
     /// Seconds over which sums are averaged: the page's 5 reports.
@@ -189,6 +192,8 @@
     /// The share of tries dropped all over the fleet, where that is no longer little. Half is assumed until
     /// enough is heard: a governor may restart in mid-trouble.
     stress: f64,
+    /// The same of the replicas of a zone, where it is more than little.
+    zone_stress: BTreeMap<usize, f64>,
     unheard: bool,
     /// Scopes with no warm replica open: nothing to hold load on instead.
     thin: BTreeSet<usize>,
@@ -252,6 +257,7 @@
             standing: settings.standing,
             shared: if settings.governors > 1 { settings.proxies as f64 } else { 0.0 },
             cold: (cold, per(1.0 - cold, seconds(settings.warm_after))),
+            wariness: if settings.proxies_avoid { WARINESS.1 } else { WARINESS.0 },
             crossing: 1.0 + 4.0 * settings.crossing_cost,
             averaged: 5.0 * seconds(settings.sums_every),
             settling,
@@ -496,11 +502,12 @@
     /// one would fall under a planned trickle.
     fn part(&self, replica: &Replica, now: Duration) -> f64 {
         let capacity = replica.capacity(&self.figures, now);
-        let wary = self.stress > 0.0 && capacity < 1.0 && !self.thin.contains(&self.scope(replica));
+        let stress = self.stress.max(at(&self.zone_stress, &replica.zone));
+        let wary = stress > 0.0 && capacity < 1.0 && !self.thin.contains(&self.scope(replica));
         match replica.health {
-            _ if replica.out() || wary && capacity < STRESSED_FLOOR * self.stress => 0.0,
+            _ if replica.out() || wary && capacity < self.figures.wariness * stress => 0.0,
             Health::Trial(_) => TRIAL_SHARE * capacity,
-            _ if wary => capacity * capacity * (1.0 - self.stress),
+            _ if wary => capacity * capacity * (1.0 - stress),
             _ => capacity,
         }
     }
@@ -534,13 +541,21 @@
 
     /// Health, by symptom: no answers where answers are due, or far more drops than the fleet has.
     fn judge(&mut self, now: Duration) {
-        let fleet = self.replicas.values().map(Replica::evidence);
+        // Drops of what is withdrawn tell nothing of the load on what is left.
+        let fleet = self.replicas.values().filter(|one| !one.out()).map(Replica::evidence);
         let (delivered, dropped) = fleet.fold((0.0, 0.0), |(d, m), one| (d + one.0, m + one.1));
         let usual_drops = per(dropped, (delivered + dropped).max(1.0));
         let stressed_at = STRESSED_AT * if self.stress > 0.0 { 0.5 } else { 1.0 };
         if delivered + dropped >= HEARD_ENOUGH {
             (self.stress, self.unheard) = (if usual_drops > stressed_at { usual_drops } else { 0.0 }, false);
         }
+        let mut zones: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
+        for replica in self.replicas.values().filter(|one| !one.out()) {
+            let (seen, (delivered, dropped)) = (zones.entry(replica.zone).or_default(), replica.evidence());
+            *seen = (seen.0 + delivered, seen.1 + dropped);
+        }
+        let shares = zones.into_iter().map(|(zone, (d, m))| (zone, per(m, (d + m).max(0.4 * HEARD_ENOUGH))));
+        self.zone_stress = shares.filter(|(_, share)| *share > STRESSED_AT).collect();
         let suspects = self.suspects(now, usual_drops);
         self.withdraw_worst(now, suspects, usual_drops);
         self.keep_one(now);
@@ -632,10 +647,16 @@
             suspects.retain(|(ill, _)| *ill >= worst.min(1.0));
         }
         for (_, id) in suspects {
-            let zone = self.replicas[&id].zone;
-            let own = self.replicas.values().filter(|one| one.zone == zone && one.ready());
-            let (own, left) = own.fold((0, 0), |(own, left), one| (own + 1, left + usize::from(!one.out())));
-            let bares = self.figures.groups[1] != 0 && 3 * left < own + 3;
+            let (zone, capacity) =
+                (self.replicas[&id].zone, |one: &Replica| one.capacity(&self.figures, now));
+            let own = self.replicas.iter().filter(|(_, one)| one.zone == zone && one.ready());
+            let left = own.clone().filter(|(other, one)| !one.out() && **other != id);
+            let sum = |part: &mut dyn Iterator<Item = f64>| part.sum::<f64>();
+            let bears = sum(&mut left.clone().map(|(_, one)| one.weight * capacity(one)));
+            let whole = sum(&mut own.map(|(_, one)| one.weight * capacity(one)));
+            let last = capacity(&self.replicas[&id]) >= 1.0
+                && !left.map(|(_, one)| capacity(one)).any(|one| one >= 1.0);
+            let bares = self.figures.groups[1] != 0 && (last || 3.0 * bears < whole);
             let Some(replica) = self.replicas.get_mut(&id) else { continue };
             let times = if let Health::Trial(times) = replica.health { times } else { 0 };
             if times == 0 && (10 * (out + 1) > 4 * ready || bares) {
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -26,6 +26,7 @@
         fall_multiple: 2.5,
         fall_span: SECOND,
         drain_grace: 2 * SECOND,
+        proxies_avoid: true,
         bare_span: 5 * SECOND,
         sums_every: SECOND / 2,
         lines_per_s: 1000.0,
@@ -191,7 +192,7 @@
     assert!((governor.part(&replica, 5 * SECOND) - 0.6).abs() < 1e-9);
     governor.stress = 0.2;
     assert!((governor.part(&replica, 5 * SECOND) - 0.36 * 0.8).abs() < 1e-9);
-    governor.stress = 0.6;
+    governor.zone_stress.insert(0, 0.4);
     assert_eq!(governor.part(&replica, 5 * SECOND), 0.0);
     governor.thin.insert(0);
     assert!((governor.part(&replica, 5 * SECOND) - 0.6).abs() < 1e-9);
@@ -328,6 +329,16 @@
     assert!(governor.replicas[&id("a")].out() && !governor.replicas[&id("b")].out());
 }
 
+#[test]
+fn a_zone_to_which_groups_are_bound_keeps_half_of_what_it_bears_and_its_last_warm_one() {
+    let mut governor = bound();
+    governor.replicas.insert(id("a"), warm(0));
+    (0..3).for_each(|other| drop(governor.replicas.insert(id(&format!("c{other}")), cold(0, SECOND))));
+    (0..8).for_each(|other| drop(governor.replicas.insert(id(&format!("z{other}")), warm(1))));
+    governor.withdraw_worst(10 * SECOND, vec![(2.0, id("a"))], 0.0);
+    assert!(!governor.replicas[&id("a")].out());
+}
+
 #[test]
 fn a_failed_trial_doubles_the_wait() {
     let mut governor = governor();
