--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,7 +52,7 @@
 const STRESSED_AT: f64 = 0.05;
 /// A cold replica must have this multiple of the stress as capacity to be sent anything: the second where proxies
 /// avoid replicas that fail them, and so may leave it alone with all their flows.
-const WARINESS: (f64, f64) = (1.2, 2.0);
+const WARINESS: (f64, f64) = (1.2, 3.0);
 /// What the cold replicas of a zone without warm ones are sent, by what the fleet's replicas answer for their
 /// capacity: they fall at a stated multiple, 2 or more, and chance takes its part.
 const COLD_SLACK: f64 = 1.2;
@@ -79,7 +79,6 @@
     levels: bool,
     /// Seconds within which a typical flow wants its answer.
     budget: f64,
-    sliced: bool,
     subscribes: bool,
     standing: usize,
     /// All proxies, where other governors have some of them; else none.
@@ -92,9 +91,8 @@
     crossing: f64,
     /// Seconds over which sums are averaged: the page's 5 reports.
     averaged: f64,
-    /// How long an order takes to show in the sums, and to be judged by them.
+    /// How long an order takes to show in the sums.
     settling: Duration,
-    echo: Duration,
     publish_every: Duration,
     /// Flushes within a span; one message to each proxy is kept for its joining.
     flushes: (usize, Duration),
@@ -156,8 +154,7 @@
 
 struct Proxy {
     zone: usize,
-    usual: f64,
-    /// Flows a second by group, blocked ones too.
+    /// Flows a second by group, blocked ones too: what is usual, until more is heard.
     rates: Vec<f64>,
     /// What its standing table is taken to hold, while it is on it.
     standing: Option<BTreeSet<ReplicaId>>,
@@ -189,11 +186,9 @@
     /// Critical proxies and their solved lines.
     critical: BTreeMap<Unit, Lines>,
     cycles_below: u32,
-    /// The share of tries dropped all over the fleet, where that is no longer little. Half is assumed until
-    /// enough is heard: a governor may restart in mid-trouble.
-    stress: f64,
-    /// The same of the replicas of a zone, where it is more than little.
-    zone_stress: BTreeMap<usize, f64>,
+    /// By zone: the share of tries dropped by its replicas, or the fleet's if that is more, where it is not little.
+    stress: BTreeMap<usize, f64>,
+    /// Too little is heard yet to tell: half is assumed, as a governor may restart in mid-trouble.
     unheard: bool,
     /// Scopes with no warm replica open: nothing to hold load on instead.
     thin: BTreeSet<usize>,
@@ -232,7 +227,9 @@
 impl Figures {
     fn new(settings: &Settings) -> Self {
         let bits = |wanted: &dyn Fn(&Group) -> bool| -> GroupSet {
-            let places = settings.groups.iter().take(64).enumerate().filter(|(_, group)| wanted(group));
+            // Slices have tables of their own, which nothing here is laid into yet.
+            let tabled = if settings.slices > 0 { 0 } else { 64 };
+            let places = settings.groups.iter().take(tabled).enumerate().filter(|(_, group)| wanted(group));
             places.map(|(place, _)| 1 << place).sum()
         };
         // The wire tells no group's work: its latency budget stands in, as what needs longer is given longer.
@@ -246,13 +243,11 @@
         let field = |wanted| settings.load_fields.iter().position(|field| *field == wanted);
         let (most, over) = settings.messages_most.unwrap_or((usize::MAX, Duration::ZERO));
         let cold = settings.cold_share.clamp(0.01, 1.0);
-        let settling = settings.transit_most + 3 * settings.sums_every;
         Figures {
             groups: [bits(&|group| !group.own_zone), bits(&|group| group.own_zone)],
             ladder,
             levels: settings.level_kind == LevelKind::Share,
             budget: per(budgets.sum(), settings.groups.len() as f64),
-            sliced: settings.slices > 0,
             subscribes: settings.list_on_request,
             standing: settings.standing,
             shared: if settings.governors > 1 { settings.proxies as f64 } else { 0.0 },
@@ -260,8 +255,7 @@
             wariness: if settings.proxies_avoid { WARINESS.1 } else { WARINESS.0 },
             crossing: 1.0 + 4.0 * settings.crossing_cost,
             averaged: 5.0 * seconds(settings.sums_every),
-            settling,
-            echo: settling + Duration::from_secs(1),
+            settling: settings.transit_most + 3 * settings.sums_every,
             publish_every: PUBLISH_EVERY.max(over.mul_f64(1.5 / most.max(1) as f64)),
             flushes: (most.saturating_sub(2), over),
             lines_per_s: settings.lines_per_s.max(1.0),
@@ -310,7 +304,6 @@
     pub fn new(settings: Settings, now: Duration) -> Self {
         let figures = Figures::new(&settings);
         Governor {
-            stress: 0.5,
             unheard: true,
             let_in: 1.0,
             levels: vec![(1.0, settings.usual_tries); figures.ladder.len()],
@@ -367,7 +360,7 @@
         let standing = fresh.then(|| self.drawn(zone));
         let groups = self.levels.len();
         let rates = vec![per(usual, groups as f64); groups];
-        self.proxies.insert(proxy, Proxy { zone, usual, rates, standing, unsure });
+        self.proxies.insert(proxy, Proxy { zone, rates, standing, unsure });
         self.joined.insert(zone, now);
         self.stirred = true;
     }
@@ -502,7 +495,7 @@
     /// one would fall under a planned trickle.
     fn part(&self, replica: &Replica, now: Duration) -> f64 {
         let capacity = replica.capacity(&self.figures, now);
-        let stress = self.stress.max(at(&self.zone_stress, &replica.zone));
+        let stress = if self.unheard { 0.5 } else { at(&self.stress, &replica.zone) };
         let wary = stress > 0.0 && capacity < 1.0 && !self.thin.contains(&self.scope(replica));
         match replica.health {
             _ if replica.out() || wary && capacity < self.figures.wariness * stress => 0.0,
@@ -542,23 +535,20 @@
     /// Health, by symptom: no answers where answers are due, or far more drops than the fleet has.
     fn judge(&mut self, now: Duration) {
         // Drops of what is withdrawn tell nothing of the load on what is left.
-        let fleet = self.replicas.values().filter(|one| !one.out()).map(Replica::evidence);
-        let (delivered, dropped) = fleet.fold((0.0, 0.0), |(d, m), one| (d + one.0, m + one.1));
-        let usual_drops = per(dropped, (delivered + dropped).max(1.0));
-        let stressed_at = STRESSED_AT * if self.stress > 0.0 { 0.5 } else { 1.0 };
-        if delivered + dropped >= HEARD_ENOUGH {
-            (self.stress, self.unheard) = (if usual_drops > stressed_at { usual_drops } else { 0.0 }, false);
-        }
         let mut zones: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
         for replica in self.replicas.values().filter(|one| !one.out()) {
             let (seen, (delivered, dropped)) = (zones.entry(replica.zone).or_default(), replica.evidence());
             *seen = (seen.0 + delivered, seen.1 + dropped);
         }
-        let shares = zones.into_iter().map(|(zone, (d, m))| (zone, per(m, (d + m).max(0.4 * HEARD_ENOUGH))));
-        self.zone_stress = shares.filter(|(_, share)| *share > STRESSED_AT).collect();
+        let (delivered, dropped) = zones.values().fold((0.0, 0.0), |(d, m), one| (d + one.0, m + one.1));
+        let usual_drops = per(dropped, (delivered + dropped).max(1.0));
+        self.unheard = self.unheard && delivered + dropped < HEARD_ENOUGH;
+        let share = |(d, m): (f64, f64)| per(m, (d + m).max(0.4 * HEARD_ENOUGH)).max(usual_drops);
+        let shares = zones.into_iter().map(|(zone, seen)| (zone, share(seen)));
+        self.stress = shares.filter(|(_, share)| *share > STRESSED_AT).collect();
         let suspects = self.suspects(now, usual_drops);
         self.withdraw_worst(now, suspects, usual_drops);
-        self.keep_one(now);
+        self.take_back(now);
         for replica in self.replicas.values_mut() {
             let (delivered, dropped) = replica.evidence();
             match replica.health {
@@ -647,16 +637,16 @@
             suspects.retain(|(ill, _)| *ill >= worst.min(1.0));
         }
         for (_, id) in suspects {
-            let (zone, capacity) =
-                (self.replicas[&id].zone, |one: &Replica| one.capacity(&self.figures, now));
+            let zone = self.replicas[&id].zone;
             let own = self.replicas.iter().filter(|(_, one)| one.zone == zone && one.ready());
-            let left = own.clone().filter(|(other, one)| !one.out() && **other != id);
-            let sum = |part: &mut dyn Iterator<Item = f64>| part.sum::<f64>();
-            let bears = sum(&mut left.clone().map(|(_, one)| one.weight * capacity(one)));
-            let whole = sum(&mut own.map(|(_, one)| one.weight * capacity(one)));
-            let last = capacity(&self.replicas[&id]) >= 1.0
-                && !left.map(|(_, one)| capacity(one)).any(|one| one >= 1.0);
-            let bares = self.figures.groups[1] != 0 && (last || 3.0 * bears < whole);
+            let (mut whole, mut left, mut warm) = (0.0, 0.0, false);
+            for (other, one) in own {
+                let (capacity, open) = (one.capacity(&self.figures, now), !one.out() && *other != id);
+                whole += one.weight * capacity;
+                left += if open { one.weight * capacity } else { 0.0 };
+                warm |= open && capacity >= 1.0;
+            }
+            let bares = self.figures.groups[1] != 0 && (!warm || 3.0 * left < whole);
             let Some(replica) = self.replicas.get_mut(&id) else { continue };
             let times = if let Health::Trial(times) = replica.health { times } else { 0 };
             if times == 0 && (10 * (out + 1) > 4 * ready || bares) {
@@ -668,23 +658,22 @@
         }
     }
 
-    /// Where all that is left of a scope is withdrawn for its health, a bad replica is better than none: guards
-    /// against drains that follow a withdrawal. Also finds the scopes where nothing is warm.
-    fn keep_one(&mut self, now: Duration) {
-        let open = self.replicas.values().filter(|one| !one.out());
-        let open: BTreeSet<usize> = open.map(|one| self.scope(one)).collect();
-        let bare = |one: &&ReplicaId| {
-            let one = &self.replicas[*one];
-            one.ready() && !open.contains(&self.scope(one))
-        };
-        let bare: Vec<ReplicaId> = self.replicas.keys().filter(bare).cloned().collect();
-        for id in bare {
-            self.replicas.entry(id).and_modify(|replica| replica.judge_anew(now, Health::Fit));
-        }
+    /// Where nothing warm is left open, an ill replica is better than none: guards against drains that follow a
+    /// withdrawal, and against a cold replica left to bear a zone alone.
+    fn take_back(&mut self, now: Duration) {
         let warm = |one: &&Replica| !one.out() && one.capacity(&self.figures, now) >= 1.0;
         let warm: BTreeSet<usize> = self.replicas.values().filter(warm).map(|one| self.scope(one)).collect();
-        self.thin =
-            self.replicas.values().map(|one| self.scope(one)).filter(|one| !warm.contains(one)).collect();
+        let bound = self.figures.groups[1] != 0;
+        self.thin.clear();
+        for replica in self.replicas.values_mut().filter(|one| one.ready()) {
+            let scope = if bound { replica.zone } else { 0 };
+            if !warm.contains(&scope) {
+                self.thin.insert(scope);
+                if replica.out() {
+                    replica.judge_anew(now, Health::Fit);
+                }
+            }
+        }
     }
 
     /// The default of each zone, by kind of table: own zone first, spilling over where that can't bear it.
@@ -698,9 +687,8 @@
         }
         let zones: Vec<usize> = all.keys().copied().collect();
         // Other governors' proxies are unheard: taken to be spread as the fleet's sizes are.
-        let usual: f64 = self.proxies.values().map(|proxy| proxy.usual).sum();
         let joined = self.proxies.len() as f64;
-        let unheard = per(usual, joined) * (self.figures.shared - joined).max(0.0);
+        let unheard = per(all.values().sum(), joined) * (self.figures.shared - joined).max(0.0);
         let sizes: f64 = self.replicas.values().filter(|one| one.ready()).map(|one| one.weight).sum();
         let mut hurt = BTreeSet::new();
         for replica in self.replicas.values() {
@@ -715,18 +703,21 @@
         }
         let slack = ZONE_SLACK * per(all.values().sum(), bears.values().sum());
         let spare = |zone: &usize| (slack * at(&bears, zone) - at(&all, zone)).max(0.0);
+        // Where nothing is warm, what is bound there needs all of it, and the rest goes elsewhere.
+        let coldest = if self.figures.groups[1] != 0 { self.thin.clone() } else { BTreeSet::new() };
         let mut defaults = BTreeMap::new();
         for zone in zones {
             let own = at(&bears, &zone);
             let (bound, all) = (at(&bound, &zone), at(&all, &zone));
-            let kept = match hurt.contains(&zone) {
-                false => 1.0,
-                true => per(slack * own - bound, all - bound).clamp(0.0, 1.0),
+            let kept = match (hurt.contains(&zone), coldest.contains(&zone)) {
+                (false, _) => 1.0,
+                (true, true) => 0.0,
+                (true, false) => per(slack * own - bound, all - bound).clamp(0.05, 1.0),
             };
             let elsewhere: f64 = bears.keys().filter(|other| **other != zone).map(spare).sum();
             for kind in 0..2 {
                 let weigh = |replica: &Replica| match (replica.zone == zone, kind) {
-                    (true, 0) => kept.max(0.05) * self.default_weight(replica, now),
+                    (true, 0) => kept * self.default_weight(replica, now),
                     (true, _) => self.default_weight(replica, now),
                     (false, 0) if kept < 0.95 => {
                         let share = per(spare(&replica.zone), elsewhere) * (1.0 - kept);
@@ -784,10 +775,10 @@
                 self.out.push_back(Decision::Withdraw(id.clone(), true));
             }
         }
-        if !self.figures.sliced && (flush || self.proxies.values().any(|proxy| proxy.unsure)) {
+        if flush || self.proxies.values().any(|proxy| proxy.unsure) {
             self.tables(now, flush);
         }
-        if flush && !self.figures.sliced {
+        if flush {
             for (id, replica) in self.replicas.iter_mut().filter(|(_, one)| one.withdrawn && !one.out()) {
                 replica.withdrawn = false;
                 self.out.push_back(Decision::Withdraw(id.clone(), false));
@@ -842,19 +833,17 @@
         }
     }
 
-    /// Flows a second that the proxies here may send within zones that list nothing warm. What is bound to such
-    /// a zone and more than its cold replicas bear goes nowhere: some proxies keep no line until one is warm.
+    /// Flows a second that the proxies here may send within zones where nothing is warm. What is bound to such a
+    /// zone and more than its cold replicas bear goes nowhere: some proxies keep no line until one is warm.
     fn cold_zones(&self, now: Duration) -> BTreeMap<usize, f64> {
-        let open = self.replicas.values().filter(|one| !one.out());
-        let fleet: f64 = open.map(|one| one.weight * one.capacity(&self.figures, now)).sum();
-        let each = COLD_SLACK * per(self.answered(), fleet);
-        let mut bears: BTreeMap<usize, f64> = BTreeMap::new();
-        for replica in self.replicas.values().filter(|one| one.ready()) {
-            let capacity = replica.capacity(&self.figures, now);
-            *bears.entry(replica.zone).or_insert(0.0) +=
-                if capacity < 1.0 { each * replica.weight * capacity } else { f64::INFINITY };
+        let (mut fleet, mut bears) = (0.0, BTreeMap::new());
+        for replica in self.replicas.values().filter(|one| !one.out()) {
+            let weight = replica.weight * replica.capacity(&self.figures, now);
+            fleet += weight;
+            *bears.entry(replica.zone).or_insert(0.0) += COLD_SLACK * self.answered() * weight;
         }
-        bears.retain(|_, bears| bears.is_finite());
+        bears.retain(|zone, _| self.figures.groups[1] != 0 && self.thin.contains(zone));
+        bears.values_mut().for_each(|bears| *bears = per(*bears, fleet));
         bears
     }
 
@@ -993,11 +982,12 @@
         let late = time / answers / self.figures.budget;
         // What answers took tells of queues that may have drained since: reports of flows waiting say so.
         let reports = self.replicas.values().filter_map(|one| one.waiting);
-        let reports = reports.filter(|(_, at)| *at + self.figures.echo > now);
+        let echo = self.figures.settling + SHED_EVERY;
+        let reports = reports.filter(|(_, at)| *at + echo > now);
         let (all, queued) = reports.fold((0, 0), |(n, q), (queue, _)| (n + 1, q + u32::from(queue >= 1.0)));
         let jammed = 2 * queued >= all;
         let calm = 3 * queued < all;
-        if late > LATE && jammed && now >= self.cut_at + self.figures.echo {
+        if late > LATE && jammed && now >= self.cut_at + echo {
             // Jammed replicas answer as many as they can: let in a little less than that, to drain their queues.
             let bears = DRAINING * self.answered();
             let offered: f64 = self.proxies.values().flat_map(|proxy| &proxy.rates).sum();
