--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -132,6 +132,9 @@
     /// Instances with an event in the batch: only these may act.
     touched: BTreeSet<u64>,
     lists: BTreeMap<u64, Vec<Listed>>,
+    /// Instances whose list comes only to those who subscribe, and those that are to do so now.
+    asking: BTreeSet<u64>,
+    unsubscribed: BTreeSet<u64>,
     /// One copy of each name, shared by all that hold it.
     names: BTreeSet<ReplicaId>,
 }
@@ -149,8 +152,14 @@
         }
         let id = fields.whole("governor_id")?;
         if name == "init" {
-            self.governors.insert(id, Governor::new(settings(&fields)?, now));
+            let info = fields.part("info");
+            self.governors.insert(id, Governor::new(settings(&info)?, now));
             self.touched.insert(id);
+            self.unsubscribed.remove(&id);
+            if info.word("membership_mode") == "subscribe" {
+                self.asking.insert(id);
+                self.unsubscribed.insert(id);
+            }
             return Ok(());
         }
         if name == "crash_now" {
@@ -162,7 +171,11 @@
         let governor = self.governors.get_mut(&id).ok_or_else(|| format!("no instance {id}"))?;
         match name {
             "directory_update" => match fields.whole("kind")? {
-                3 => governor.list_lost(),
+                3 => {
+                    if self.asking.contains(&id) {
+                        self.unsubscribed.insert(id);
+                    }
+                }
                 kind @ 0..=2 => {
                     let number = fields.whole("list")?;
                     let list = self.lists.get(&number).ok_or_else(|| format!("no list {number}"))?;
@@ -244,6 +257,10 @@
     fn reply(&mut self, output: &mut impl Write) -> io::Result<()> {
         for id in std::mem::take(&mut self.touched) {
             let Some(governor) = self.governors.get_mut(&id) else { continue };
+            if self.unsubscribed.remove(&id) {
+                let watch = json!({"watch": {"governor_id": id, "set": true}});
+                writeln!(output, "{watch}")?;
+            }
             while let Some(decision) = governor.decide(self.now) {
                 encode(id, decision, output)?;
             }
@@ -281,12 +298,10 @@
         }
         Decision::Mark(number) => put(json!({"seal": {"governor_id": id, "version": number, "set": false}})),
         Decision::Probe(replica) => put(json!({"touch": {"governor_id": id, "replica": &*replica}})),
-        Decision::Subscribe => put(json!({"watch": {"governor_id": id, "set": true}})),
     }
 }
 
-fn settings(event: &Fields) -> Result<Settings, String> {
-    let info = event.part("info");
+fn settings(info: &Fields) -> Result<Settings, String> {
     let (extra, rules) = (info.part("extra"), info.part("rules"));
     let (limits, penalties) = (info.part("limits"), info.part("penalties"));
     let own_zone = extra.row("class_own_zone");
@@ -320,20 +335,13 @@
     });
     let cap = extra.whole("update_cap").unwrap_or(0) as usize;
     Ok(Settings {
-        seed: event.whole("init_seed")?,
         governors: info.whole("siblings").unwrap_or(1),
         groups,
-        zones: info.row("zones").len().max(1),
         slices: extra.whole("shards").unwrap_or(0),
         proxies: extra.whole("agents").unwrap_or(1),
-        standing: extra.whole("bootstrap").unwrap_or(0) as usize,
         cold_share: rules.number("cold_from", 1.0),
         warm_after: rules.span_or("warm_after_us", Duration::ZERO),
-        fall_multiple: rules.number("fall_multiple", f64::MAX),
-        fall_span: rules.span_or("overload_for_us", Duration::ZERO),
-        drain_grace: rules.span_or("drain_grace_us", Duration::MAX),
         proxies_avoid: extra.whole("ejects").unwrap_or(0) > 0,
-        bare_span: extra.span_or("unserved_max_us", Duration::MAX),
         sums_every: extra.span_or("cycle_us", Duration::from_secs(1)),
         lines_per_s: extra.number("channel_rate", f64::MAX),
         head_lines: extra.number("per_message", 0.0),
@@ -350,10 +358,8 @@
             Ok(1) => FurtherTries::IfNeverRan,
             _ => FurtherTries::Once,
         },
-        try_wait: extra.number("first_wait", 1.0),
         crossing_cost: penalties.number("cross_zone", 0.0),
         probe_cost: limits.mark("probes").then(|| penalties.number("probe", 0.0)),
         load_fields: load_fields.collect(),
-        list_on_request: info.word("membership_mode") == "subscribe",
     })
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -79,29 +79,18 @@
 /// What an instance is told at its start. The rules derive their few figures from it and drop the rest.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
-    pub seed: u64,
     /// How many governors there are.
     pub governors: u64,
     pub groups: Vec<Group>,
-    pub zones: usize,
     /// Slices of the key space; the rules serve deployments without.
     pub slices: u64,
     /// How many proxies all governors have together.
     pub proxies: u64,
-    /// Most replicas that a proxy draws into its standing table.
-    pub standing: usize,
     /// A replica starts with this share of its capacity or more, and has all of it `warm_after` later.
     pub cold_share: f64,
     pub warm_after: Duration,
-    /// A cold replica that is sent this multiple of what it can do, for `fall_span`, falls over.
-    pub fall_multiple: f64,
-    pub fall_span: Duration,
-    /// Proxies must have stopped sending to a draining or gone replica this long after it is known.
-    pub drain_grace: Duration,
     /// Proxies turn for some seconds from a replica that dropped a few of their own tries in a row.
     pub proxies_avoid: bool,
-    /// A proxy may be without a line to pick for this long.
-    pub bare_span: Duration,
     /// How often sums are gathered.
     pub sums_every: Duration,
     /// The channel: lines a second, lines a message costs on top, lines that may wait.
@@ -115,15 +104,11 @@
     pub level_kind: LevelKind,
     /// What proxies do about further tries until told otherwise.
     pub usual_tries: FurtherTries,
-    /// With [`FurtherTries::Once`] a try is given up after this many latency budgets.
-    pub try_wait: f64,
     /// Points off for a crossing flow, as a share of a delivered one's utility.
     pub crossing_cost: f64,
     /// Points off for probes, each as a share of a flow; none where probing is ruled out.
     pub probe_cost: Option<f64>,
     pub load_fields: Vec<LoadField>,
-    /// The list's changes come only to those who subscribe.
-    pub list_on_request: bool,
 }
 
 /// What the list says of a replica.
@@ -188,6 +173,4 @@
     /// Have each proxy that this reply reaches acknowledge by this number.
     Mark(u16),
     Probe(ReplicaId),
-    /// Subscribe to the list's changes.
-    Subscribe,
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,93 +17,81 @@
 #[cfg(test)]
 mod tests;
 
-/// Everything due is looked at this often; finer would only split what one message could carry.
+/// The one timer: gathered changes go out every second beat, as the design page has it; levels and solving follow.
 const BEAT: Duration = Duration::from_millis(250);
-/// The design page's periods: gathered changes, and re-solving.
-const PUBLISH_EVERY: Duration = Duration::from_millis(500);
-const SOLVE_EVERY: Duration = Duration::from_secs(2);
-/// The paper's target for the ratio, and the cycles below it before the solver runs.
+const SHED_BEATS: u64 = 4;
+const SOLVE_BEATS: u64 = 8;
+/// The paper's target for the ratio, and the page's penalties on rerouted traffic below and above it.
 const TARGET: f64 = 0.9;
-const CYCLES_BELOW: u32 = 3;
-/// Levels are looked at this often, and cut once the mean answer takes this share of the latency budget.
-const SHED_EVERY: Duration = Duration::from_secs(1);
-const LATE: f64 = 0.5;
-/// What is let in of what jammed replicas answer, until their queues have drained.
-const DRAINING: f64 = 0.77;
-/// The design page's penalties on rerouted traffic, below and above the target.
 const PENALTIES: (f64, f64) = (0.5, 1.0);
-/// A new critical set must beat the old by more than this, else the sums' noise would move it.
-const WORTH_CHANGING: f64 = 0.01;
-/// Share of this governor's proxies that may be critical.
+/// The page's cycles below the target before the solver runs, share of proxies that may be critical, lines at most.
+const CYCLES_BELOW: u32 = 3;
 const CRITICAL_SHARE: f64 = 0.15;
-/// Probes are cheap, but each costs its replica work.
-const PROBE_EVERY: Duration = Duration::from_secs(2);
-/// Flows in hand are taken to grow by this with each unanswered probe, up to what swamps any replica.
-const MUTE_GROWTH: f64 = 1.3;
-const MUTE_MOST: f64 = 50.0;
-/// Most lines in a solved table.
 const COOLEST: usize = 30;
+/// A new critical set must beat the old by more than this, else the sums' noise would move it.
+const WORTH_CHANGING: f64 = 0.01;
 /// A line goes out again once its weight has moved by this share: less is within the noise of the sums.
 const WORTH_SENDING: f64 = 0.12;
+/// How far one cycle bends a room towards the mean utilisation (an exponent), and what it keeps of a bend.
+const BEND_STEP: f64 = 0.25;
+const BEND_KEPT: f64 = 0.95;
+/// A room bent below this (to 0.7 of its fair share) is no noise: critical proxies can't unload it alone.
+const LIMPS_AT: f64 = -0.35;
 /// A zone carries up to this multiple of the fleet's utilisation before its default spills over.
 const ZONE_SLACK: f64 = 1.15;
-/// Tries heard before their drops mean anything, and the share of drops from which the fleet counts as stressed.
+/// Levels are cut once the mean answer takes this share of the latency budget, to what jammed replicas answer less
+/// what lets their queues drain.
+const LATE: f64 = 0.5;
+const DRAINING: f64 = 0.77;
+/// Tries heard before their drops mean anything, and the share of drops from which a zone counts as stressed.
 const HEARD_ENOUGH: f64 = 50.0;
 const STRESSED_AT: f64 = 0.05;
 /// A cold replica must have this multiple of the stress as capacity to be sent anything: the second where proxies
 /// avoid replicas that fail them, and so may leave it alone with all their flows.
 const WARINESS: (f64, f64) = (1.2, 3.0);
-/// What the cold replicas of a zone without warm ones are sent, by what the fleet's replicas answer for their
-/// capacity: they fall at a stated multiple, 2 or more, and chance takes its part.
+/// What replicas are sent where nothing is warm, by what the fleet answers for its capacity: they fall at a stated
+/// multiple, 2 or more, and chance takes its part.
 const COLD_SLACK: f64 = 1.2;
-/// How far one cycle bends a room towards the mean utilisation (an exponent).
-const BEND_STEP: f64 = 0.25;
-/// A room bent below this (to 0.7 of its fair share) is no noise: the few critical proxies can't unload that replica alone.
-const LIMPS_AT: f64 = -0.35;
-/// What one cycle keeps of a bend: without news it fades over some twenty.
-const BEND_KEPT: f64 = 0.95;
 /// Answers that should have come by now: with this many, chance leaves none once in some thousand looks.
 const SILENT_AFTER: f64 = 8.0;
-/// First wait before a withdrawn replica is tried again; each failed trial doubles it.
+/// First wait before a withdrawn replica is tried again, doubled by each failed trial, with this share of its part.
 const FIRST_WAIT: Duration = Duration::from_secs(4);
-/// A replica on trial is sent this share of its usual part, and all of it once the trial is over.
 const TRIAL_SHARE: f64 = 0.1;
+/// Probes are cheap, but each costs its replica work. Each unanswered one tells of so much more in hand.
+const PROBE_EVERY: Duration = Duration::from_secs(2);
+const MUTE_GROWTH: f64 = 1.3;
 
 /// What the settings come down to.
 #[derive(Default)]
 struct Figures {
     /// The two kinds of table of a proxy: for groups free to cross, and for those bound to the own zone.
     groups: [GroupSet; 2],
-    /// The groups from the least utility per work up.
+    /// The groups from the least utility per work up, and whether levels are heeded.
     ladder: Vec<usize>,
     levels: bool,
     /// Seconds within which a typical flow wants its answer.
     budget: f64,
-    subscribes: bool,
-    standing: usize,
     /// All proxies, where other governors have some of them; else none.
     shared: f64,
     /// Worst-case share of its capacity that a replica starts with, and by how much it grows a second.
     cold: (f64, f64),
-    /// What multiple of the stress a cold replica must have as capacity.
     wariness: f64,
     /// How much cooler a replica of another zone must be to be preferred.
     crossing: f64,
-    /// Seconds over which sums are averaged: the page's 5 reports.
     averaged: f64,
     /// How long an order takes to show in the sums.
     settling: Duration,
     publish_every: Duration,
     /// Flushes within a span; one message to each proxy is kept for its joining.
     flushes: (usize, Duration),
+    /// Of the channel: lines a second, a message's head, lines that may wait less a reserve, seconds on the way.
     lines_per_s: f64,
     head: f64,
-    /// Lines that may wait, less a reserve for what is urgent.
     waiting_most: f64,
     transit: f64,
     probe_every: Option<Duration>,
-    in_hand_at: Option<usize>,
-    waiting_at: Option<usize>,
+    /// Places of flows in hand and of flows waiting in a load report.
+    load_at: [Option<usize>; 2],
 }
 
 #[derive(Clone, Copy, Default, PartialEq, Debug)]
@@ -112,7 +100,6 @@
     Fit,
     /// Withdrawn until then, after so many failures in a row.
     Out(Duration, u32),
-    /// On trial, after so many failures in a row.
     Trial(u32),
 }
 
@@ -121,7 +108,6 @@
 struct Sight {
     delivered: f64,
     dropped: f64,
-    /// Tries a second and seconds an answer, averaged.
     rate: f64,
     time: f64,
     last: Duration,
@@ -135,16 +121,13 @@
     phase: Phase,
     started: Option<Duration>,
     health: Health,
-    /// Told to joined proxies.
     withdrawn: bool,
     /// Silence counts only from here on: what went before was met under other tables.
     since: Duration,
     sights: BTreeMap<usize, Sight>,
-    /// Flows a second it should have been sent of late, averaged.
     expected: f64,
-    /// How its room bends from its fair share (a logarithm): below 0 for one that holds more than its part.
+    /// How its room bends from its fair share (a logarithm), and whether so far that defaults must heed it.
     bend: f64,
-    /// Its room has bent so far that defaults must heed it too.
     limps: bool,
     in_hand: Option<f64>,
     /// Flows waiting there, by its last report, and when that came.
@@ -156,23 +139,14 @@
     zone: usize,
     /// Flows a second by group, blocked ones too: what is usual, until more is heard.
     rates: Vec<f64>,
-    /// What its standing table is taken to hold, while it is on it.
     standing: Option<BTreeSet<ReplicaId>>,
     /// Holds nobody knows what: must follow own tables before anything else can be said of it.
     unsure: bool,
 }
 
 type Lines = BTreeMap<ReplicaId, f64>;
-/// A proxy's flows of one kind of table.
 type Unit = (ProxyId, usize);
-
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Publish,
-    Solve,
-    Shed,
-    Probe(ReplicaId),
-}
+type Solved = BTreeMap<Unit, Lines>;
 
 /// One governor's knowledge, and the decisions that wait to be pulled.
 #[derive(Default)]
@@ -181,17 +155,17 @@
     replicas: BTreeMap<ReplicaId, Replica>,
     proxies: BTreeMap<ProxyId, Proxy>,
     /// The lines of each own table as last sent, kept over a broken stream: tables outlive it here.
-    tables: BTreeMap<Unit, Lines>,
+    tables: Solved,
     numbers: BTreeMap<ProxyId, TableId>,
-    /// Critical proxies and their solved lines.
-    critical: BTreeMap<Unit, Lines>,
+    critical: Solved,
     cycles_below: u32,
     /// By zone: the share of tries dropped by its replicas, or the fleet's if that is more, where it is not little.
     stress: BTreeMap<usize, f64>,
     /// Too little is heard yet to tell: half is assumed, as a governor may restart in mid-trouble.
     unheard: bool,
-    /// Scopes with no warm replica open: nothing to hold load on instead.
+    /// Zones (or the fleet, as 0, where no group is bound to zones) with no warm replica open.
     thin: BTreeSet<usize>,
+    nominal: f64,
     /// By zone: when sums of it last came, and when a proxy of it last joined.
     heard: BTreeMap<usize, Duration>,
     joined: BTreeMap<usize, Duration>,
@@ -200,7 +174,9 @@
     cut_at: Duration,
     pulse: (f64, f64),
     levels: Vec<(f64, FurtherTries)>,
-    due: BTreeSet<(Duration, Due)>,
+    due: BTreeSet<(Duration, ReplicaId)>,
+    beats: u64,
+    publish_at: Duration,
     flushes: VecDeque<Duration>,
     /// Lines taken to wait in the channel, as of then, and how much slower than stated it seems.
     waiting: f64,
@@ -226,45 +202,39 @@
 
 impl Figures {
     fn new(settings: &Settings) -> Self {
-        let bits = |wanted: &dyn Fn(&Group) -> bool| -> GroupSet {
-            // Slices have tables of their own, which nothing here is laid into yet.
-            let tabled = if settings.slices > 0 { 0 } else { 64 };
-            let places = settings.groups.iter().take(tabled).enumerate().filter(|(_, group)| wanted(group));
-            places.map(|(place, _)| 1 << place).sum()
-        };
+        // Slices have tables of their own, which nothing here is laid into yet.
+        let tabled = if settings.slices > 0 { 0 } else { 64 };
+        let mut groups = [0, 0];
+        for (place, group) in settings.groups.iter().take(tabled).enumerate() {
+            groups[usize::from(group.own_zone)] |= 1 << place;
+        }
         // The wire tells no group's work: its latency budget stands in, as what needs longer is given longer.
-        let value = |place: &usize| {
-            let group = &settings.groups[*place];
-            per(group.utility, seconds(group.latency_budget))
-        };
+        let budget = |place: &usize| seconds(settings.groups[*place].latency_budget);
+        let value = |place: &usize| per(settings.groups[*place].utility, budget(place));
         let mut ladder: Vec<usize> = (0..settings.groups.len().min(64)).collect();
         ladder.sort_by(|one, other| value(one).total_cmp(&value(other)));
-        let budgets = settings.groups.iter().map(|group| seconds(group.latency_budget));
         let field = |wanted| settings.load_fields.iter().position(|field| *field == wanted);
         let (most, over) = settings.messages_most.unwrap_or((usize::MAX, Duration::ZERO));
         let cold = settings.cold_share.clamp(0.01, 1.0);
         Figures {
-            groups: [bits(&|group| !group.own_zone), bits(&|group| group.own_zone)],
-            ladder,
+            groups,
             levels: settings.level_kind == LevelKind::Share,
-            budget: per(budgets.sum(), settings.groups.len() as f64),
-            subscribes: settings.list_on_request,
-            standing: settings.standing,
+            budget: per(ladder.iter().map(budget).sum(), ladder.len() as f64),
+            ladder,
             shared: if settings.governors > 1 { settings.proxies as f64 } else { 0.0 },
             cold: (cold, per(1.0 - cold, seconds(settings.warm_after))),
             wariness: if settings.proxies_avoid { WARINESS.1 } else { WARINESS.0 },
             crossing: 1.0 + 4.0 * settings.crossing_cost,
             averaged: 5.0 * seconds(settings.sums_every),
             settling: settings.transit_most + 3 * settings.sums_every,
-            publish_every: PUBLISH_EVERY.max(over.mul_f64(1.5 / most.max(1) as f64)),
+            publish_every: (2 * BEAT).max(over.mul_f64(1.5 / most.max(1) as f64)),
             flushes: (most.saturating_sub(2), over),
             lines_per_s: settings.lines_per_s.max(1.0),
             head: settings.head_lines,
             waiting_most: 0.8 * settings.waiting_most,
             transit: seconds(settings.transit_most),
             probe_every: settings.probe_cost.map(|_| PROBE_EVERY),
-            in_hand_at: field(LoadField::InHand),
-            waiting_at: field(LoadField::Waiting),
+            load_at: [field(LoadField::InHand), field(LoadField::Waiting)],
         }
     }
 }
@@ -278,13 +248,15 @@
         !self.ready() || matches!(self.health, Health::Out(..))
     }
 
-    /// The share of its warm capacity that it has at the worst.
     fn capacity(&self, figures: &Figures, now: Duration) -> f64 {
         let (cold, growth) = figures.cold;
         self.started.map_or(1.0, |at| (cold + growth * seconds(now.saturating_sub(at))).min(1.0))
     }
 
-    /// Tries delivered and dropped of late, as all zones' proxies met them.
+    fn bears(&self, figures: &Figures, now: Duration) -> f64 {
+        if self.out() { 0.0 } else { self.weight * self.capacity(figures, now) }
+    }
+
     fn evidence(&self) -> (f64, f64) {
         self.sights.values().fold((0.0, 0.0), |(d, m), sight| (d + sight.delivered, m + sight.dropped))
     }
@@ -307,13 +279,10 @@
             unheard: true,
             let_in: 1.0,
             levels: vec![(1.0, settings.usual_tries); figures.ladder.len()],
-            due: [(now, Due::Publish), (now + SOLVE_EVERY, Due::Solve), (now + SOLVE_EVERY, Due::Shed)]
-                .into(),
             drained_at: now,
             slowed: 1.0,
             wake: true,
             stirred: true,
-            out: figures.subscribes.then_some(Decision::Subscribe).into_iter().collect(),
             figures,
             ..Governor::default()
         }
@@ -335,20 +304,17 @@
             }
             if !replica.ready() && entry.phase == Phase::Ready {
                 replica.since = now;
-                let probe = self.figures.probe_every.map(|every| (now + every, Due::Probe(entry.id.clone())));
+                let probe = self.figures.probe_every.map(|every| (now + every, entry.id.clone()));
                 self.due.extend(probe);
             }
             (replica.phase, replica.zone) = (entry.phase, entry.zone);
             replica.weight = entry.weight.max(f64::MIN_POSITIVE);
         }
+        let ready = self.replicas.values().filter(|one| one.ready());
+        self.nominal = ready.map(|one| one.weight).sum::<f64>().max(self.nominal);
         self.stirred = true;
     }
 
-    /// The subscription to the list dropped, or could not be had.
-    pub fn list_lost(&mut self) {
-        self.out.extend(self.figures.subscribes.then_some(Decision::Subscribe));
-    }
-
     /// A proxy's stream is up; `fresh` if it holds only its standing table.
     pub fn joined(&mut self, now: Duration, proxy: ProxyId, zone: usize, usual: f64, fresh: bool) {
         self.left(proxy);
@@ -370,12 +336,11 @@
         self.critical.retain(|(critical, _), _| *critical != proxy);
     }
 
-    /// What a zone's proxies met at a replica.
     pub fn met(&mut self, now: Duration, met: Met) {
         self.heard.insert(met.zone, now);
         self.stirred = true;
         let Some(replica) = self.replicas.get_mut(&met.replica) else { return };
-        if let Some(&waiting) = self.figures.waiting_at.and_then(|at| met.load.get(at)) {
+        if let Some(&waiting) = self.figures.load_at[1].and_then(|at| met.load.get(at)) {
             replica.waiting = Some((waiting, now));
         }
         let span = seconds(met.span).max(0.001);
@@ -396,7 +361,6 @@
         }
     }
 
-    /// Flows of a group that came to a proxy.
     pub fn came(&mut self, came: Came) {
         let proxy = self.proxies.get_mut(&came.proxy);
         let Some(rate) = proxy.and_then(|proxy| proxy.rates.get_mut(came.group)) else { return };
@@ -409,15 +373,15 @@
     pub fn probed(&mut self, now: Duration, id: &ReplicaId, took: Option<Duration>, load: &[f64]) {
         let Some(replica) = self.replicas.get_mut(id) else { return };
         replica.unanswered_probes = if took.is_some() { 0 } else { replica.unanswered_probes + 1 };
-        let known = replica.in_hand.or(self.figures.in_hand_at.map(|_| 1.0));
-        replica.in_hand = match self.figures.in_hand_at.and_then(|at| load.get(at)) {
+        let known = replica.in_hand.or(self.figures.load_at[0].map(|_| 1.0));
+        replica.in_hand = match self.figures.load_at[0].and_then(|at| load.get(at)) {
             Some(in_hand) => known.map(|known| known + (in_hand - known) / 3.0),
             // A probe waits behind flows: one unanswered tells of load where those answered tell of none.
-            None if took.is_none() => known.map(|known| (MUTE_GROWTH * known.max(1.0)).min(MUTE_MOST)),
+            None if took.is_none() => known.map(|known| MUTE_GROWTH * known.max(1.0)),
             None => known,
         };
         let next = self.figures.probe_every.filter(|_| replica.ready());
-        self.due.extend(next.map(|every| (now + every, Due::Probe(id.clone()))));
+        self.due.extend(next.map(|every| (now + every, id.clone())));
         self.stirred = true;
     }
 
@@ -453,50 +417,39 @@
     }
 
     fn settle(&mut self, now: Duration) {
-        if std::mem::take(&mut self.wake) {
+        let beat = std::mem::take(&mut self.wake);
+        if beat {
             self.out.push_back(Decision::Wake(BEAT));
+            self.beats += 1;
             self.judge(now);
+            if self.beats.is_multiple_of(SHED_BEATS) {
+                self.shed(now);
+            }
+            if self.beats.is_multiple_of(SOLVE_BEATS) {
+                self.bend(now);
+                self.solve(now);
+            }
         }
-        let mut ordinary = false;
-        while self.due.first().is_some_and(|(at, _)| *at <= now) {
-            let next = match self.due.pop_first() {
-                Some((_, Due::Publish)) => {
-                    ordinary = true;
-                    Some((now + self.figures.publish_every.mul_f64(self.slowed), Due::Publish))
-                }
-                Some((_, Due::Solve)) => {
-                    self.bend(now);
-                    self.solve(now);
-                    Some((now + SOLVE_EVERY, Due::Solve))
-                }
-                Some((_, Due::Shed)) => {
-                    self.shed(now);
-                    Some((now + SHED_EVERY, Due::Shed))
-                }
-                Some((_, Due::Probe(id))) => {
-                    let ready = self.replicas.get(&id).is_some_and(Replica::ready);
-                    self.out.extend(ready.then_some(Decision::Probe(id)));
-                    None
-                }
-                None => None,
-            };
-            self.due.extend(next);
+        while self.due.first().is_some_and(|(at, _)| *at <= now)
+            && let Some((_, id)) = self.due.pop_first()
+        {
+            let ready = self.replicas.get(&id).is_some_and(Replica::ready);
+            self.out.extend(ready.then_some(Decision::Probe(id)));
+        }
+        let ordinary = beat && now >= self.publish_at;
+        if ordinary {
+            self.publish_at = now + self.figures.publish_every.mul_f64(self.slowed);
         }
         self.publish(now, ordinary);
     }
 
-    /// Within what a replica's load could go elsewhere: its zone where a group is bound to zones, else the fleet.
-    fn scope(&self, replica: &Replica) -> usize {
-        if self.figures.groups[1] != 0 { replica.zone } else { 0 }
-    }
-
-    /// What part of its listed weight a replica may be sent now. While many tries are dropped, proxies turn from
-    /// their usual replicas and pile onto any that still answers, and overload brings every replica a multiple of what it can do: a cold
-    /// one would fall under a planned trickle.
+    /// What part of its listed weight a replica may be sent now. In stress proxies pile onto those that still answer,
+    /// and each is brought a multiple of what it can do: a cold one would fall under a planned trickle.
     fn part(&self, replica: &Replica, now: Duration) -> f64 {
         let capacity = replica.capacity(&self.figures, now);
         let stress = if self.unheard { 0.5 } else { at(&self.stress, &replica.zone) };
-        let wary = stress > 0.0 && capacity < 1.0 && !self.thin.contains(&self.scope(replica));
+        let scope = if self.figures.groups[1] != 0 { replica.zone } else { 0 };
+        let wary = stress > 0.0 && capacity < 1.0 && !self.thin.contains(&scope);
         match replica.health {
             _ if replica.out() || wary && capacity < self.figures.wariness * stress => 0.0,
             Health::Trial(_) => TRIAL_SHARE * capacity,
@@ -505,13 +458,11 @@
         }
     }
 
-    /// The weight that goes by default: less for one that limps.
     fn default_weight(&self, replica: &Replica, now: Duration) -> f64 {
         let limp = if replica.limps { replica.bend.exp() } else { 1.0 };
         replica.weight * self.part(replica, now) * limp
     }
 
-    /// Flows a second of these groups that a proxy lets in.
     fn demand(&self, proxy: &Proxy, groups: GroupSet) -> f64 {
         let rates = proxy.rates.iter().zip(&self.levels).enumerate();
         let rates = rates.filter(|(place, _)| groups >> (*place).min(63) & 1 == 1);
@@ -535,17 +486,16 @@
     /// Health, by symptom: no answers where answers are due, or far more drops than the fleet has.
     fn judge(&mut self, now: Duration) {
         // Drops of what is withdrawn tell nothing of the load on what is left.
-        let mut zones: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
-        for replica in self.replicas.values().filter(|one| !one.out()) {
-            let (seen, (delivered, dropped)) = (zones.entry(replica.zone).or_default(), replica.evidence());
-            *seen = (seen.0 + delivered, seen.1 + dropped);
-        }
-        let (delivered, dropped) = zones.values().fold((0.0, 0.0), |(d, m), one| (d + one.0, m + one.1));
-        let usual_drops = per(dropped, (delivered + dropped).max(1.0));
-        self.unheard = self.unheard && delivered + dropped < HEARD_ENOUGH;
-        let share = |(d, m): (f64, f64)| per(m, (d + m).max(0.4 * HEARD_ENOUGH)).max(usual_drops);
-        let shares = zones.into_iter().map(|(zone, seen)| (zone, share(seen)));
-        self.stress = shares.filter(|(_, share)| *share > STRESSED_AT).collect();
+        let open = |one: &Replica| if one.out() { (0.0, 0.0) } else { one.evidence() };
+        let (delivered, dropped) = (self.by_zone(|one| open(one).0), self.by_zone(|one| open(one).1));
+        let (whole, drops) = (delivered.values().sum::<f64>(), dropped.values().sum::<f64>());
+        let usual_drops = per(drops, (whole + drops).max(1.0));
+        self.unheard = self.unheard && whole + drops < HEARD_ENOUGH;
+        let share = |(zone, dropped): (usize, f64)| {
+            let tries = (at(&delivered, &zone) + dropped).max(0.4 * HEARD_ENOUGH);
+            (zone, per(dropped, tries).max(usual_drops))
+        };
+        self.stress = dropped.into_iter().map(share).filter(|(_, share)| *share > STRESSED_AT).collect();
         let suspects = self.suspects(now, usual_drops);
         self.withdraw_worst(now, suspects, usual_drops);
         self.take_back(now);
@@ -628,28 +578,24 @@
     }
 
     /// Withdraws the worst, never so many that the rest, or what is left of a zone, could not bear it.
-    fn withdraw_worst(&mut self, now: Duration, mut suspects: Vec<(f64, ReplicaId)>, usual_drops: f64) {
+    fn withdraw_worst(&mut self, now: Duration, suspects: Vec<(f64, ReplicaId)>, usual_drops: f64) {
         let ready = self.replicas.values().filter(|one| one.ready()).count();
         let mut out = self.replicas.values().filter(|one| one.ready() && one.out()).count();
         // Many that drop in part are the fleet's trouble: of these only the worst one goes.
-        if 4 * suspects.len() > ready && usual_drops > 0.2 {
-            let worst = suspects.first().map_or(0.0, |(ill, _)| *ill);
-            suspects.retain(|(ill, _)| *ill >= worst.min(1.0));
-        }
-        for (_, id) in suspects {
+        let many = 4 * suspects.len() > ready && usual_drops > 0.2;
+        for (place, (ill, id)) in suspects.into_iter().enumerate() {
             let zone = self.replicas[&id].zone;
             let own = self.replicas.iter().filter(|(_, one)| one.zone == zone && one.ready());
-            let (mut whole, mut left, mut warm) = (0.0, 0.0, false);
-            for (other, one) in own {
-                let (capacity, open) = (one.capacity(&self.figures, now), !one.out() && *other != id);
-                whole += one.weight * capacity;
-                left += if open { one.weight * capacity } else { 0.0 };
-                warm |= open && capacity >= 1.0;
-            }
-            let bares = self.figures.groups[1] != 0 && (!warm || 3.0 * left < whole);
+            let own = own.map(|(other, one)| (!one.out() && *other != id, one.capacity(&self.figures, now)));
+            let (all, left, warm) = own.fold((0.0, 0.0, false), |(all, left, warm), (open, capacity)| {
+                let open_part = if open { capacity } else { 0.0 };
+                (all + capacity, left + open_part, warm || open_part >= 1.0)
+            });
+            let bares = self.figures.groups[1] != 0 && (!warm || 3.0 * left < all);
             let Some(replica) = self.replicas.get_mut(&id) else { continue };
             let times = if let Health::Trial(times) = replica.health { times } else { 0 };
-            if times == 0 && (10 * (out + 1) > 4 * ready || bares) {
+            let spared = many && place > 0 && ill < 1.0 || 10 * (out + 1) > 4 * ready || bares;
+            if times == 0 && spared {
                 continue;
             }
             out += 1;
@@ -659,28 +605,36 @@
     }
 
     /// Where nothing warm is left open, an ill replica is better than none: guards against drains that follow a
-    /// withdrawal, and against a cold replica left to bear a zone alone.
+    /// withdrawal, and against a cold replica left to bear a zone alone. Dead and cold, it is of no use.
     fn take_back(&mut self, now: Duration) {
-        let warm = |one: &&Replica| !one.out() && one.capacity(&self.figures, now) >= 1.0;
-        let warm: BTreeSet<usize> = self.replicas.values().filter(warm).map(|one| self.scope(one)).collect();
         let bound = self.figures.groups[1] != 0;
-        self.thin.clear();
-        for replica in self.replicas.values_mut().filter(|one| one.ready()) {
-            let scope = if bound { replica.zone } else { 0 };
-            if !warm.contains(&scope) {
-                self.thin.insert(scope);
-                if replica.out() {
-                    replica.judge_anew(now, Health::Fit);
-                }
+        let scope = |one: &Replica| if bound { one.zone } else { 0 };
+        let mut best: BTreeMap<usize, f64> = BTreeMap::new();
+        for one in self.replicas.values().filter(|one| one.ready()) {
+            let open = if one.out() { 0.0 } else { one.capacity(&self.figures, now) };
+            best.entry(scope(one)).and_modify(|best| *best = best.max(open)).or_insert(open);
+        }
+        best.retain(|_, best| *best < 1.0);
+        for replica in self.replicas.values_mut().filter(|one| one.ready() && one.out()) {
+            let warm = replica.capacity(&self.figures, now) >= 1.0;
+            if best.get(&scope(replica)).is_some_and(|best| warm || *best == 0.0) {
+                replica.judge_anew(now, Health::Fit);
             }
         }
+        self.thin = best.into_keys().collect();
+    }
+
+    fn by_zone(&self, of: impl Fn(&Replica) -> f64) -> BTreeMap<usize, f64> {
+        let mut zones = BTreeMap::new();
+        self.replicas.values().for_each(|one| *zones.entry(one.zone).or_insert(0.0) += of(one));
+        zones
     }
 
     /// The default of each zone, by kind of table: own zone first, spilling over where that can't bear it.
     fn defaults(&self, now: Duration) -> BTreeMap<(usize, usize), Lines> {
-        let mut bears: BTreeMap<usize, f64> = BTreeMap::new();
-        let mut bound: BTreeMap<usize, f64> = BTreeMap::new();
-        let mut all: BTreeMap<usize, f64> = BTreeMap::new();
+        let weight = |one: &Replica| self.default_weight(one, now);
+        let bears = self.by_zone(weight);
+        let (mut bound, mut all) = (BTreeMap::new(), BTreeMap::new());
         for proxy in self.proxies.values() {
             *bound.entry(proxy.zone).or_insert(0.0) += self.demand(proxy, self.figures.groups[1]);
             *all.entry(proxy.zone).or_insert(0.0) += self.demand(proxy, GroupSet::MAX);
@@ -689,50 +643,35 @@
         // Other governors' proxies are unheard: taken to be spread as the fleet's sizes are.
         let joined = self.proxies.len() as f64;
         let unheard = per(all.values().sum(), joined) * (self.figures.shared - joined).max(0.0);
-        let sizes: f64 = self.replicas.values().filter(|one| one.ready()).map(|one| one.weight).sum();
-        let mut hurt = BTreeSet::new();
-        for replica in self.replicas.values() {
-            let weight = self.default_weight(replica, now);
-            *bears.entry(replica.zone).or_insert(0.0) += weight;
-            if replica.ready() {
-                *all.entry(replica.zone).or_insert(0.0) += unheard * replica.weight / sizes;
-            }
-            if weight < replica.weight {
-                hurt.insert(replica.zone);
-            }
-        }
+        let sizes = self.by_zone(|one| if one.ready() { one.weight } else { 0.0 });
+        let each = per(unheard, sizes.values().sum());
+        sizes.iter().for_each(|(zone, size)| *all.entry(*zone).or_insert(0.0) += each * size);
         let slack = ZONE_SLACK * per(all.values().sum(), bears.values().sum());
         let spare = |zone: &usize| (slack * at(&bears, zone) - at(&all, zone)).max(0.0);
-        // Where nothing is warm, what is bound there needs all of it, and the rest goes elsewhere.
-        let coldest = if self.figures.groups[1] != 0 { self.thin.clone() } else { BTreeSet::new() };
         let mut defaults = BTreeMap::new();
         for zone in zones {
-            let own = at(&bears, &zone);
-            let (bound, all) = (at(&bound, &zone), at(&all, &zone));
-            let kept = match (hurt.contains(&zone), coldest.contains(&zone)) {
-                (false, _) => 1.0,
-                (true, true) => 0.0,
-                (true, false) => per(slack * own - bound, all - bound).clamp(0.05, 1.0),
+            let (own, bound, all) = (at(&bears, &zone), at(&bound, &zone), at(&all, &zone));
+            let hurt = self.replicas.values().any(|one| one.zone == zone && weight(one) < one.weight);
+            // Where nothing is warm, what is bound there needs all of it, and the rest goes elsewhere.
+            let kept = match self.figures.groups[1] != 0 && self.thin.contains(&zone) {
+                true => 0.0,
+                false if hurt => per(slack * own - bound, all - bound).clamp(0.05, 1.0),
+                false => 1.0,
             };
             let elsewhere: f64 = bears.keys().filter(|other| **other != zone).map(spare).sum();
             for kind in 0..2 {
-                let weigh = |replica: &Replica| match (replica.zone == zone, kind) {
-                    (true, 0) => kept * self.default_weight(replica, now),
-                    (true, _) => self.default_weight(replica, now),
+                let part = |other: usize| match (other == zone, kind) {
+                    (true, 0) => kept,
+                    (true, _) => 1.0,
                     (false, 0) if kept < 0.95 => {
-                        let share = per(spare(&replica.zone), elsewhere) * (1.0 - kept);
-                        own.max(1.0) * share * per(self.default_weight(replica, now), bears[&replica.zone])
+                        own.max(1.0) * (1.0 - kept) * per(per(spare(&other), elsewhere), bears[&other])
                     }
                     _ => 0.0,
                 };
-                let lines = self.replicas.iter().map(|(id, one)| (id.clone(), weigh(one)));
-                let mut lines: Lines = lines.filter(|(_, weight)| *weight > 0.0).collect();
+                let mut lines = self.lines(|one| weight(one) * part(one.zone));
                 if lines.is_empty() {
-                    let any =
-                        self.replicas.iter().filter(|(_, one)| !one.out() && (kind == 0 || one.zone == zone));
-                    lines = any
-                        .map(|(id, one)| (id.clone(), one.weight * one.capacity(&self.figures, now)))
-                        .collect();
+                    let open = |one: &Replica| kind == 0 || one.zone == zone;
+                    lines = self.lines(|one| if open(one) { one.bears(&self.figures, now) } else { 0.0 });
                 }
                 defaults.insert((zone, kind), lines);
             }
@@ -740,19 +679,16 @@
         defaults
     }
 
-    /// Whether a standing table no longer does what the zone's default would.
-    fn rotten(&self, proxy: &Proxy, standing: &BTreeSet<ReplicaId>, default: &Lines, now: Duration) -> bool {
-        let whole = standing.len() <= self.figures.standing;
-        let open = |id: &ReplicaId| self.replicas.get(id).is_some_and(|one| !one.out());
-        let differs = |(id, replica): (&ReplicaId, &Replica)| {
-            let weight = self.default_weight(replica, now);
-            match (standing.contains(id), replica.zone == proxy.zone) {
-                (true, _) => weight > 0.0 && weight < replica.weight,
-                (false, true) => whole && weight > 0.0,
-                (false, false) => default.contains_key(id),
-            }
-        };
-        !standing.iter().any(open) || self.replicas.iter().any(differs)
+    fn lines(&self, weigh: impl Fn(&Replica) -> f64) -> Lines {
+        let lines = self.replicas.iter().map(|(id, one)| (id.clone(), weigh(one)));
+        lines.filter(|(_, weight)| *weight > 0.0).collect()
+    }
+
+    /// Whether a standing table, as far as it is open, no longer does what the zone's default would.
+    fn rotten(&self, standing: &BTreeSet<ReplicaId>, default: &Lines) -> bool {
+        let open = standing.iter().filter(|id| self.replicas.get(*id).is_some_and(|one| !one.out()));
+        let less = |(id, weight): (&ReplicaId, &f64)| *weight < self.replicas[id].weight;
+        !open.eq(default.keys()) || default.iter().any(less)
     }
 
     /// Pace: all orders leave here, urgent ones first, as one message to each proxy concerned.
@@ -761,41 +697,41 @@
         (self.waiting, self.drained_at) = ((self.waiting - drained).max(0.0), now);
         let (most, over) = self.figures.flushes;
         self.flushes.retain(|at| *at + over > now);
-        let due = self.replicas.iter_mut().filter(|(_, one)| one.out() && !one.withdrawn);
-        let mut due = due.peekable();
-        let urgent = due.peek().is_some();
+        let urgent = self.replicas.values().any(|one| one.out() && !one.withdrawn);
         // The fuller the span already is, the longer an urgent one waits for others to go with it.
         let gap = over.mul_f64(self.flushes.len() as f64 / (most as f64).powi(2));
         let soon = self.flushes.back().is_some_and(|last| now < *last + gap);
         let flush = (ordinary || urgent && !soon) && self.flushes.len() < most && !self.proxies.is_empty();
         let first = self.out.len();
         if flush {
-            for (id, replica) in due {
-                replica.withdrawn = true;
-                self.out.push_back(Decision::Withdraw(id.clone(), true));
-            }
+            self.withdraw(true);
         }
         if flush || self.proxies.values().any(|proxy| proxy.unsure) {
             self.tables(now, flush);
         }
         if flush {
-            for (id, replica) in self.replicas.iter_mut().filter(|(_, one)| one.withdrawn && !one.out()) {
-                replica.withdrawn = false;
-                self.out.push_back(Decision::Withdraw(id.clone(), false));
-            }
-            if !self.unheard {
-                self.level();
-            }
+            self.withdraw(false);
+            self.level(now);
         }
-        let to_all = |one: &&Decision| matches!(one, Decision::Withdraw(..) | Decision::Level(..));
-        self.waiting += (self.out.iter().skip(first).filter(to_all).count() * self.proxies.len()) as f64;
         if flush && self.out.len() > first {
+            // At most what was ordered goes to every proxy, and each message has its head.
+            let orders = (self.out.len() - first) as f64 + self.figures.head;
+            self.waiting += orders * self.proxies.len() as f64;
             self.flushes.push_back(now);
             self.marks = (self.marks + 1) % u16::MAX;
             self.out.push_back(Decision::Mark(self.marks));
         }
     }
 
+    fn withdraw(&mut self, out: bool) {
+        for (id, replica) in
+            self.replicas.iter_mut().filter(|(_, one)| one.out() == out && one.withdrawn != out)
+        {
+            replica.withdrawn = out;
+            self.out.push_back(Decision::Withdraw(id.clone(), out));
+        }
+    }
+
     /// Default repair and solved tables: what each proxy should hold, to those whose table it is not.
     fn tables(&mut self, now: Duration, flush: bool) {
         let defaults = self.defaults(now);
@@ -806,14 +742,13 @@
             let zone = proxy.zone;
             let rotten = proxy.standing.as_ref().is_some_and(|standing| {
                 self.critical.keys().any(|(critical, _)| *critical == id)
-                    || self.rotten(proxy, standing, &defaults[&(zone, 0)], now)
+                    || self.rotten(standing, &defaults[&(zone, 0)])
             });
             let bind = proxy.unsure || flush && rotten;
             if !(bind || flush && proxy.standing.is_none()) {
                 continue;
             }
-            let dearest = self.figures.head + 2.0 + self.replicas.len() as f64;
-            if self.waiting + dearest > self.figures.waiting_most {
+            if self.waiting + self.replicas.len() as f64 > self.figures.waiting_most {
                 break;
             }
             let mut sent = 0;
@@ -826,7 +761,7 @@
                 }
                 sent += self.lay((id, kind), wanted, bind);
             }
-            self.waiting += if sent > 0 { self.figures.head + sent as f64 } else { 0.0 };
+            self.waiting += sent as f64;
             if let Some(proxy) = self.proxies.get_mut(&id).filter(|_| bind) {
                 (proxy.unsure, proxy.standing) = (false, None);
             }
@@ -836,15 +771,11 @@
     /// Flows a second that the proxies here may send within zones where nothing is warm. What is bound to such a
     /// zone and more than its cold replicas bear goes nowhere: some proxies keep no line until one is warm.
     fn cold_zones(&self, now: Duration) -> BTreeMap<usize, f64> {
-        let (mut fleet, mut bears) = (0.0, BTreeMap::new());
-        for replica in self.replicas.values().filter(|one| !one.out()) {
-            let weight = replica.weight * replica.capacity(&self.figures, now);
-            fleet += weight;
-            *bears.entry(replica.zone).or_insert(0.0) += COLD_SLACK * self.answered() * weight;
-        }
-        bears.retain(|zone, _| self.figures.groups[1] != 0 && self.thin.contains(zone));
-        bears.values_mut().for_each(|bears| *bears = per(*bears, fleet));
-        bears
+        let bears = self.by_zone(|one| one.bears(&self.figures, now));
+        let each = COLD_SLACK * per(self.answered(), bears.values().sum());
+        let cold =
+            bears.into_iter().filter(|(zone, _)| self.figures.groups[1] != 0 && self.thin.contains(zone));
+        cold.map(|(zone, bears)| (zone, each * bears)).collect()
     }
 
     /// The lines that a proxy should hold: its solved ones while they stand, else its zone's default.
@@ -885,26 +816,22 @@
 
     /// Heard load by listed weight, where any is heard: flows in hand, by probes or else by Little's law.
     fn utilisation(&self, replica: &Replica, now: Duration) -> Option<f64> {
-        let bears = replica.weight * replica.capacity(&self.figures, now);
         let load = |(zone, sight): (&usize, &Sight)| {
             let heard = self.heard.get(zone).copied().unwrap_or_default();
-            sight.rate
-                * sight.time
-                * (-seconds(heard.saturating_sub(sight.last)) / self.figures.averaged).exp()
+            let age = seconds(heard.saturating_sub(sight.last));
+            sight.rate * sight.time * (-age / self.figures.averaged).exp()
         };
         let loads = replica.sights.iter().filter(|(_, sight)| sight.rate > 0.0).map(load);
-        replica.in_hand.or_else(|| loads.reduce(|one, other| one + other)).map(|load| load / bears)
+        let load = replica.in_hand.or_else(|| loads.reduce(|one, other| one + other))?;
+        Some(load / replica.weight / replica.capacity(&self.figures, now))
     }
 
-    /// Total heard load over total weight, and the peak of the single ones.
     fn mean_utilisation(&self, now: Duration) -> (f64, f64) {
         let (mut load, mut bears, mut peak) = (0.0, 0.0, 0.0f64);
         for replica in self.replicas.values().filter(|one| self.part(one, now) > 0.0) {
-            if let Some(utilisation) = self.utilisation(replica, now) {
-                let weight = replica.weight * replica.capacity(&self.figures, now);
-                (load, bears) = (load + utilisation * weight, bears + weight);
-                peak = peak.max(utilisation);
-            }
+            let Some(utilisation) = self.utilisation(replica, now) else { continue };
+            let weight = replica.weight * replica.capacity(&self.figures, now);
+            (load, bears, peak) = (load + utilisation * weight, bears + weight, peak.max(utilisation));
         }
         (per(load, bears), peak)
     }
@@ -952,7 +879,6 @@
         }
     }
 
-    /// What the solver works on: rooms, and who sends what where.
     fn field(&self, now: Duration) -> Field {
         let mut field = Field::default();
         for (&id, proxy) in &self.proxies {
@@ -982,7 +908,7 @@
         let late = time / answers / self.figures.budget;
         // What answers took tells of queues that may have drained since: reports of flows waiting say so.
         let reports = self.replicas.values().filter_map(|one| one.waiting);
-        let echo = self.figures.settling + SHED_EVERY;
+        let echo = self.figures.settling + 4 * BEAT;
         let reports = reports.filter(|(_, at)| *at + echo > now);
         let (all, queued) = reports.fold((0, 0), |(n, q), (queue, _)| (n + 1, q + u32::from(queue >= 1.0)));
         let jammed = 2 * queued >= all;
@@ -998,19 +924,23 @@
         }
     }
 
-    /// Answers a second, as the sums tell of late.
     fn answered(&self) -> f64 {
         let sights = self.replicas.values().flat_map(|one| one.sights.values());
         sights.map(|one| one.rate * per(one.delivered, one.delivered + one.dropped)).sum()
     }
 
     /// Orders the levels and further tries that changed.
-    fn level(&mut self) {
-        let demand = |place: &usize| -> f64 {
-            self.proxies.values().filter_map(|proxy| proxy.rates.get(*place)).sum()
-        };
+    fn level(&mut self, now: Duration) {
+        if self.unheard {
+            return;
+        }
+        let demand = |place: &usize| self.proxies.values().map(|proxy| proxy.rates[*place]).sum();
         let demand: Vec<f64> = self.figures.ladder.iter().map(demand).collect();
-        let cut = if self.figures.levels { 1.0 - self.let_in } else { 0.0 };
+        // With nothing warm in the fleet all of it would fall: no more comes in than its share of what it was.
+        let bears = |one: &Replica| one.bears(&self.figures, now);
+        let warm = self.replicas.values().any(|one| bears(one) >= one.weight);
+        let most = if warm { 1.0 } else { per(self.replicas.values().map(bears).sum(), self.nominal) };
+        let cut = if self.figures.levels { 1.0 - self.let_in.min(most) } else { 0.0 };
         let mut excess = cut * demand.iter().sum::<f64>();
         // A further try in overload takes a place from a first one; a proven first drop is safe to try again.
         let tries = if self.let_in < 1.0 { FurtherTries::Never } else { FurtherTries::IfNeverRan };
@@ -1026,14 +956,10 @@
     }
 }
 
-type Solved = BTreeMap<Unit, Lines>;
-
-/// What the solver works on.
 #[derive(Default)]
 struct Field {
     /// By replica: its zone, and the rate at which its utilisation is taken to be the mean one.
     rooms: BTreeMap<ReplicaId, (usize, f64)>,
-    /// By unit: its zone, and its present rates.
     units: BTreeMap<Unit, (usize, Lines)>,
     whole: f64,
 }
