--- a/src/rules.rs
+++ b/src/rules.rs
@@ -163,7 +163,7 @@
     stress: BTreeMap<usize, f64>,
     /// Too little is heard yet to tell: half is assumed, as a governor may restart in mid-trouble.
     unheard: bool,
-    /// Zones (or the fleet, as 0, where no group is bound to zones) with no warm replica open.
+    /// Zones with no warm replica open.
     thin: BTreeSet<usize>,
     nominal: f64,
     /// By zone: when sums of it last came, and when a proxy of it last joined.
@@ -448,8 +448,9 @@
     fn part(&self, replica: &Replica, now: Duration) -> f64 {
         let capacity = replica.capacity(&self.figures, now);
         let stress = if self.unheard { 0.5 } else { at(&self.stress, &replica.zone) };
-        let scope = if self.figures.groups[1] != 0 { replica.zone } else { 0 };
-        let wary = stress > 0.0 && capacity < 1.0 && !self.thin.contains(&scope);
+        // What is bound to a zone with nothing warm can't go elsewhere: there all bear their part.
+        let (bound, thin) = (self.figures.groups[1] != 0, self.thin.contains(&replica.zone));
+        let wary = capacity < 1.0 && if bound { stress > 0.0 && !thin } else { stress > 0.0 || thin };
         match replica.health {
             _ if replica.out() || wary && capacity < self.figures.wariness * stress => 0.0,
             Health::Trial(_) => TRIAL_SHARE * capacity,
@@ -607,21 +608,19 @@
     /// Where nothing warm is left open, an ill replica is better than none: guards against drains that follow a
     /// withdrawal, and against a cold replica left to bear a zone alone. Dead and cold, it is of no use.
     fn take_back(&mut self, now: Duration) {
-        let bound = self.figures.groups[1] != 0;
-        let scope = |one: &Replica| if bound { one.zone } else { 0 };
         let mut best: BTreeMap<usize, f64> = BTreeMap::new();
         for one in self.replicas.values().filter(|one| one.ready()) {
             let open = if one.out() { 0.0 } else { one.capacity(&self.figures, now) };
-            best.entry(scope(one)).and_modify(|best| *best = best.max(open)).or_insert(open);
+            best.entry(one.zone).and_modify(|best| *best = best.max(open)).or_insert(open);
         }
-        best.retain(|_, best| *best < 1.0);
+        let (bound, fleet) = (self.figures.groups[1] != 0, best.values().copied().fold(0.0, f64::max));
         for replica in self.replicas.values_mut().filter(|one| one.ready() && one.out()) {
-            let warm = replica.capacity(&self.figures, now) >= 1.0;
-            if best.get(&scope(replica)).is_some_and(|best| warm || *best == 0.0) {
+            let best = if bound { at(&best, &replica.zone) } else { fleet };
+            if best == 0.0 || best < 1.0 && replica.capacity(&self.figures, now) >= 1.0 {
                 replica.judge_anew(now, Health::Fit);
             }
         }
-        self.thin = best.into_keys().collect();
+        self.thin = best.into_iter().filter(|(_, best)| *best < 1.0).map(|(zone, _)| zone).collect();
     }
 
     fn by_zone(&self, of: impl Fn(&Replica) -> f64) -> BTreeMap<usize, f64> {
@@ -642,16 +641,22 @@
         let zones: Vec<usize> = all.keys().copied().collect();
         // Other governors' proxies are unheard: taken to be spread as the fleet's sizes are.
         let joined = self.proxies.len() as f64;
-        let unheard = per(all.values().sum(), joined) * (self.figures.shared - joined).max(0.0);
+        let mine: f64 = all.values().sum();
+        let unheard = per(mine, joined) * (self.figures.shared - joined).max(0.0);
         let sizes = self.by_zone(|one| if one.ready() { one.weight } else { 0.0 });
         let each = per(unheard, sizes.values().sum());
         sizes.iter().for_each(|(zone, size)| *all.entry(*zone).or_insert(0.0) += each * size);
         let slack = ZONE_SLACK * per(all.values().sum(), bears.values().sum());
+        // Demand that the fleet does not answer shows no room: it would only fell the cold.
+        let flowing = if self.unheard { 1.0 } else { per(self.answered(), mine).min(1.0) };
         let spare = |zone: &usize| (slack * at(&bears, zone) - at(&all, zone)).max(0.0);
         let mut defaults = BTreeMap::new();
         for zone in zones {
             let (own, bound, all) = (at(&bears, &zone), at(&bound, &zone), at(&all, &zone));
-            let hurt = self.replicas.values().any(|one| one.zone == zone && weight(one) < one.weight);
+            let mut here = self.replicas.values().filter(|one| one.zone == zone);
+            let hurt = here.clone().any(|one| weight(one) < one.weight);
+            let cold = here.any(|one| !one.out() && one.capacity(&self.figures, now) < 1.0);
+            let slack = slack * if cold { flowing } else { 1.0 };
             // Where nothing is warm, what is bound there needs all of it, and the rest goes elsewhere.
             let kept = match self.figures.groups[1] != 0 && self.thin.contains(&zone) {
                 true => 0.0,
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -185,7 +185,10 @@
     assert!((governor.part(&replica, 5 * SECOND) - 0.36 * 0.8).abs() < 1e-9);
     governor.stress.insert(0, 0.4);
     assert_eq!(governor.part(&replica, 5 * SECOND), 0.0);
+    governor.stress.clear();
     governor.thin.insert(0);
+    assert!((governor.part(&replica, 5 * SECOND) - 0.36).abs() < 1e-9);
+    governor.figures.groups[1] = 1;
     assert!((governor.part(&replica, 5 * SECOND) - 0.6).abs() < 1e-9);
 }
 
