--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,8 @@
 /// what lets their queues drain.
 const LATE: f64 = 0.5;
 const DRAINING: f64 = 0.77;
+/// Fleets are sized to carry their load at about this share of their capacity.
+const SIZED_FOR: f64 = 0.7;
 /// Tries heard before their drops mean anything, and the share of drops from which a zone counts as stressed.
 const HEARD_ENOUGH: f64 = 50.0;
 const STRESSED_AT: f64 = 0.05;
@@ -941,10 +943,9 @@
         }
         let demand = |place: &usize| self.proxies.values().map(|proxy| proxy.rates[*place]).sum();
         let demand: Vec<f64> = self.figures.ladder.iter().map(demand).collect();
-        // With nothing warm in the fleet all of it would fall: no more comes in than its share of what it was.
-        let bears = |one: &Replica| one.bears(&self.figures, now);
-        let warm = self.replicas.values().any(|one| bears(one) >= one.weight);
-        let most = if warm { 1.0 } else { per(self.replicas.values().map(bears).sum(), self.nominal) };
+        // A fleet mostly cold would fall to its usual load: no more comes in than what is open can bear of that.
+        let bears: f64 = self.replicas.values().map(|one| one.bears(&self.figures, now)).sum();
+        let most = per(bears, SIZED_FOR * self.nominal).min(1.0);
         let cut = if self.figures.levels { 1.0 - self.let_in.min(most) } else { 0.0 };
         let mut excess = cut * demand.iter().sum::<f64>();
         // A further try in overload takes a place from a first one; a proven first drop is safe to try again.
