--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,7 +1,59 @@
 //! The plain types that a host and the rules hand each other. Nothing here decides.
 //!
 //! Times are spans since the zero of the host's clock; the ids of replicas are kept as the host gives them.
-//! Proxies, zones, traffic groups and kinds are numbers of the host's choosing.
+//! Proxies, zones, traffic groups and tables are numbers.
+//!
+//! A host makes one [`crate::rules::Governor`] for each governor, follows the list of replicas for it, and
+//!
+//! 1. tells it what has happened: [`listed`](crate::rules::Governor::listed) first, with the whole list as last
+//!    known, then `joined`, `left`, `met`, `came`, `probed`, `acked` and `beat` as they come;
+//! 2. pulls [`decide`](crate::rules::Governor::decide) until it gives `None`, and carries out each decision in
+//!    the order given. All that is pulled in one go reaches each proxy concerned as one message.
+//!
+//! A governor that restarts is made anew; proxies that join it again are told of as not `fresh`.
+//!
+//! ```
+//! use std::time::Duration;
+//! use wrenthread::interface::*;
+//! use wrenthread::rules::Governor;
+//!
+//! let group = Group {
+//!     effect: Effect::Retriable,
+//!     latency_budget: Duration::from_secs(1),
+//!     expiry: Duration::from_secs(3),
+//!     utility: 1.0,
+//!     own_zone: false,
+//! };
+//! let settings = Settings {
+//!     governors: 1,
+//!     groups: vec![group],
+//!     slices: 0,
+//!     proxies: 1,
+//!     cold_share: 0.2,
+//!     warm_after: Duration::from_secs(15),
+//!     proxies_avoid: false,
+//!     sums_every: Duration::from_secs(1),
+//!     lines_per_s: 1000.0,
+//!     head_lines: 5.0,
+//!     waiting_most: 2000.0,
+//!     transit_most: Duration::from_millis(500),
+//!     messages_most: None,
+//!     level_kind: LevelKind::None,
+//!     usual_tries: FurtherTries::IfNeverRan,
+//!     crossing_cost: 0.01,
+//!     probe_cost: None,
+//!     load_fields: vec![],
+//! };
+//! let now = Duration::from_secs(100);
+//! let mut governor = Governor::new(settings, now);
+//! let replica = Listed { id: "r1".into(), phase: Phase::Ready, zone: 0, weight: 2.0, started: None };
+//! governor.listed(now, &[replica], true);
+//! governor.joined(now, 7, 0, 10.0, false);
+//! let decisions: Vec<Decision> = std::iter::from_fn(|| governor.decide(now)).collect();
+//! // The proxy holds nobody knows what: it is given its zone's default at once.
+//! assert!(decisions.contains(&Decision::Lines(0, vec![("r1".into(), 2.0)])));
+//! assert!(decisions.contains(&Decision::Follow(7, 0, 1)));
+//! ```
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -411,7 +411,7 @@
         self.publish(now, ordinary);
     }
 
-    /// What part of its weight a replica may be sent. In stress proxies pile onto those that still answer, and a
+    /// What part of its weight a replica may be sent. In stress proxies pile onto those that still answer: a
     /// cold one would fall under a planned trickle.
     fn part(&self, replica: &Replica, now: Duration) -> f64 {
         let capacity = replica.capacity(&self.figures, now);
