--- a/src/rules.rs
+++ b/src/rules.rs
@@ -158,8 +158,9 @@
     /// By zone: when sums of it last came, and when a proxy of it last joined.
     heard: BTreeMap<usize, Duration>,
     joined: BTreeMap<usize, Duration>,
-    /// The share of flows let in, when it was last cut, and answers and their seconds since the last look.
+    /// The share of flows let in, what was answered at the last cut, when that was, and answers and their seconds since the last look.
     let_in: f64,
+    limit: f64,
     cut_at: Duration,
     pulse: (f64, f64),
     levels: Vec<(f64, FurtherTries)>,
@@ -263,6 +264,7 @@
         Governor {
             unheard: true,
             let_in: 1.0,
+            limit: 1.0,
             levels: vec![(1.0, settings.usual_tries); figures.ladder.len()],
             drained_at: now,
             slowed: 1.0,
@@ -874,10 +876,13 @@
             // Jammed replicas answer as many as they can: let in a little less, to drain their queues.
             let bears = DRAINING * self.answered();
             let offered: f64 = self.proxies.values().flat_map(|proxy| &proxy.rates).sum();
+            self.limit = per(self.answered(), offered).min(1.0);
             self.let_in = per(bears, offered).min(0.95 * self.let_in).max(0.2);
             self.cut_at = now;
         } else if late < 0.7 * LATE || 3 * queued < all {
-            self.let_in = (self.let_in * (0.7 * LATE / late).clamp(1.05, 1.15)).min(1.0);
+            // Beyond what jammed the fleet it feels its way.
+            let growth = if self.let_in < self.limit { (0.7 * LATE / late).clamp(1.05, 1.15) } else { 1.02 };
+            self.let_in = (self.let_in * growth).min(1.0);
         }
     }
 
