--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,8 +31,8 @@
 /// How far one cycle bends a room towards the mean utilisation (an exponent), and what it keeps of a bend.
 const BEND_STEP: f64 = 0.25;
 const BEND_KEPT: f64 = 0.95;
-/// A room bent below this (to 0.78 of its fair share) is no noise: critical proxies can't unload it alone.
-const LIMPS_AT: f64 = -0.25;
+/// A room bent below this (to 0.86 of its fair share) is no noise: critical proxies can't unload it alone.
+const LIMPS_AT: f64 = -0.15;
 /// A zone carries up to this multiple of the fleet's utilisation before its default spills over.
 const ZONE_SLACK: f64 = 1.15;
 /// Levels are cut once answers take this share of the budget, to this much of what jammed replicas answer.
