--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,8 +31,8 @@
 /// How far one cycle bends a room towards the mean utilisation (an exponent), and what it keeps of a bend.
 const BEND_STEP: f64 = 0.25;
 const BEND_KEPT: f64 = 0.95;
-/// A room bent below this (to 0.86 of its fair share) is no noise: critical proxies can't unload it alone.
-const LIMPS_AT: f64 = -0.15;
+/// A room bent below this (to 0.78 of its fair share) is no noise: critical proxies can't unload it alone.
+const LIMPS_AT: f64 = -0.25;
 /// A zone carries up to this multiple of the fleet's utilisation before its default spills over.
 const ZONE_SLACK: f64 = 1.15;
 /// Levels are cut once answers take this share of the budget, to this much of what jammed replicas answer.
@@ -88,7 +88,6 @@
 enum Health {
     #[default]
     Fit,
-    /// Withdrawn until then, after so many failures in a row.
     Out(Duration, u32),
     Trial(u32),
 }
@@ -119,7 +118,6 @@
     /// How its room bends from its fair share (a logarithm).
     bend: f64,
     in_hand: Option<f64>,
-    /// Flows waiting there, by its last report, and when that came.
     waiting: Option<(f64, Duration)>,
     unanswered_probes: u32,
 }
@@ -152,10 +150,8 @@
     stress: BTreeMap<usize, f64>,
     /// Too little is heard yet to tell: half is assumed, as a governor may restart in mid-trouble.
     unheard: bool,
-    /// Zones with no warm replica open.
     thin: BTreeSet<usize>,
     nominal: f64,
-    /// By zone: when sums of it last came, and when a proxy of it last joined.
     heard: BTreeMap<usize, Duration>,
     joined: BTreeMap<usize, Duration>,
     /// The share of flows let in, what was answered at the last cut, when that was, and answers and their seconds since the last look.
@@ -168,7 +164,6 @@
     beats: u64,
     publish_at: Duration,
     flushes: VecDeque<Duration>,
-    /// Lines taken to wait in the channel, as of then, and how much slower than stated it seems.
     waiting: f64,
     drained_at: Duration,
     slowed: f64,
