--- a/src/rules.rs
+++ b/src/rules.rs
@@ -53,7 +53,7 @@
 const FIRST_WAIT: Duration = Duration::from_secs(4);
 const TRIAL_SHARE: f64 = 0.1;
 /// Probes are cheap, but each costs its replica work. Each unanswered one tells of so much more in hand.
-const PROBE_EVERY: Duration = Duration::from_secs(2);
+const PROBE_EVERY: Duration = Duration::from_secs(1);
 const MUTE_GROWTH: f64 = 1.3;
 
 #[derive(Default)]
