A zone to which groups are bound keeps 0.7 of its capacity from partial drops

Symptom: 13% errors, then time-outs and full replicas in one zone. Cause: four of the zone's seven replicas dropped half of their tries and were withdrawn; the three left could not bear what is bound to the zone. Told from others by the evidence at the withdrawals: half of the tries delivered, hardly any waiting. Change: what only drops in part goes only as far as 0.7 of the zone's capacity stays. Harm: partial droppers stay in a small zone.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -554,7 +554,8 @@
                 let open_part = if open { capacity } else { 0.0 };
                 (all + capacity, left + open_part, warm || open_part >= 1.0)
             });
-            let bares = self.figures.groups[1] != 0 && (!warm || 3.0 * left < all);
+            let bares =
+                self.figures.groups[1] != 0 && (!warm || left < all * if ill < 1.0 { 0.7 } else { 0.34 });
             let Some(replica) = self.replicas.get_mut(&id) else { continue };
             let times = if let Health::Trial(times) = replica.health { times } else { 0 };
             let spared = many && place > 0 && ill < 1.0 || 10 * (out + 1) > 4 * ready || bares;
