A whole zone's default spills too once it is overfull

Symptom: one zone of four got 63% of all tries and turned most away, the others idled. Cause: the returning governor bound all proxies of the zone to its own-zone default, one of them with a quarter of all flows, which the lost tables had spread. Told from others by the joins right before, all with unknown holdings. Change: a default spills above 1.5 times the mean also where nothing is hurt. Guards against any skew the few critical proxies can't even out; harms by crossings.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,8 +33,9 @@
 const BEND_KEPT: f64 = 0.95;
 /// A room bent below this (to 0.78 of its fair share) is no noise: critical proxies can't unload it alone.
 const LIMPS_AT: f64 = -0.25;
-/// A zone carries up to this multiple of the fleet's utilisation before its default spills over.
+/// A hurt zone's default spills beyond this multiple of the fleet's utilisation, a whole one's later.
 const ZONE_SLACK: f64 = 1.15;
+const OVERFULL: f64 = 1.3;
 /// Levels are cut once answers take this share of the budget, to this much of what jammed replicas answer.
 const LATE: f64 = 0.5;
 const DRAINING: f64 = 0.77;
@@ -115,7 +116,6 @@
     since: Duration,
     sights: BTreeMap<usize, Sight>,
     expected: f64,
-    /// How its room bends from its fair share (a logarithm).
     bend: f64,
     in_hand: Option<f64>,
     waiting: Option<(f64, Duration)>,
@@ -154,7 +154,7 @@
     nominal: f64,
     heard: BTreeMap<usize, Duration>,
     joined: BTreeMap<usize, Duration>,
-    /// The share of flows let in, what was answered at the last cut, when that was, and answers and their seconds since the last look.
+    /// The share of flows let in, what was answered at the last cut, its time, answers since the last look.
     let_in: f64,
     limit: f64,
     cut_at: Duration,
@@ -615,7 +615,7 @@
         for zone in zones {
             let (own, bound, all) = (at(&bears, &zone), at(&bound, &zone), at(&all, &zone));
             let mut here = self.replicas.values().filter(|one| one.zone == zone);
-            let hurt = here.clone().any(|one| weight(one) < one.weight);
+            let hurt = here.clone().any(|one| weight(one) < one.weight) || all > OVERFULL * slack * own;
             let cold = here.any(|one| !one.out() && one.capacity(&self.figures, now) < 1.0);
             let slack = slack * if cold { flowing } else { 1.0 };
             // Where nothing is warm, what is bound there needs all of it, and the rest goes elsewhere.
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -587,3 +587,12 @@
     governor.level(10 * SECOND);
     assert!(governor.levels.iter().all(|(level, _)| *level == 1.0));
 }
+
+#[test]
+fn a_whole_zone_spills_too_when_it_is_overfull() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[]);
+    governor.replicas.insert(id("a"), warm(0));
+    governor.replicas.insert(id("z"), warm(1));
+    assert!(governor.defaults(SECOND)[&(0, 0)].contains_key("z"));
+}
