--- a/src/rules.rs
+++ b/src/rules.rs
@@ -425,7 +425,7 @@
     }
 
     fn default_weight(&self, replica: &Replica, now: Duration) -> f64 {
-        let limp = if replica.bend.abs() > -LIMPS_AT { replica.bend.exp() } else { 1.0 };
+        let limp = if replica.bend < LIMPS_AT { replica.bend.exp() } else { 1.0 };
         replica.weight * self.part(replica, now) * limp
     }
 
