--- a/src/rules.rs
+++ b/src/rules.rs
@@ -808,7 +808,7 @@
         let heard: Vec<Option<f64>> = self.replicas.values().map(|one| self.utilisation(one, now)).collect();
         for (replica, heard) in self.replicas.values_mut().zip(heard) {
             let step = heard.map_or(0.0, |heard| BEND_STEP * per(mean, heard.max(1e-9)).max(1e-9).ln());
-            replica.bend = (BEND_KEPT * replica.bend + step.clamp(-0.5, 0.2)).clamp(-1.4, 0.5);
+            replica.bend = (BEND_KEPT * replica.bend + step.clamp(-0.5, 0.2)).clamp(-1.4, 0.25);
         }
     }
 
