--- a/src/rules.rs
+++ b/src/rules.rs
@@ -35,7 +35,7 @@
 const LIMPS_AT: f64 = -0.25;
 /// A hurt zone's default spills beyond this multiple of the fleet's utilisation, a whole one's later.
 const ZONE_SLACK: f64 = 1.15;
-const OVERFULL: f64 = 1.3;
+const OVERFULL: f64 = 1.4;
 /// Levels are cut once answers take this share of the budget, to this much of what jammed replicas answer.
 const LATE: f64 = 0.5;
 const DRAINING: f64 = 0.77;
