--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,7 +45,7 @@
 const HEARD_ENOUGH: f64 = 50.0;
 const STRESSED_AT: f64 = 0.05;
 /// A cold replica needs this multiple of the stress as capacity; more where proxies may avoid all others.
-const WARINESS: (f64, f64) = (2.0, 3.0);
+const WARINESS: (f64, f64) = (3.0, 3.0);
 /// What cold zones are sent, by what the fleet answers for its capacity: below what fells them.
 const COLD_SLACK: f64 = 1.2;
 /// Answers that should have come by now: with this many, chance leaves none once in some thousand looks.
