--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,7 +45,7 @@
 const HEARD_ENOUGH: f64 = 50.0;
 const STRESSED_AT: f64 = 0.05;
 /// A cold replica needs this multiple of the stress as capacity; more where proxies may avoid all others.
-const WARINESS: (f64, f64) = (3.0, 3.0);
+const WARINESS: (f64, f64) = (2.0, 3.0);
 /// What cold zones are sent, by what the fleet answers for its capacity: below what fells them.
 const COLD_SLACK: f64 = 1.2;
 /// Answers that should have come by now: with this many, chance leaves none once in some thousand looks.
@@ -610,7 +610,10 @@
         let slack = ZONE_SLACK * per(all.values().sum(), bears.values().sum());
         // Demand that the fleet does not answer shows no room: it would only fell the cold.
         let flowing = if self.unheard { 1.0 } else { per(self.answered(), mine).min(1.0) };
-        let spare = |zone: &usize| (slack * at(&bears, zone) - at(&all, zone)).max(0.0);
+        // Where nothing is warm, what is bound there needs most of it: free flows don't stay, and few come.
+        let closed = |zone: &usize| self.figures.groups[1] != 0 && self.thin.contains(zone);
+        let fit = |zone: &usize| at(&bears, zone) * if closed(zone) { 0.5 } else { 1.0 };
+        let spare = |zone: &usize| (slack * fit(zone) - at(&all, zone)).max(0.0);
         let mut defaults = BTreeMap::new();
         for zone in zones {
             let (own, bound, all) = (at(&bears, &zone), at(&bound, &zone), at(&all, &zone));
@@ -618,8 +621,7 @@
             let hurt = here.clone().any(|one| weight(one) < one.weight) || all > OVERFULL * slack * own;
             let cold = here.any(|one| !one.out() && one.capacity(&self.figures, now) < 1.0);
             let slack = slack * if cold { flowing } else { 1.0 };
-            // Where nothing is warm, what is bound there needs all of it, and the rest goes elsewhere.
-            let kept = match self.figures.groups[1] != 0 && self.thin.contains(&zone) {
+            let kept = match closed(&zone) {
                 true => 0.0,
                 false if hurt => per(slack * own - bound, all - bound).clamp(0.05, 1.0),
                 false => 1.0,
