--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -596,3 +596,66 @@
     governor.replicas.insert(id("z"), warm(1));
     assert!(governor.defaults(SECOND)[&(0, 0)].contains_key("z"));
 }
+
+#[test]
+fn beyond_what_jammed_the_fleet_levels_come_back_slowly() {
+    let mut governor = Governor { let_in: 0.6, limit: 0.5, pulse: (50.0, 5.0), ..late(0) };
+    governor.shed(10 * SECOND);
+    assert!((governor.let_in - 0.612).abs() < 1e-9);
+    (governor.let_in, governor.pulse) = (0.4, (50.0, 5.0));
+    governor.shed(11 * SECOND);
+    assert!(governor.let_in >= 0.42);
+}
+
+#[test]
+fn demand_that_is_not_answered_shows_no_room_in_a_zone_with_cold_replicas() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[]);
+    governor.replicas.insert(id("a"), cold(0, SECOND));
+    governor.replicas.insert(id("b"), Replica { sights: seen(10.0, 0.0, 0.1, SECOND), ..warm(0) });
+    governor.replicas.insert(id("z"), warm(1));
+    let kept = |governor: &Governor| at(&governor.defaults(SECOND)[&(0, 0)], &id("b"));
+    let answered = kept(&governor);
+    governor.replicas.insert(id("b"), Replica { sights: seen(5.0, 5.0, 0.1, SECOND), ..warm(0) });
+    assert!(kept(&governor) < 0.8 * answered);
+}
+
+#[test]
+fn partial_droppers_of_a_bound_zone_stay_where_it_could_not_bear_their_loss() {
+    let mut governor = bound();
+    ["a", "b", "c"].iter().for_each(|name| drop(governor.replicas.insert(id(name), warm(0))));
+    (0..8).for_each(|other| drop(governor.replicas.insert(id(&format!("z{other}")), warm(1))));
+    governor.withdraw_worst(SECOND, vec![(0.6, id("a"))], 0.0);
+    assert!(!governor.replicas[&id("a")].out());
+    governor.withdraw_worst(SECOND, vec![(2.0, id("a"))], 0.0);
+    assert!(governor.replicas[&id("a")].out());
+}
+
+#[test]
+fn stress_is_told_by_zone() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), Replica { sights: seen(30.0, 30.0, 0.1, SECOND), ..warm(0) });
+    governor.replicas.insert(id("z"), Replica { sights: seen(1000.0, 0.0, 0.1, SECOND), ..warm(1) });
+    governor.judge(SECOND);
+    assert!(at(&governor.stress, &0) > 0.4 && at(&governor.stress, &1) < 0.1);
+}
+
+#[test]
+fn an_urgent_order_waits_the_longer_the_fuller_the_span_is() {
+    let mut governor = governor();
+    follower(&mut governor, 1, 0, &[("a", 1.0)]);
+    governor.replicas.insert(id("a"), Replica { ready: false, ..warm(0) });
+    governor.flushes = vec![SECOND; 7].into();
+    governor.publish(SECOND + SECOND / 2, false);
+    assert!(governor.out.is_empty());
+    governor.publish(3 * SECOND, false);
+    assert_eq!(out(&governor)[0], &Decision::Withdraw(id("a"), true));
+}
+
+#[test]
+fn judging_takes_back_what_is_ill_where_nothing_warm_is_open() {
+    let mut governor = governor();
+    governor.replicas.insert(id("a"), Replica { health: Health::Out(9 * SECOND, 1), ..warm(0) });
+    governor.judge(SECOND);
+    assert!(!governor.replicas[&id("a")].out());
+}
