--- a/src/rules.rs
+++ b/src/rules.rs
@@ -610,8 +610,7 @@
         let slack = ZONE_SLACK * per(all.values().sum(), bears.values().sum());
         // Demand that the fleet does not answer shows no room: it would only fell the cold.
         let flowing = if self.unheard { 1.0 } else { per(self.answered(), mine).min(1.0) };
-        let closed = |zone: &usize| self.figures.groups[1] != 0 && self.thin.contains(zone);
-        let room = |zone: &usize| (slack * at(&bears, zone) - at(&all, zone)).max(0.0);
+        let spare = |zone: &usize| (slack * at(&bears, zone) - at(&all, zone)).max(0.0);
         let mut defaults = BTreeMap::new();
         for zone in zones {
             let (own, bound, all) = (at(&bears, &zone), at(&bound, &zone), at(&all, &zone));
@@ -620,8 +619,7 @@
             let cold = here.any(|one| !one.out() && one.capacity(&self.figures, now) < 1.0);
             let slack = slack * if cold { flowing } else { 1.0 };
             // Where nothing is warm, what is bound there needs all of it, and the rest goes elsewhere.
-            let spare = |to: &usize| if closed(to) && !closed(&zone) { 0.0 } else { room(to) };
-            let kept = match closed(&zone) {
+            let kept = match self.figures.groups[1] != 0 && self.thin.contains(&zone) {
                 true => 0.0,
                 false if hurt => per(slack * own - bound, all - bound).clamp(0.05, 1.0),
                 false => 1.0,
