Common troubles withdraw none, busy proxies are bound at once, the unheard are placed by zone

Changes: a proxy whose lines on an unread table would bring over a tenth of what a replica is due is bound to an own subset; while the middle replica drops more than a tenth none is withdrawn, nothing is solved and subsets keep their lines, as a new line mostly brings a connection that fails; subsets cross as far as the default spills; unheard proxies are taken to be where fewer joined here than the fleet's sizes tell.

Could harm: a replica that dies while half of the fleet drops is not taken out.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,7 +14,6 @@
 mod tests;
 
 const BEAT: Duration = Duration::from_millis(250); // the one timer; orders are gathered for two beats
-const SHED_AND_SOLVE: (u64, u64) = (4, 8); // every so many beats
 const TARGET: f64 = 0.9; // the paper's, for the ratio
 const PENALTIES: (f64, f64) = (0.5, 1.0); // the page's, on rerouted traffic below and above the target
 const CYCLES_BELOW: u32 = 3; // the page's, below the target before the solver runs
@@ -31,15 +30,12 @@
 const HEARD_ENOUGH: f64 = 50.0; // tries, before their drops mean anything
 const STRESSED_AT: f64 = 0.05; // share of drops from which a zone counts as stressed
 const WARINESS: (f64, f64) = (2.0, 3.0); // times the stress that cold ones must bear; where proxies avoid
-const COLD_SLACK: f64 = 1.2; // by what the fleet answers for its capacity: less than fells cold zones
 const SILENT_AFTER: f64 = 8.0; // answers due: chance leaves none of so many once in some thousand looks
 const FIRST_WAIT: Duration = Duration::from_secs(4); // before a trial, doubled by each failure
-const TRIAL: (f64, f64) = (0.1, 0.05); // its share of its part; what all at one time risk of the fleet
-const WORN_AT: f64 = 0.6; // the share of its part of the zone that a table that can't be read must have open
-const BARE_AT: f64 = 0.02; // such tables of a draw to be expected bare for all of it to be bound at once
+const TRIAL: f64 = 0.1; // the share of its part that a replica on trial gets
+const BUSY: f64 = 0.1; // of what a replica is due: an unread table's line that brings more makes hot spots
+const COMMON: f64 = 0.1; // dropped by the middle replica: no replica's own trouble
 const FAVOUR: f64 = 1.5; // an own default's line gives way to one cooler by this
-const PROBE_EVERY: Duration = Duration::from_secs(1); // cheap, but each costs its replica work
-const MUTE_GROWTH: f64 = 1.3; // each unanswered probe tells of so much more in hand
 
 #[derive(Default)]
 struct Figures {
@@ -55,7 +51,7 @@
     period: Duration, // of the sums
     subset: usize,    // lines of a standing table, and of an own default where the zone's has too many
     settling: Duration,
-    publish_every: Duration,
+    every: Duration,            // ordinary flush
     flushes: (usize, Duration), // within a span; one message to each proxy is kept for its joining
     lines_per_s: f64,
     head: f64,
@@ -91,8 +87,7 @@
     ready: bool,
     started: Option<Duration>,
     known: Option<Duration>, // first listed as ready: tables drawn later may name it
-    drawn: bool,             // tables that can't be read may name it, all at its whole weight
-    held: bool,              // too cold for that
+    held: bool,              // too cold for the whole weight at which tables that can't be read may name it
     health: Health,
     withdrawn: bool,
     since: Duration, // silence counts from here on: what went before was met under other tables
@@ -116,6 +111,7 @@
 type Lines = BTreeMap<ReplicaId, f64>;
 type Unit = (ProxyId, usize);
 type Tables = BTreeMap<Unit, Lines>;
+type Vessel = (f64, f64, usize); // level, room, a replica's place in the field
 type Places = Vec<(usize, f64)>; // a share or a rate by a replica's place in the field
 
 /// One governor's knowledge, and the decisions that wait to be pulled.
@@ -128,6 +124,7 @@
     critical: Tables,
     cycles_below: u32,
     stress: BTreeMap<usize, f64>, // by zone: share of tries dropped, or the fleet's if more
+    common: bool,                 // the middle replica drops much, which is no single one's trouble
     unheard: bool, // too little to tell: half is assumed, as a governor may restart in mid-trouble
     thin: BTreeSet<usize>,
     nominal: f64,
@@ -136,9 +133,8 @@
     least: Option<Duration>,
     heard: BTreeMap<usize, Duration>,
     joined: BTreeMap<usize, Duration>,
-    let_in: f64, // the share of flows let in
-    limit: f64,  // what was answered at the last cut: beyond it levels feel their way
-    cut_at: Duration,
+    let_in: f64,          // the share of flows let in
+    cut: (f64, Duration), // what was answered at the last one, beyond which levels feel their way; when
     pulse: (f64, f64),
     levels: Vec<(f64, FurtherTries)>,
     due: BTreeSet<(Duration, ReplicaId)>,
@@ -153,10 +149,6 @@
     out: VecDeque<Decision>,
 }
 
-fn seconds(span: Duration) -> f64 {
-    span.as_secs_f64()
-}
-
 fn at<K: Ord, V: Copy + Default>(map: &BTreeMap<K, V>, key: &K) -> V {
     map.get(key).copied().unwrap_or_default()
 }
@@ -171,7 +163,7 @@
         let groups = || settings.groups.iter().take(tabled).enumerate();
         let set = |own| groups().filter(|(_, one)| one.own_zone == own).map(|(place, _)| 1 << place).sum();
         // The wire tells no group's work: its latency budget stands in, as what needs longer is given longer.
-        let budget = |place: &usize| seconds(settings.groups[*place].latency_budget);
+        let budget = |place: &usize| settings.groups[*place].latency_budget.as_secs_f64();
         let value = |place: &usize| per(settings.groups[*place].utility, budget(place));
         let mut ladder: Vec<usize> = (0..settings.groups.len().min(64)).collect();
         ladder.sort_by(|one, other| value(one).total_cmp(&value(other)));
@@ -184,20 +176,20 @@
             budget: per(ladder.iter().map(budget).sum(), ladder.len() as f64),
             ladder,
             shared: if settings.governors > 1 { settings.proxies as f64 } else { 0.0 },
-            cold: (cold, per(1.0 - cold, seconds(settings.warm_after))),
+            cold: (cold, per(1.0 - cold, settings.warm_after.as_secs_f64())),
             wariness: if settings.proxies_avoid { WARINESS.1 } else { WARINESS.0 },
             crossing: 1.0 + 4.0 * settings.crossing_cost,
-            averaged: 5.0 * seconds(settings.sums_every),
+            averaged: 5.0 * settings.sums_every.as_secs_f64(),
             period: settings.sums_every,
             subset: settings.standing_lines.max(1),
             settling: settings.transit_most + 3 * settings.sums_every,
-            publish_every: (2 * BEAT).max(over.mul_f64(1.5 / most.max(1) as f64)),
+            every: (2 * BEAT).max(over.mul_f64(1.5 / most.max(1) as f64)),
             flushes: (most.saturating_sub(2), over),
             lines_per_s: settings.lines_per_s.max(1.0),
             head: settings.head_lines,
             waiting_most: 0.8 * settings.waiting_most,
-            transit: seconds(settings.transit_most),
-            probe_every: settings.probe_cost.map(|_| PROBE_EVERY),
+            transit: settings.transit_most.as_secs_f64(),
+            probe_every: settings.probe_cost.map(|_| Duration::from_secs(1)), // each costs its replica work
             load_at: [field(LoadField::InHand), field(LoadField::Waiting)],
         }
     }
@@ -214,7 +206,7 @@
 
     fn capacity(&self, figures: &Figures, now: Duration) -> f64 {
         let (cold, growth) = figures.cold;
-        self.started.map_or(1.0, |at| (cold + growth * seconds(now.saturating_sub(at))).min(1.0))
+        self.started.map_or(1.0, |at| (cold + growth * now.saturating_sub(at).as_secs_f64()).min(1.0))
     }
 
     fn bears(&self, figures: &Figures, now: Duration) -> f64 {
@@ -240,7 +232,7 @@
             figures: Figures::new(&settings),
             unheard: true,
             let_in: 1.0,
-            limit: 1.0,
+            cut: (1.0, Duration::ZERO),
             levels: vec![(1.0, settings.usual_tries); settings.groups.len().min(64)],
             drained_at: now,
             slowed: 1.0,
@@ -278,8 +270,8 @@
         let draws: BTreeSet<Draw> = self.proxies.values().filter_map(|one| one.standing).collect();
         let unread: Vec<Draw> = draws.into_iter().filter(|draw| self.unread(*draw)).collect();
         for replica in self.replicas.values_mut() {
-            replica.drawn = unread.iter().any(|draw| replica.named(*draw));
-            replica.held = replica.drawn && replica.capacity(&self.figures, now) < SIZED_FOR;
+            let drawn = unread.iter().any(|draw| replica.named(*draw));
+            replica.held = drawn && replica.capacity(&self.figures, now) < SIZED_FOR;
         }
     }
 
@@ -290,9 +282,8 @@
     /// A proxy's stream is up; `fresh` if it holds only its standing table.
     pub fn joined(&mut self, now: Duration, proxy: ProxyId, zone: usize, usual: f64, fresh: bool) {
         self.left(proxy);
-        // Where there are too few in its zone it draws from all, which is not followed.
         let mut here = self.replicas.values().filter(|one| one.zone == zone);
-        let few = here.clone().filter(|one| one.ready).count() < 3;
+        let few = here.clone().filter(|one| one.ready).count() < 3; // it draws from all zones then
         let unsure = !fresh || few || here.any(|one| self.part(one, now) < 1.0);
         let standing = fresh.then_some((self.listed_at, zone));
         let rates = vec![per(usual, self.levels.len() as f64); self.levels.len()];
@@ -312,7 +303,7 @@
         let Some(replica) = self.replicas.get_mut(&met.replica) else { return };
         let waiting = self.figures.load_at[1].and_then(|at| met.load.get(at));
         replica.waiting = waiting.map(|waiting| (*waiting, now)).or(replica.waiting);
-        let span = seconds(met.span).max(0.001);
+        let span = met.span.as_secs_f64().max(0.001);
         let kept = (-span / self.figures.averaged).exp();
         let delivered = met.tries.saturating_sub(met.dropped) as f64;
         let sight = replica.sights.entry(met.zone).or_default();
@@ -321,7 +312,7 @@
         let kept = if sight.last.is_zero() { 0.0 } else { kept }; // else early answers look like few
         sight.rate += (met.tries as f64 / span - sight.rate) * (1.0 - kept);
         (sight.last, sight.last_answer) = (now, if delivered > 0.0 { now } else { sight.last_answer });
-        if let Some(mean) = met.mean.map(seconds) {
+        if let Some(mean) = met.mean.map(|mean| mean.as_secs_f64()) {
             self.pulse = (self.pulse.0 + delivered, self.pulse.1 + delivered * mean);
             let share = if sight.time > 0.0 { per(delivered, sight.delivered.max(1.0)) } else { 1.0 };
             sight.time += (mean - sight.time) * share;
@@ -332,7 +323,7 @@
         self.least = self.least.or(Some(came.span)).min(Some(came.span));
         let proxy = self.proxies.get_mut(&came.proxy);
         let Some(rate) = proxy.and_then(|proxy| proxy.rates.get_mut(came.group)) else { return };
-        let span = seconds(came.span).max(0.001);
+        let span = came.span.as_secs_f64().max(0.001);
         *rate += (came.flows as f64 / span - *rate) * (1.0 - (-span / self.figures.averaged).exp());
     }
 
@@ -344,7 +335,7 @@
         replica.in_hand = match self.figures.load_at[0].map(|at| load.get(at)) {
             Some(Some(in_hand)) => Some(known + (in_hand - known) / 3.0),
             // A probe waits behind flows: one unanswered tells of load where those answered tell of none.
-            Some(None) if took.is_none() => Some(MUTE_GROWTH * known.max(1.0)),
+            Some(None) if took.is_none() => Some(1.3 * known.max(1.0)), // that much more each
             _ => replica.in_hand,
         };
         self.due
@@ -354,7 +345,7 @@
     /// A marked message took effect this long after it was ordered.
     pub fn acked(&mut self, took: Duration) {
         let usual = self.figures.transit + self.waiting / self.figures.lines_per_s;
-        let slower = per(seconds(took), usual).clamp(1.0, 8.0) - self.slowed;
+        let slower = per(took.as_secs_f64(), usual).clamp(1.0, 8.0) - self.slowed;
         self.slowed += slower * if slower > 0.0 { 0.3 } else { 0.05 };
     }
 
@@ -377,10 +368,10 @@
             self.out.push_back(Decision::Wake(BEAT));
             self.beats += 1;
             self.judge(now);
-            if self.beats.is_multiple_of(SHED_AND_SOLVE.0) {
+            if self.beats.is_multiple_of(4) {
                 self.shed(now);
             }
-            if self.beats.is_multiple_of(SHED_AND_SOLVE.1) {
+            if self.beats.is_multiple_of(8) {
                 let least = std::mem::take(&mut self.least);
                 self.lag = least.map_or(self.lag, |least| least.saturating_sub(self.figures.period));
                 self.bend(now);
@@ -391,8 +382,8 @@
             self.out.extend(self.replicas.get(&id).filter(|one| one.ready).map(|_| Decision::Probe(id)));
         }
         let ordinary = beat && now >= self.publish_at;
-        let next = now + self.figures.publish_every.mul_f64(self.slowed);
-        self.publish_at = if ordinary { next } else { self.publish_at };
+        self.publish_at =
+            if ordinary { now + self.figures.every.mul_f64(self.slowed) } else { self.publish_at };
         self.publish(now, beat, ordinary);
     }
 
@@ -406,7 +397,7 @@
         let wary = capacity < 1.0 && if bound { stress > 0.0 && !thin } else { stress > 0.0 || thin };
         match replica.health {
             _ if replica.out() || wary && capacity < self.figures.wariness * stress => 0.0,
-            Health::Trial(_) => TRIAL.0 * capacity,
+            Health::Trial(_) => TRIAL * capacity,
             _ if wary => capacity * capacity * (1.0 - stress),
             _ => capacity,
         }
@@ -414,8 +405,10 @@
 
     fn demand(&self, proxy: &Proxy, groups: GroupSet) -> f64 {
         let rates = proxy.rates.iter().zip(&self.levels).enumerate();
-        let rates = rates.filter(|(place, _)| groups >> (*place).min(63) & 1 == 1);
-        rates.map(|(_, (rate, (level, _)))| rate * level).sum()
+        rates
+            .filter(|(at, _)| groups >> (*at).min(63) & 1 == 1)
+            .map(|(_, (rate, (level, _)))| rate * level)
+            .sum()
     }
 
     /// Health, by symptom: no answers where answers are due, or far more drops than the fleet has.
@@ -427,6 +420,8 @@
         let whole: f64 = tries.values().sum();
         let usual_drops = per(dropped.values().sum(), whole.max(1.0));
         self.unheard = self.unheard && whole < HEARD_ENOUGH;
+        let tried = self.replicas.values().map(open).filter(|(d, m)| d + m >= 4.0);
+        self.common = 2 * tried.clone().filter(|(d, m)| *m > COMMON * (d + m)).count() > tried.count();
         let of = |zone: &usize, drops: f64| per(drops, at(&tries, zone).max(0.4 * HEARD_ENOUGH));
         let share = |(zone, drops): (usize, f64)| (zone, of(&zone, drops).max(usual_drops));
         self.stress = dropped.into_iter().map(share).filter(|(_, share)| *share > STRESSED_AT).collect();
@@ -434,16 +429,11 @@
         self.withdraw_worst(now, suspects, usual_drops);
         self.take_back(now);
         self.hold(now);
-        // Where tables can't be read a trial is with the usual load: many at once would fail many flows.
-        let risk = |one: &Replica| one.weight * if one.drawn { 1.0 } else { TRIAL.0 };
-        let mut tried = self.sum(|one| if matches!(one.health, Health::Trial(_)) { risk(one) } else { 0.0 });
-        let most = TRIAL.1 * self.sum(|one| if one.ready { one.weight } else { 0.0 });
         for replica in self.replicas.values_mut() {
             let (delivered, dropped) = replica.evidence();
             let passes = delivered >= 4.0 && dropped < 0.25 * delivered;
             match replica.health {
-                Health::Out(at, times) if now >= at && replica.unanswered_probes == 0 && tried <= most => {
-                    tried += risk(replica);
+                Health::Out(at, times) if now >= at && replica.unanswered_probes == 0 => {
                     replica.judge_anew(now, Health::Trial(times));
                 }
                 Health::Trial(_) if passes => replica.health = Health::Fit,
@@ -453,7 +443,7 @@
     }
 
     /// Replicas that look ill beside the fleet, by how ill; those that failed their trial come first.
-    fn suspects(&mut self, now: Duration, usual_drops: f64) -> Vec<(f64, ReplicaId)> {
+    fn suspects(&mut self, now: Duration, usual: f64) -> Vec<(f64, ReplicaId)> {
         let sending = self.field(now).sending();
         let sights = self.replicas.values().flat_map(|replica| replica.sights.values());
         let (flows, time) = sights.fold((0.0, 0.0), |(n, t), s| (n + s.delivered, t + s.delivered * s.time));
@@ -470,7 +460,7 @@
             // A zone whose sums stopped, or whose proxies just came, says nothing by its silence.
             let owed = |zone: &usize| {
                 let from = from.max(self.joined.get(zone).copied().unwrap_or(now) + settling);
-                seconds(at(&self.heard, zone).saturating_sub(from + self.lag))
+                at(&self.heard, zone).saturating_sub(from + self.lag).as_secs_f64()
             };
             let due: f64 = zones.iter().map(|(zone, rate)| rate * owed(zone)).sum();
             let due = due * per(replica.expected, zones.values().sum()).min(1.0); // not if just widened
@@ -478,8 +468,7 @@
             // A probe waits behind flows: unanswered ones count only where they are rare in the fleet.
             let mute = replica.unanswered_probes >= 2 && 5 * mute <= ready;
             let silent = due >= if mute { 0.25 * SILENT_AFTER } else { SILENT_AFTER };
-            let failing =
-                dropped >= 4.0 && share >= (3.0 * usual_drops).min(0.5 + 0.5 * usual_drops).max(0.3);
+            let failing = dropped >= 4.0 && share >= (3.0 * usual).min(0.5 + 0.5 * usual).max(0.3);
             let silent = silent || dropped >= 4.0 && share > 0.95; // dead, however many others are too
             // One that drops for its queue is overloaded: withdrawing it would tip the next.
             let busy = self.utilisation(replica, now).is_some_and(|held| held > 1.3 * mean)
@@ -494,7 +483,7 @@
         }
         for (replica, zones) in self.replicas.values_mut().zip(sending) {
             let rate: f64 = zones.values().sum();
-            replica.expected += (rate - replica.expected) * seconds(BEAT) / self.figures.averaged;
+            replica.expected += (rate - replica.expected) * BEAT.as_secs_f64() / self.figures.averaged;
             replica.since = if rate == 0.0 { now } else { replica.since }; // in no table it owes no answers
         }
         suspects.sort_by(|one, other| other.0.total_cmp(&one.0));
@@ -517,7 +506,7 @@
             let bares = self.figures.groups[1] != 0 && (warm < 1.0 || left < least);
             let Some(replica) = self.replicas.get_mut(&id) else { continue };
             let times = if let Health::Trial(times) = replica.health { times } else { 0 };
-            let spared = many && place > 0 && ill < 1.0 || 10 * (out + 1) > 4 * ready || bares;
+            let spared = self.common || many && place > 0 && ill < 1.0 || 10 * (out + 1) > 4 * ready || bares;
             if times > 0 || !spared {
                 out += 1;
                 replica.judge_anew(now, Health::Out(now + FIRST_WAIT * 2u32.pow(times.min(4)), times + 1));
@@ -556,23 +545,25 @@
         let limp = |one: &Replica| if one.bend < LIMPS_AT { one.bend.exp() } else { 1.0 };
         let weight = |one: &Replica| one.weight * self.part(one, now) * limp(one);
         let bears = self.by_zone(|a, b| a + b, weight);
-        let (mut bound, mut all) = (BTreeMap::new(), BTreeMap::new());
+        let (mut bound, mut all, mut joined) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         for one in self.proxies.values() {
+            *joined.entry(one.zone).or_insert(0.0) += 1.0;
             *bound.entry(one.zone).or_insert(0.0) += self.demand(one, self.figures.groups[1]);
             *all.entry(one.zone).or_insert(0.0) += self.demand(one, GroupSet::MAX);
         }
-        let zones: Vec<usize> = all.keys().copied().collect();
-        // Other governors' proxies are unheard: taken to be spread as the fleet's sizes are.
-        let (joined, mine) = (self.proxies.len() as f64, all.values().sum::<f64>());
+        // Other governors' proxies are unheard: taken to be where fewer are here than the fleet's sizes tell.
+        let (here, mine) = (self.proxies.len() as f64, all.values().sum::<f64>());
         let sizes = self.by_zone(|a, b| a + b, |one| if one.ready { one.weight } else { 0.0 });
-        let each = per(mine, joined) * per((self.figures.shared - joined).max(0.0), sizes.values().sum());
-        sizes.iter().for_each(|(zone, size)| *all.entry(*zone).or_insert(0.0) += each * size);
+        let each = per(self.figures.shared, sizes.values().sum());
+        let away = |(zone, size): (&usize, &f64)| (each * size - at(&joined, zone)).max(0.0);
+        let more = per(mine, here) * per((self.figures.shared - here).max(0.0), sizes.iter().map(away).sum());
+        sizes.iter().for_each(|one| *all.entry(*one.0).or_insert(0.0) += more * away(one));
         let slack = ZONE_SLACK * per(all.values().sum(), bears.values().sum());
         // Demand that the fleet does not answer shows no room: it would only fell the cold.
         let flowing = if self.unheard { 1.0 } else { per(self.answered(), mine).min(1.0) };
         let spare = |zone: &usize| (slack * at(&bears, zone) - at(&all, zone)).max(0.0);
         let mut defaults = BTreeMap::new();
-        for zone in zones {
+        for &zone in joined.keys() {
             let (own, bound, all) = (at(&bears, &zone), at(&bound, &zone), at(&all, &zone));
             let mut here = self.replicas.values().filter(|one| one.zone == zone);
             let hurt = here.clone().any(|one| weight(one) < one.weight) || all > OVERFULL * slack * own;
@@ -581,10 +572,9 @@
             // Where nothing is warm, what is bound there needs all of it, and the rest goes elsewhere.
             let kept = if hurt { per(slack * own - bound, all - bound).clamp(0.05, 1.0) } else { 1.0 };
             let kept = if self.figures.groups[1] != 0 && self.thin.contains(&zone) { 0.0 } else { kept };
-            let elsewhere: f64 = bears.keys().filter(|other| **other != zone).map(spare).sum();
-            let spilt = if kept < 0.95 { own.max(1.0) * (1.0 - kept) } else { 0.0 };
-            let beyond = |other: &usize| spilt * per(per(spare(other), elsewhere), bears[other]);
-            let free = |other: usize| if other == zone { kept } else { beyond(&other) };
+            let rest: f64 = bears.keys().filter(|other| **other != zone).map(spare).sum();
+            let out = if kept < 0.95 { own.max(1.0) * (1.0 - kept) } else { 0.0 };
+            let free = |to| if to == zone { kept } else { out * per(per(spare(&to), rest), bears[&to]) };
             let own = |other: usize| f64::from(u8::from(other == zone));
             for kind in 0..2 {
                 let part = |other| if kind == 0 { free(other) } else { own(other) };
@@ -612,20 +602,20 @@
             let rotten = !named.map(|(id, _)| id).eq(default.keys()) || default.iter().any(less);
             return (rotten, rotten);
         }
-        // Of a draw that can't be read so much of its part of the zone is to be expected, and so many bare.
+        // Expectation tells of what can't be read: worn below 0.6 of its part, all bound if one may be bare.
         let open = |one: &Replica| if one.out() { 0.0 } else { one.weight };
         let left = self.sum(|one| if one.named(draw) { open(one) } else { 0.0 });
         let all = self.sum(|one| if one.named(draw) { one.weight } else { 0.0 });
         let here = self.sum(|one| if one.zone == draw.1 { open(one) } else { 0.0 });
         let tables = self.proxies.values().filter(|one| one.standing == Some(draw)).count() as f64;
-        let bare = tables * (1.0 - per(left, all)).powi(self.figures.subset as i32) > BARE_AT;
-        (bare || left < WORN_AT * here.max(all), bare)
+        let bare = tables * (1.0 - per(left, all)).powi(self.figures.subset as i32) > 0.02;
+        (bare || left < 0.6 * here.max(all), bare)
     }
 
     /// Pace: all orders leave here, urgent ones first, as one message to each proxy concerned.
     fn publish(&mut self, now: Duration, beat: bool, ordinary: bool) {
-        let drained = seconds(now.saturating_sub(self.drained_at)) * self.figures.lines_per_s / self.slowed;
-        (self.waiting, self.drained_at) = ((self.waiting - drained).max(0.0), now);
+        let sent = now.saturating_sub(self.drained_at).as_secs_f64() * self.figures.lines_per_s / self.slowed;
+        (self.waiting, self.drained_at) = ((self.waiting - sent).max(0.0), now);
         let (most, over) = self.figures.flushes;
         self.flushes.retain(|at| *at + over > now);
         let urgent = self.replicas.values().any(|one| one.out() && !one.withdrawn);
@@ -667,12 +657,20 @@
     fn tables(&mut self, now: Duration, flush: bool) {
         let (defaults, mut bearable, mut field) = (self.defaults(now), self.cold_zones(now), self.field(now));
         let critical: BTreeSet<ProxyId> = self.critical.keys().map(|(id, _)| *id).collect();
+        // The flows of a busy one make hot spots of few lines. Other proxies are taken to be like those here.
+        let alike =
+            per(self.figures.shared, self.proxies.len() as f64).max(1.0) * field.totals.iter().sum::<f64>();
+        let busy = BUSY
+            * self.figures.subset as f64
+            * per(alike, self.replicas.values().filter(|one| one.ready).count() as f64);
         let (mut draws, mut concerned) = (BTreeMap::new(), Vec::new());
         for (&id, proxy) in &self.proxies {
             let (default, stands) = (&defaults[&(proxy.zone, 0)], proxy.standing.is_some());
             let rot = |draw| *draws.entry(draw).or_insert_with(|| self.rotten(draw, default));
             let (rotten, pressing) = proxy.standing.map_or((false, false), rot);
-            let bind = proxy.unsure || flush && (rotten || stands && critical.contains(&id));
+            let unread = || proxy.standing.is_some_and(|draw| self.unread(draw));
+            let busy = self.demand(proxy, GroupSet::MAX) > busy && unread();
+            let bind = proxy.unsure || flush && (rotten || busy || stands && critical.contains(&id));
             if bind || flush && !stands {
                 concerned.push((!(proxy.unsure || pressing), -self.demand(proxy, GroupSet::MAX), id, bind));
             }
@@ -699,10 +697,11 @@
         }
     }
 
-    /// Flows a second that may go to zones with nothing warm. What is bound there beyond that goes nowhere.
+    /// Flows for zones with nothing warm: 1.2 times what the fleet answers for its capacity fells none. What
+    /// is bound there beyond that goes nowhere.
     fn cold_zones(&self, now: Duration) -> BTreeMap<usize, f64> {
         let bears = self.by_zone(|a, b| a + b, |one| one.bears(&self.figures, now));
-        let each = COLD_SLACK * per(self.answered(), bears.values().sum());
+        let each = 1.2 * per(self.answered(), bears.values().sum());
         let cold = |zone: &usize| self.figures.groups[1] != 0 && self.thin.contains(zone);
         bears.into_iter().filter(|(zone, _)| cold(zone)).map(|(zone, bears)| (zone, each * bears)).collect()
     }
@@ -725,7 +724,6 @@
         whole.unwrap_or_else(|| field.subset(unit, size, default, &held))
     }
 
-    /// Orders what differs from the table as last sent; gives the lines this costs.
     fn lay(&mut self, unit: Unit, wanted: Lines, bind: bool) -> usize {
         let table = self.tables.entry(unit).or_default();
         let gone = table.keys().filter(|id| !wanted.contains_key(*id));
@@ -747,7 +745,7 @@
     fn utilisation(&self, replica: &Replica, now: Duration) -> Option<f64> {
         let load = |(zone, sight): (&usize, &Sight)| {
             let age = at(&self.heard, zone).saturating_sub(sight.last + self.lag);
-            sight.rate * sight.time * (-seconds(age) / self.figures.averaged).exp()
+            sight.rate * sight.time * (-age.as_secs_f64() / self.figures.averaged).exp()
         };
         let loads = replica.sights.iter().filter(|(_, sight)| sight.rate > 0.0).map(load);
         let load = replica.in_hand.or_else(|| loads.reduce(|one, other| one + other))?;
@@ -782,7 +780,7 @@
         let mut set: BTreeSet<ProxyId> = self.critical.keys().map(|(id, _)| *id).collect();
         let mut field = self.field(now);
         let mut best = field.payoff().0;
-        while self.cycles_below >= CYCLES_BELOW {
+        while self.cycles_below >= CYCLES_BELOW && !self.common {
             field.fill(&set);
             let (payoff, ratio) = field.payoff();
             if payoff > best && !field.solved.is_empty() {
@@ -790,16 +788,16 @@
             }
             // A quarter of the set joins at a time, or large fleets would take too long.
             let joining = field.send_most(&set, (1 + set.len() / 4).min(most.saturating_sub(set.len())));
-            if ratio >= TARGET || joining.is_empty() {
-                break;
-            }
-            set.extend(joining);
+            let done = ratio >= TARGET || joining.is_empty();
+            set.extend(if done { break } else { joining });
         }
     }
 
     fn field(&self, now: Duration) -> Field {
-        let mut field = Field { crossing: self.figures.crossing, ..Field::default() };
-        field.ids = self.replicas.keys().cloned().collect();
+        // Where many tries fail a new line mostly brings a connection that fails as well: all stay.
+        let favour = if self.common { f64::MAX } else { FAVOUR };
+        let ids = self.replicas.keys().cloned().collect();
+        let mut field = Field { ids, crossing: self.figures.crossing, favour, ..Field::default() };
         let mut known = BTreeMap::new();
         for (&id, proxy) in &self.proxies {
             for unit in [(id, 0), (id, 1)] {
@@ -832,20 +830,17 @@
     /// Levels go by the fleet's mean answer: a trouble of a few replicas doesn't move that far enough.
     fn shed(&mut self, now: Duration) {
         let (answers, time) = std::mem::take(&mut self.pulse);
-        if answers < 0.2 * HEARD_ENOUGH {
-            return;
-        }
-        let (late, echo) =
-            (time / answers / self.figures.budget, self.figures.settling + self.lag + 4 * BEAT);
+        let late = if answers < 0.2 * HEARD_ENOUGH { return } else { time / answers / self.figures.budget };
+        let echo = self.figures.settling + self.lag + 4 * BEAT;
         // What answers took tells of queues that may have drained since: reports of flows waiting say so.
         let reports = self.replicas.values().filter_map(|one| one.waiting).filter(|(_, at)| *at + echo > now);
         let (all, queued) = reports.fold((0, 0), |(n, q), (queue, _)| (n + 1, q + u32::from(queue >= 1.0)));
-        if late > LATE && 2 * queued >= all && now >= self.cut_at + echo {
+        if late > LATE && 2 * queued >= all && now >= self.cut.1 + echo {
             let offered = self.proxies.values().flat_map(|proxy| &proxy.rates).sum();
-            (self.limit, self.cut_at) = (per(self.answered(), offered).min(1.0), now);
+            self.cut = (per(self.answered(), offered).min(1.0), now);
             self.let_in = per(DRAINING * self.answered(), offered).min(0.95 * self.let_in).max(0.2);
         } else if late < 0.7 * LATE || 3 * queued < all {
-            let growth = if self.let_in < self.limit { (0.7 * LATE / late).clamp(1.05, 1.15) } else { 1.02 };
+            let growth = if self.let_in < self.cut.0 { (0.7 * LATE / late).clamp(1.05, 1.15) } else { 1.02 };
             self.let_in = (self.let_in * growth).min(1.0);
         }
     }
@@ -877,7 +872,6 @@
     }
 }
 
-/// Who sends how much where, as far as tables tell.
 #[derive(Default)]
 struct Field {
     ids: Vec<ReplicaId>,
@@ -888,6 +882,7 @@
     alike: BTreeMap<(usize, usize), f64>,       // the flows of all units of a zone with the same shares
     solved: BTreeMap<Unit, Places>,
     crossing: f64,
+    favour: f64,
 }
 
 impl Field {
@@ -932,7 +927,6 @@
         sends.into_iter().take(most).map(|(id, _)| id).collect()
     }
 
-    /// Takes out of the totals, and gives, what a unit sends.
     fn lift(&mut self, unit: &Unit) -> Places {
         let (_, demand, shares) = self.units.get(unit).copied().unwrap_or_default();
         let shares = self.shares.get(shares).into_iter().flatten();
@@ -943,18 +937,13 @@
     }
 
     /// Replicas from the coolest up for a zone: their level with `more` on top at their price, their room.
-    fn coolest(
-        &self,
-        zone: usize,
-        more: f64,
-        price: impl Fn(usize) -> Option<f64>,
-    ) -> Vec<(f64, f64, usize)> {
+    fn coolest(&self, zone: usize, more: f64, price: impl Fn(usize) -> Option<f64>) -> Vec<Vessel> {
         let vessel = |(place, (&(there, room), total)): (usize, (&(usize, f64), &f64))| {
             let price = price(place)? * if there == zone { 1.0 } else { self.crossing };
             Some((per((total + more) * price, room), room / price, place))
         };
         let reach = self.rooms.iter().zip(&self.totals).enumerate();
-        let mut vessels: Vec<_> = reach.filter_map(vessel).collect();
+        let mut vessels: Vec<Vessel> = reach.filter_map(vessel).collect();
         vessels.sort_by(|one, other| one.0.total_cmp(&other.0));
         vessels
     }
@@ -988,20 +977,28 @@
 
     /// A default as small as a standing table: an equal part on each of the coolest, those held favoured.
     fn subset(&mut self, unit: Unit, size: (usize, f64, usize), all: &Lines, held: &Lines) -> Lines {
-        let (zone, part, most) = (size.0, size.1 / size.2 as f64, size.2);
+        let (zone, part, most, favour) = (size.0, size.1 / size.2 as f64, size.2, self.favour);
         self.lift(&unit);
-        let mut lines = self.coolest(zone, part, |place| {
+        let lines = self.coolest(zone, part, |place| {
             let id = &self.ids[place];
-            all.contains_key(id).then(|| if held.contains_key(id) { 1.0 / FAVOUR } else { 1.0 })
+            all.contains_key(id).then(|| if held.contains_key(id) { 1.0 / favour } else { 1.0 })
         });
-        lines.truncate(most);
+        // Among many more elsewhere some are always cooler: crossing goes by what the default spills.
+        let here = |id: &ReplicaId| self.ids.binary_search(id).is_ok_and(|place| self.rooms[place].0 == zone);
+        let own: f64 = all.iter().filter(|(id, _)| here(id)).map(|(_, weight)| weight).sum();
+        let own = (most as f64 * per(own, all.values().sum())).round() as usize;
+        let (mut lines, mut beyond): (Vec<_>, Vec<_>) =
+            lines.into_iter().partition(|(_, _, place)| self.rooms[*place].0 == zone);
+        lines.truncate(own);
+        beyond.truncate(most.saturating_sub(own));
+        lines.extend(beyond);
         lines.iter().for_each(|(_, _, place)| self.totals[*place] += part);
         lines.into_iter().map(|(_, _, place)| (self.ids[place].clone(), 1.0)).collect()
     }
 }
 
 /// Pours a rate into vessels of (level, room), coolest first, so that the highest level stays lowest.
-fn pour(rate: f64, vessels: &[(f64, f64, usize)]) -> Places {
+fn pour(rate: f64, vessels: &[Vessel]) -> Places {
     let (room, held) = vessels.iter().fold((0.0, rate), |(room, held), (level, more, _)| {
         if level * room < held { (room + more, held + level * more) } else { (room, held) }
     });
