The channel is counted as slow until acks tell, levels wait their turn, nearly bare ones first

Change: until acks show a pace, a third of the stated one is counted on; each ack frees a message's head; a level that does not fit waits, a rise sooner than a cut; a message counts with the levels that travel with it; proxies with fewer than three open lines come before the busiest, which leave them four tenths of the channel.

Could harm: after a large burst repairs follow at a third of the pace.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -16,8 +16,6 @@
 const BEAT: Duration = Duration::from_millis(250); // the one timer; orders are gathered for two beats
 const TARGET: f64 = 0.9; // the paper's, for the ratio
 const PENALTIES: (f64, f64) = (0.5, 1.0); // the page's, on rerouted traffic below and above the target
-const CYCLES_BELOW: u32 = 3; // the page's, below the target before the solver runs
-const CRITICAL_SHARE: f64 = 0.15; // the page's, of the proxies
 const COOLEST: usize = 30; // the page's, lines at most
 const WORTH_SENDING: f64 = 0.12; // a line that moved by less is within the noise of the sums
 const BEND: (f64, f64) = (0.25, 0.95); // how far a cycle bends a room to the mean; what it keeps
@@ -32,10 +30,6 @@
 const WARINESS: (f64, f64) = (2.0, 3.0); // times the stress that cold ones must bear; where proxies avoid
 const SILENT_AFTER: f64 = 8.0; // answers due: chance leaves none of so many once in some thousand looks
 const FIRST_WAIT: Duration = Duration::from_secs(4); // before a trial, doubled by each failure
-const TRIAL: f64 = 0.1; // the share of its part that a replica on trial gets
-const BUSY: f64 = 0.1; // of what a replica is due: an unread table's line that brings more makes hot spots
-const COMMON: f64 = 0.1; // dropped by the middle replica: no replica's own trouble
-const FAVOUR: f64 = 1.5; // an own default's line gives way to one cooler by this
 
 #[derive(Default)]
 struct Figures {
@@ -47,9 +41,8 @@
     cold: (f64, f64), // worst-case share of its capacity that a replica starts with, growth a second
     wariness: f64,
     crossing: f64,
-    averaged: f64,
-    period: Duration, // of the sums
-    subset: usize,    // lines of a standing table, and of an own default where the zone's has too many
+    averaged: f64, // five periods of the sums
+    subset: usize, // lines of a standing table, and of an own default where the zone's has too many
     settling: Duration,
     every: Duration,            // ordinary flush
     flushes: (usize, Duration), // within a span; one message to each proxy is kept for its joining
@@ -180,13 +173,12 @@
             wariness: if settings.proxies_avoid { WARINESS.1 } else { WARINESS.0 },
             crossing: 1.0 + 4.0 * settings.crossing_cost,
             averaged: 5.0 * settings.sums_every.as_secs_f64(),
-            period: settings.sums_every,
             subset: settings.standing_lines.max(1),
             settling: settings.transit_most + 3 * settings.sums_every,
             every: (2 * BEAT).max(over.mul_f64(1.5 / most.max(1) as f64)),
             flushes: (most.saturating_sub(2), over),
             lines_per_s: settings.lines_per_s.max(1.0),
-            head: settings.head_lines,
+            head: settings.head_lines + settings.groups.len() as f64, // levels travel with each message
             waiting_most: 0.8 * settings.waiting_most,
             transit: settings.transit_most.as_secs_f64(),
             probe_every: settings.probe_cost.map(|_| Duration::from_secs(1)), // each costs its replica work
@@ -345,6 +337,7 @@
     /// A marked message took effect this long after it was ordered.
     pub fn acked(&mut self, took: Duration) {
         let usual = self.figures.transit + self.waiting / self.figures.lines_per_s;
+        self.waiting = (self.waiting - (self.figures.head - self.levels.len() as f64)).max(0.0);
         let slower = per(took.as_secs_f64(), usual).clamp(1.0, 8.0) - self.slowed;
         self.slowed += slower * if slower > 0.0 { 0.3 } else { 0.05 };
     }
@@ -372,8 +365,9 @@
                 self.shed(now);
             }
             if self.beats.is_multiple_of(8) {
-                let least = std::mem::take(&mut self.least);
-                self.lag = least.map_or(self.lag, |least| least.saturating_sub(self.figures.period));
+                let (least, period) =
+                    (self.least.take(), Duration::from_secs_f64(self.figures.averaged / 5.0));
+                self.lag = least.map_or(self.lag, |least| least.saturating_sub(period));
                 self.bend(now);
                 self.solve(now);
             }
@@ -397,7 +391,7 @@
         let wary = capacity < 1.0 && if bound { stress > 0.0 && !thin } else { stress > 0.0 || thin };
         match replica.health {
             _ if replica.out() || wary && capacity < self.figures.wariness * stress => 0.0,
-            Health::Trial(_) => TRIAL * capacity,
+            Health::Trial(_) => 0.1 * capacity, // enough for four answers in some seconds
             _ if wary => capacity * capacity * (1.0 - stress),
             _ => capacity,
         }
@@ -413,20 +407,19 @@
 
     /// Health, by symptom: no answers where answers are due, or far more drops than the fleet has.
     fn judge(&mut self, now: Duration) {
-        // Drops of what is withdrawn tell nothing of the load on what is left.
-        let open = |one: &Replica| if one.out() { (0.0, 0.0) } else { one.evidence() };
+        let open = |one: &Replica| if one.out() { (0.0, 0.0) } else { one.evidence() }; // tells of no load
         let tries = self.by_zone(|a, b| a + b, |one| open(one).0 + open(one).1);
         let dropped = self.by_zone(|a, b| a + b, |one| open(one).1);
         let whole: f64 = tries.values().sum();
         let usual_drops = per(dropped.values().sum(), whole.max(1.0));
         self.unheard = self.unheard && whole < HEARD_ENOUGH;
         let tried = self.replicas.values().map(open).filter(|(d, m)| d + m >= 4.0);
-        self.common = 2 * tried.clone().filter(|(d, m)| *m > COMMON * (d + m)).count() > tried.count();
+        self.common = 2 * tried.clone().filter(|(d, m)| *m > 0.1 * (d + m)).count() > tried.count();
         let of = |zone: &usize, drops: f64| per(drops, at(&tries, zone).max(0.4 * HEARD_ENOUGH));
         let share = |(zone, drops): (usize, f64)| (zone, of(&zone, drops).max(usual_drops));
         self.stress = dropped.into_iter().map(share).filter(|(_, share)| *share > STRESSED_AT).collect();
         let suspects = self.suspects(now, usual_drops);
-        self.withdraw_worst(now, suspects, usual_drops);
+        self.withdraw_worst(now, suspects);
         self.take_back(now);
         self.hold(now);
         for replica in self.replicas.values_mut() {
@@ -491,11 +484,10 @@
     }
 
     /// Withdraws the worst, never so many that the rest, or what is left of a zone, could not bear it.
-    fn withdraw_worst(&mut self, now: Duration, suspects: Vec<(f64, ReplicaId)>, usual_drops: f64) {
+    fn withdraw_worst(&mut self, now: Duration, suspects: Vec<(f64, ReplicaId)>) {
         let ready = self.replicas.values().filter(|one| one.ready).count();
         let mut out = self.replicas.values().filter(|one| one.ready && one.out()).count();
-        let many = 4 * suspects.len() > ready && usual_drops > 0.2; // not theirs: only the worst goes
-        for (place, (ill, id)) in suspects.into_iter().enumerate() {
+        for (ill, id) in suspects {
             let zone = self.replicas[&id].zone;
             let own = self.replicas.iter().filter(|(_, one)| one.zone == zone && one.ready);
             let own = own.map(|(other, one)| (*other != id && !one.out(), one.capacity(&self.figures, now)));
@@ -506,7 +498,7 @@
             let bares = self.figures.groups[1] != 0 && (warm < 1.0 || left < least);
             let Some(replica) = self.replicas.get_mut(&id) else { continue };
             let times = if let Health::Trial(times) = replica.health { times } else { 0 };
-            let spared = self.common || many && place > 0 && ill < 1.0 || 10 * (out + 1) > 4 * ready || bares;
+            let spared = self.common || 10 * (out + 1) > 4 * ready || bares;
             if times > 0 || !spared {
                 out += 1;
                 replica.judge_anew(now, Health::Out(now + FIRST_WAIT * 2u32.pow(times.min(4)), times + 1));
@@ -614,8 +606,9 @@
 
     /// Pace: all orders leave here, urgent ones first, as one message to each proxy concerned.
     fn publish(&mut self, now: Duration, beat: bool, ordinary: bool) {
-        let sent = now.saturating_sub(self.drained_at).as_secs_f64() * self.figures.lines_per_s / self.slowed;
-        (self.waiting, self.drained_at) = ((self.waiting - sent).max(0.0), now);
+        // A slow channel shows only once acks come late: until then it is taken for three times too slow.
+        let sent = now.saturating_sub(self.drained_at).as_secs_f64() * self.figures.lines_per_s;
+        (self.waiting, self.drained_at) = ((self.waiting - sent / self.slowed.max(3.0)).max(0.0), now);
         let (most, over) = self.figures.flushes;
         self.flushes.retain(|at| *at + over > now);
         let urgent = self.replicas.values().any(|one| one.out() && !one.withdrawn);
@@ -657,28 +650,33 @@
     fn tables(&mut self, now: Duration, flush: bool) {
         let (defaults, mut bearable, mut field) = (self.defaults(now), self.cold_zones(now), self.field(now));
         let critical: BTreeSet<ProxyId> = self.critical.keys().map(|(id, _)| *id).collect();
-        // The flows of a busy one make hot spots of few lines. Other proxies are taken to be like those here.
-        let alike =
-            per(self.figures.shared, self.proxies.len() as f64).max(1.0) * field.totals.iter().sum::<f64>();
-        let busy = BUSY
-            * self.figures.subset as f64
-            * per(alike, self.replicas.values().filter(|one| one.ready).count() as f64);
+        // Few lines of a busy one make hot spots. Other governors' proxies are taken to be like those here.
+        let like = per(self.figures.shared, self.proxies.len() as f64).max(1.0) * self.figures.subset as f64;
+        let due = field.totals.iter().sum::<f64>() / self.sum(|one| f64::from(u8::from(one.ready))).max(1.0);
         let (mut draws, mut concerned) = (BTreeMap::new(), Vec::new());
         for (&id, proxy) in &self.proxies {
             let (default, stands) = (&defaults[&(proxy.zone, 0)], proxy.standing.is_some());
             let rot = |draw| *draws.entry(draw).or_insert_with(|| self.rotten(draw, default));
             let (rotten, pressing) = proxy.standing.map_or((false, false), rot);
             let unread = || proxy.standing.is_some_and(|draw| self.unread(draw));
-            let busy = self.demand(proxy, GroupSet::MAX) > busy && unread();
+            let busy = self.demand(proxy, GroupSet::MAX) > 0.1 * like * due && unread();
             let bind = proxy.unsure || flush && (rotten || busy || stands && critical.contains(&id));
             if bind || flush && !stands {
-                concerned.push((!(proxy.unsure || pressing), -self.demand(proxy, GroupSet::MAX), id, bind));
+                let open = |kind| field.units.get(&(id, kind)).map_or(0, |(.., at)| field.shares[*at].len());
+                let few = !stands && (0..2).any(|kind| self.figures.groups[kind] != 0 && open(kind) < 3);
+                concerned.push((
+                    !(proxy.unsure || pressing || few),
+                    -self.demand(proxy, GroupSet::MAX),
+                    id,
+                    bind,
+                ));
             }
         }
         // Who can't wait first, then the busiest: the channel may not bear all at once.
         concerned.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
-        for (_, _, id, bind) in concerned {
-            if self.waiting + 2.0 * COOLEST as f64 > self.figures.waiting_most {
+        for (patient, _, id, bind) in concerned {
+            let spared = if patient { 0.6 } else { 1.0 }; // the rest is for those who can't wait
+            if self.waiting + 2.0 * COOLEST as f64 > spared * self.figures.waiting_most {
                 break;
             }
             let (zone, groups, mut sent) = (self.proxies[&id].zone, self.figures.groups, 0);
@@ -772,15 +770,15 @@
         }
     }
 
-    /// The critical set: greedy from the previous one, kept small, taken only at a higher payoff.
+    /// The critical set: greedy from the previous one, by the page's cycles below target, share and payoff.
     fn solve(&mut self, now: Duration) {
         let (mean, peak) = self.mean_utilisation(now);
         self.cycles_below = if mean < TARGET * peak { self.cycles_below + 1 } else { 0 };
-        let most = (self.proxies.len() as f64 * CRITICAL_SHARE).ceil() as usize;
+        let most = (self.proxies.len() as f64 * 0.15).ceil() as usize;
         let mut set: BTreeSet<ProxyId> = self.critical.keys().map(|(id, _)| *id).collect();
         let mut field = self.field(now);
         let mut best = field.payoff().0;
-        while self.cycles_below >= CYCLES_BELOW && !self.common {
+        while self.cycles_below >= 3 && !self.common {
             field.fill(&set);
             let (payoff, ratio) = field.payoff();
             if payoff > best && !field.solved.is_empty() {
@@ -795,7 +793,7 @@
 
     fn field(&self, now: Duration) -> Field {
         // Where many tries fail a new line mostly brings a connection that fails as well: all stay.
-        let favour = if self.common { f64::MAX } else { FAVOUR };
+        let favour = if self.common { f64::MAX } else { 1.5 };
         let ids = self.replicas.keys().cloned().collect();
         let mut field = Field { ids, crossing: self.figures.crossing, favour, ..Field::default() };
         let mut known = BTreeMap::new();
@@ -863,10 +861,14 @@
             let level = 1.0 - per(excess.clamp(0.0, demand), demand).min(1.0);
             excess -= demand;
             let level = ((level * 20.0).round() / 20.0, tries);
-            if self.levels[place] != level && !self.unheard {
+            // A level goes to all proxies: where that fills the channel it waits for its turn, a rise longer.
+            let cost = (1.0 + self.figures.head) * self.proxies.len() as f64;
+            let spared = if level.0 > self.levels[place].0 { 0.6 } else { 1.0 };
+            let fits = self.waiting + cost <= spared * self.figures.waiting_most;
+            if self.levels[place] != level && !self.unheard && fits {
                 self.levels[place] = level;
                 self.out.push_back(Decision::Level(1 << place, level.0, tries));
-                self.waiting += (1.0 + self.figures.head) * self.proxies.len() as f64;
+                self.waiting += cost;
             }
         }
     }
