Groups count by what of their let-in flows is answered, so a sick group is cut first

Change: the ladder goes by utility per latency budget times the share of the flows let in that is answered.

Could harm: a useful group that is dropped for a reason of its own is let in last.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,5 +1,4 @@
 //! All decisions: which tables a service's plain proxies hold, and when they hear of it.
-//!
 //! A host makes one [`Governor`] for each governor process, calls its inputs as things happen, and pulls
 //! [`Governor::decide`] until it gives `None`: what comes in one go is one message to each proxy concerned.
 //! The types of both sides stand in `interface.rs`. The mechanism is FlexDATE's (`docs/design.md`); parts, in
@@ -34,7 +33,7 @@
 #[derive(Default)]
 struct Figures {
     groups: [GroupSet; 2], // by kind of table: free to cross, and bound to the proxy's own zone
-    ladder: Vec<usize>,    // the groups from the least utility per work up
+    values: Vec<f64>,      // by group: utility per work
     levels: bool,
     budget: f64,
     shared: f64,      // all proxies, where other governors have some of them; else none
@@ -62,7 +61,6 @@
     Trial(u32),
 }
 
-/// What one zone's proxies met at a replica; evidence fades with time.
 #[derive(Clone, Default)]
 struct Sight {
     delivered: f64,
@@ -84,7 +82,7 @@
     health: Health,
     withdrawn: bool,
     since: Duration, // silence counts from here on: what went before was met under other tables
-    sights: BTreeMap<usize, Sight>,
+    sights: BTreeMap<usize, Sight>, // by zone, what its proxies met; evidence fades with time
     expected: f64,
     bend: f64,
     in_hand: Option<f64>,
@@ -129,6 +127,7 @@
     let_in: f64,          // the share of flows let in
     cut: (f64, Duration), // what was answered at the last one, beyond which levels feel their way; when
     pulse: (f64, f64),
+    unanswered: Vec<f64>, // by group, of the flows let in, over some hundred lines of the sums
     levels: Vec<(f64, FurtherTries)>,
     due: BTreeSet<(Duration, ReplicaId)>,
     beats: u64,
@@ -156,18 +155,17 @@
         let groups = || settings.groups.iter().take(tabled).enumerate();
         let set = |own| groups().filter(|(_, one)| one.own_zone == own).map(|(place, _)| 1 << place).sum();
         // The wire tells no group's work: its latency budget stands in, as what needs longer is given longer.
-        let budget = |place: &usize| settings.groups[*place].latency_budget.as_secs_f64();
-        let value = |place: &usize| per(settings.groups[*place].utility, budget(place));
-        let mut ladder: Vec<usize> = (0..settings.groups.len().min(64)).collect();
-        ladder.sort_by(|one, other| value(one).total_cmp(&value(other)));
+        let budget = |place: usize| settings.groups[place].latency_budget.as_secs_f64();
+        let value = |place: usize| per(settings.groups[place].utility, budget(place));
+        let places = 0..settings.groups.len().min(64);
         let field = |wanted| settings.load_fields.iter().position(|field| *field == wanted);
         let (most, over) = settings.messages_most.unwrap_or((usize::MAX, Duration::ZERO));
         let cold = settings.cold_share.clamp(0.01, 1.0);
         Figures {
             groups: [set(false), set(true)],
             levels: settings.level_kind == LevelKind::Share,
-            budget: per(ladder.iter().map(budget).sum(), ladder.len() as f64),
-            ladder,
+            budget: per(places.clone().map(budget).sum(), places.len() as f64),
+            values: places.map(value).collect(),
             shared: if settings.governors > 1 { settings.proxies as f64 } else { 0.0 },
             cold: (cold, per(1.0 - cold, settings.warm_after.as_secs_f64())),
             wariness: if settings.proxies_avoid { WARINESS.1 } else { WARINESS.0 },
@@ -227,6 +225,7 @@
             cut: (1.0, Duration::ZERO),
             levels: vec![(1.0, settings.usual_tries); settings.groups.len().min(64)],
             drained_at: now,
+            unanswered: vec![0.0; settings.groups.len()],
             slowed: 1.0,
             wake: true,
             ..Governor::default()
@@ -315,6 +314,9 @@
         self.least = self.least.or(Some(came.span)).min(Some(came.span));
         let proxy = self.proxies.get_mut(&came.proxy);
         let Some(rate) = proxy.and_then(|proxy| proxy.rates.get_mut(came.group)) else { return };
+        let unanswered = &mut self.unanswered[came.group];
+        let share = per(came.dropped as f64, came.flows as f64 * self.levels[came.group].0).min(1.0);
+        *unanswered += 0.01 * self.levels[came.group].0 * (share - *unanswered);
         let span = came.span.as_secs_f64().max(0.001);
         *rate += (came.flows as f64 / span - *rate) * (1.0 - (-span / self.figures.averaged).exp());
     }
@@ -381,8 +383,7 @@
         self.publish(now, beat, ordinary);
     }
 
-    /// What part of its weight a replica may be sent. In stress proxies pile onto those that still answer: a
-    /// cold one would fall under a planned trickle.
+    /// What part of its weight a replica may be sent: in stress proxies pile onto those that still answer.
     fn part(&self, replica: &Replica, now: Duration) -> f64 {
         let capacity = replica.capacity(&self.figures, now);
         let stress = if self.unheard { 0.5 } else { at(&self.stress, &replica.zone) };
@@ -664,12 +665,8 @@
             if bind || flush && !stands {
                 let open = |kind| field.units.get(&(id, kind)).map_or(0, |(.., at)| field.shares[*at].len());
                 let few = !stands && (0..2).any(|kind| self.figures.groups[kind] != 0 && open(kind) < 3);
-                concerned.push((
-                    !(proxy.unsure || pressing || few),
-                    -self.demand(proxy, GroupSet::MAX),
-                    id,
-                    bind,
-                ));
+                let patient = !(proxy.unsure || pressing || few);
+                concerned.push((patient, -self.demand(proxy, GroupSet::MAX), id, bind));
             }
         }
         // Who can't wait first, then the busiest: the channel may not bear all at once.
@@ -695,8 +692,7 @@
         }
     }
 
-    /// Flows for zones with nothing warm: 1.2 times what the fleet answers for its capacity fells none. What
-    /// is bound there beyond that goes nowhere.
+    /// Flows for zones with nothing warm: 1.2 times what the fleet answers for its capacity fells none.
     fn cold_zones(&self, now: Duration) -> BTreeMap<usize, f64> {
         let bears = self.by_zone(|a, b| a + b, |one| one.bears(&self.figures, now));
         let each = 1.2 * per(self.answered(), bears.values().sum());
@@ -849,15 +845,19 @@
     }
 
     fn level(&mut self, now: Duration) {
+        // What a group brings is what gets answered: one whose flows hang would jam the fleet for the others.
+        let value = |place: &usize| self.figures.values[*place] * (1.0 - self.unanswered[*place]);
+        let mut ladder: Vec<usize> = (0..self.figures.values.len()).collect();
+        ladder.sort_by(|one, other| value(one).total_cmp(&value(other)));
         let came = |place: &usize| self.proxies.values().map(|proxy| proxy.rates[*place]).sum();
-        let demand: Vec<f64> = self.figures.ladder.iter().map(came).collect();
+        let demand: Vec<f64> = ladder.iter().map(came).collect();
         // A fleet mostly cold would fall to its usual load: let in what is open can bear of that.
         let most = per(self.sum(|one| one.bears(&self.figures, now)), SIZED_FOR * self.nominal).min(1.0);
         let cut = if self.figures.levels { 1.0 - self.let_in.min(most) } else { 0.0 };
         let mut excess = cut * demand.iter().sum::<f64>();
         // A further try in overload takes a place from a first one; a proven first drop is safe to try again.
         let tries = if self.let_in < 1.0 { FurtherTries::Never } else { FurtherTries::IfNeverRan };
-        for (&place, demand) in self.figures.ladder.iter().zip(demand) {
+        for (place, demand) in ladder.into_iter().zip(demand) {
             let level = 1.0 - per(excess.clamp(0.0, demand), demand).min(1.0);
             excess -= demand;
             let level = ((level * 20.0).round() / 20.0, tries);
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -881,3 +881,25 @@
     let numbers: Vec<TableId> = numbers.collect();
     assert!(!numbers.is_empty() && numbers.iter().all(|number| number / 2 == 2));
 }
+
+#[test]
+fn a_group_whose_flows_hang_is_cut_before_less_useful_ones() {
+    let mut governor = Governor { let_in: 0.7, ..late(4) };
+    governor.unanswered = vec![0.0, 0.8];
+    governor.level(10 * SECOND);
+    assert_eq!((governor.levels[0].0, governor.levels[1].0), (1.0, 0.4));
+}
+
+#[test]
+fn what_levels_block_does_not_count_as_unanswered_or_answered() {
+    let mut governor = late(0);
+    let came = |governor: &mut Governor, dropped| {
+        governor.came(Came { proxy: 1, group: 1, flows: 100, dropped, span: SECOND });
+        governor.unanswered[1]
+    };
+    assert!((came(&mut governor, 50) - 0.005).abs() < 1e-9);
+    governor.levels[1].0 = 0.5;
+    assert!((came(&mut governor, 50) - 0.009975).abs() < 1e-9);
+    governor.levels[1].0 = 0.0;
+    assert!((came(&mut governor, 0) - 0.009975).abs() < 1e-9);
+}
