A proxy on an unread table is busy from 0.07 of what a replica is due, not a tenth

Expected: the first ten seconds are served better where few proxies are much busier than others. Could harm: more proxies leave their standing tables; most still stay.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -651,7 +651,7 @@
     fn tables(&mut self, now: Duration, flush: bool) {
         let (defaults, mut bearable, mut field) = (self.defaults(now), self.cold_zones(now), self.field(now));
         let critical: BTreeSet<ProxyId> = self.critical.keys().map(|(id, _)| *id).collect();
-        // Few lines of a busy one make hot spots. Other governors' proxies are taken to be like those here.
+        // Few lines of a busy one make hot spots, from 0.07 of a replica's due. Others' proxies count alike.
         let like = per(self.figures.shared, self.proxies.len() as f64).max(1.0) * self.figures.subset as f64;
         let due = field.totals.iter().sum::<f64>() / self.sum(|one| f64::from(u8::from(one.ready))).max(1.0);
         let (mut draws, mut concerned) = (BTreeMap::new(), Vec::new());
@@ -660,7 +660,7 @@
             let rot = |draw| *draws.entry(draw).or_insert_with(|| self.rotten(draw, default));
             let (rotten, pressing) = proxy.standing.map_or((false, false), rot);
             let unread = || proxy.standing.is_some_and(|draw| self.unread(draw));
-            let busy = self.demand(proxy, GroupSet::MAX) > 0.1 * like * due && unread();
+            let busy = self.demand(proxy, GroupSet::MAX) > 0.07 * like * due && unread();
             let bind = proxy.unsure || flush && (rotten || busy || stands && critical.contains(&id));
             if bind || flush && !stands {
                 let open = |kind| field.units.get(&(id, kind)).map_or(0, |(.., at)| field.shares[*at].len());
