Joiners with unknown holdings never wait for the channel; others leave them half of it

Change: a proxy whose holdings are unknown is bound whatever waits, which the limits leave room for twice; nearly bare ones use eight tenths of what may wait, all others half.

Could harm: a join of all proxies in a very slow channel.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -665,14 +665,14 @@
             if bind || flush && !stands {
                 let open = |kind| field.units.get(&(id, kind)).map_or(0, |(.., at)| field.shares[*at].len());
                 let few = !stands && (0..2).any(|kind| self.figures.groups[kind] != 0 && open(kind) < 3);
-                let patient = !(proxy.unsure || pressing || few);
-                concerned.push((patient, -self.demand(proxy, GroupSet::MAX), id, bind));
+                let rank = if proxy.unsure { 0 } else { 2 - usize::from(pressing || few) };
+                concerned.push((rank, -self.demand(proxy, GroupSet::MAX), id, bind));
             }
         }
         // Who can't wait first, then the busiest: the channel may not bear all at once.
         concerned.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
-        for (patient, _, id, bind) in concerned {
-            let spared = if patient { 0.6 } else { 1.0 }; // the rest is for those who can't wait
+        for (rank, _, id, bind) in concerned {
+            let spared = [f64::MAX, 0.8, 0.5][rank]; // joiners may send to what drains, and can't wait
             if self.waiting + 2.0 * COOLEST as f64 > spared * self.figures.waiting_most {
                 break;
             }
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -177,6 +177,10 @@
     governor.waiting = 800.0;
     governor.tables(Duration::ZERO, true);
     assert!(governor.out.is_empty());
+    // But one whose holdings are unknown may send to what drains, and can't wait.
+    governor.joined(Duration::ZERO, 2, 0, 1.0, false);
+    governor.tables(Duration::ZERO, false);
+    assert!(governor.out.contains(&Decision::Follow(2, 4, 0b11)));
 }
 
 #[test]
@@ -872,7 +876,7 @@
     follower(&mut governor, 1, 0, &eight);
     follower(&mut governor, 2, 0, &eight[..2]);
     governor.proxies.entry(1).and_modify(|one| one.rates = vec![90.0, 90.0]);
-    governor.waiting = 700.0;
+    governor.waiting = 550.0;
     governor.tables(SECOND, true);
     let numbers = governor.out.iter().filter_map(|one| match one {
         Decision::Lines(number, _) => Some(*number),
