--- /dev/null
+++ b/crates/core/src/engine.rs
@@ -0,0 +1,594 @@
+//! One instance of the decision module with all that it needs to act on proxies: inputs in, steps out.
+//!
+//! A host calls the inputs as things happen, then pulls [`Engine::step`] until `None`, carries out each step,
+//! and comes back at [`Engine::next_due`] at the latest. All that the module decides in one go is one flush: it
+//! shares a version and reaches each proxy concerned in one piece.
+//!
+//! ```
+//! use std::time::Duration;
+//! use wrenthread::interface::*;
+//! use wrenthread_core::engine::{Engine, Setup, Step};
+//! use wrenthread_core::fleet::Join;
+//! use wrenthread_core::roster::Entry;
+//!
+//! let now = Duration::from_secs(100);
+//! let mut engine = Engine::new(Setup::example(1), now);
+//! engine.roster(now, vec![Entry {
+//!     id: "r1".into(), address: "10.0.0.1:80".into(), zone: 0, weight: 1.0, phase: Phase::Ready, started: None,
+//! }]);
+//! let join = Join { name: "p".into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: false };
+//! let number = engine.joined(now, 1, &join).unwrap().number;
+//! // The module gives its holdings to who came with none that it knows.
+//! let later = now + Duration::from_millis(250);
+//! let steps: Vec<Step> = std::iter::from_fn(|| {
+//!     let step = engine.step(later)?;
+//!     if let Step::Flush(number) = step {
+//!         engine.sent(later, number, 1); // here a front writes what `Engine::proxy` says
+//!     }
+//!     Some(step)
+//! }).collect();
+//! assert!(steps.contains(&Step::Flush(number)));
+//! let table = &engine.proxy(number).unwrap().tables[0].as_ref().unwrap().table;
+//! assert_eq!(&*table.lines[0].address, "10.0.0.1:80");
+//! ```
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use wrenthread::interface::{
+    Decision, FurtherTries, Group, GroupSet, Phase, ProxyId, ReplicaId, Settings, TableId,
+};
+use wrenthread::rules::Governor;
+
+use crate::fleet::{Fleet, Join, Joined, Proxy, Refused, StreamId};
+use crate::pace::{Channel, Pace};
+use crate::reports::{Discarded, Report, Reports, Told};
+use crate::roster::{Entry, Known, Roster, Taken};
+use crate::tables::{Kept, Tables};
+
+/// What an engine is told at its start.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    pub module: Settings,
+    /// Proxies at once.
+    pub proxies: usize,
+    /// Lines of folded reports that the module is given a second, at most.
+    pub reports_per_s: f64,
+    /// How long an empty roster must stand before it is believed.
+    pub empty_after: Duration,
+}
+
+impl Setup {
+    /// Plain settings with so many like groups, for examples and tests.
+    pub fn example(groups: usize) -> Setup {
+        use wrenthread::interface::{Effect, LevelKind, LoadField};
+        let group = Group {
+            effect: Effect::NonRetriable,
+            latency_budget: Duration::from_secs(1),
+            expiry: Duration::from_secs(3),
+            utility: 1.0,
+            own_zone: false,
+        };
+        Setup {
+            module: Settings {
+                governors: 1,
+                groups: vec![group; groups],
+                slices: 0,
+                proxies: 16,
+                standing_lines: 12,
+                cold_share: 0.25,
+                warm_after: Duration::from_secs(20),
+                proxies_avoid: true,
+                sums_every: Duration::from_millis(500),
+                lines_per_s: 10_000.0,
+                head_lines: 10.0,
+                waiting_most: 20_000.0,
+                transit_most: Duration::from_millis(500),
+                messages_most: None,
+                level_kind: LevelKind::Share,
+                usual_tries: FurtherTries::Never,
+                crossing_cost: 0.05,
+                probe_cost: None,
+                load_fields: vec![LoadField::Waiting],
+            },
+            proxies: 1000,
+            reports_per_s: 1000.0,
+            empty_after: Duration::from_secs(30),
+        }
+    }
+}
+
+/// One thing for the host to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Have the proxy's front write what it should hold and was not sent; then call [`Engine::sent`], or
+    /// [`Engine::stalled`] if its stream has no room.
+    Flush(ProxyId),
+    /// A stream is over, as a later one has taken its place.
+    Close(StreamId),
+    Probe(ReplicaId),
+    /// Something to write to the log.
+    Note(Note),
+}
+
+/// What the engine was told since the module was last asked.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    Beat,
+    Roster,
+    Reports,
+    Joined,
+    Left,
+    Acked,
+    Probed,
+}
+
+/// One line for the log.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Note {
+    /// What the module decided, and the inputs that it answers.
+    Decided { what: What, version: u64, answers: Arc<[Cause]> },
+    /// An empty roster is not believed before this time.
+    Doubted(Duration),
+    /// A proxy would not take a version; its last good tables stand.
+    Nacked { proxy: Arc<str>, version: u64, words: String },
+    /// So many proxies wait to be let in, as the channel is full.
+    Lobby(usize),
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum What {
+    Withdraw(ReplicaId, bool),
+    /// Changed lines of a table, and the proxy that it is for.
+    Lines(Arc<str>, usize),
+    Follow(Arc<str>, GroupSet),
+    Level(GroupSet, f64, FurtherTries),
+}
+
+pub struct Engine {
+    rules: Governor,
+    roster: Roster,
+    fleet: Fleet,
+    tables: Tables,
+    pace: Pace,
+    reports: Reports,
+    groups: usize,
+    /// Lines that a proxy costs which is given all of its tables.
+    join_cost: f64,
+    /// Joined, but not yet told to the module, as what it gives them would not fit the channel.
+    lobby: VecDeque<(ProxyId, f64)>,
+    /// Lines set aside for those let in since the module last had its beat.
+    set_aside: f64,
+    version: u64,
+    beat_at: Duration,
+    causes: BTreeSet<Cause>,
+    out: VecDeque<Step>,
+    offered: Option<ProxyId>,
+    pulls: u64,
+}
+
+impl Engine {
+    pub fn new(setup: Setup, now: Duration) -> Self {
+        let Setup { module, proxies, reports_per_s, empty_after } = setup;
+        let groups = module.groups.len().min(64);
+        let channel = Channel {
+            lines_per_s: module.lines_per_s.max(1.0),
+            head_lines: module.head_lines,
+            waiting_most: module.waiting_most,
+            messages_most: module.messages_most,
+        };
+        let join_cost = module.head_lines + (groups * module.standing_lines.clamp(1, 100)) as f64;
+        Engine {
+            roster: Roster::new(empty_after),
+            fleet: Fleet::new(proxies),
+            tables: Tables::new(groups, module.usual_tries),
+            pace: Pace::new(channel, now),
+            reports: Reports::new(module.sums_every, reports_per_s),
+            groups,
+            join_cost,
+            lobby: VecDeque::new(),
+            set_aside: 0.0,
+            version: 1,
+            beat_at: now,
+            causes: BTreeSet::new(),
+            out: VecDeque::new(),
+            offered: None,
+            pulls: 0,
+            rules: Governor::new(module, now),
+        }
+    }
+
+    // ---- inputs
+
+    /// The whole list of replicas, as its source now says it.
+    pub fn roster(&mut self, now: Duration, entries: Vec<Entry>) {
+        match self.roster.take(now, entries) {
+            Taken::Same => {}
+            Taken::Doubted(until) => self.out.push_back(Step::Note(Note::Doubted(until))),
+            Taken::Changed(listed) => self.listed(now, &listed),
+        }
+    }
+
+    /// A proxy's stream is up. It holds only its standing table if it says so, came with no orders, and every
+    /// line of it is one that could be drawn from the list as it is now: ready, and of its zone where three are
+    /// there. The module takes a standing table for such a draw; one that names what drains or is gone is
+    /// nobody knows what, and is answered by tables of its own at once.
+    ///
+    /// Errors: as [`Refused`]; nothing is changed by a join that is refused.
+    pub fn joined(&mut self, now: Duration, stream: StreamId, join: &Join) -> Result<Joined, Refused> {
+        let drawn = |(id, weight): &(ReplicaId, f64)| {
+            let known = self.roster.get(id).filter(|one| one.phase == Phase::Ready);
+            known.is_some_and(|one| one.zone == join.zone || self.roster.ready_in(join.zone) < 3)
+                && *weight > 0.0
+        };
+        let fresh = !join.holds_orders && !join.standing.is_empty() && join.standing.iter().all(drawn);
+        let tries = (self.version, self.tables.tries());
+        let joined = self.fleet.join(now, stream, join, fresh, self.groups, tries)?;
+        if joined.reused {
+            self.reports.forget(joined.number);
+        }
+        self.pace.forget(joined.number);
+        self.lobby.retain(|(waiting, _)| *waiting != joined.number);
+        if joined.replaced.is_some() {
+            self.rules.left(joined.number);
+        }
+        self.out.extend(joined.replaced.map(Step::Close));
+        // What is withdrawn holds for it from now on, whatever it stands on; levels likewise.
+        self.refresh(now, &[joined.number], None);
+        self.lobby.push_back((joined.number, join.usual));
+        self.causes.insert(Cause::Joined);
+        Ok(joined)
+    }
+
+    /// A stream is over; the proxy may be dead, or still at work with what it holds.
+    pub fn left(&mut self, now: Duration, stream: StreamId) {
+        let Some(number) = self.fleet.leave(now, stream) else { return };
+        self.pace.forget(number);
+        self.lobby.retain(|(waiting, _)| *waiting != number);
+        self.rules.left(number);
+        self.causes.insert(Cause::Left);
+    }
+
+    /// A load report, by the name of the proxy. Streams are numbered in the order of their opening.
+    ///
+    /// Errors: why it did not count; it is counted as such.
+    pub fn report(
+        &mut self,
+        now: Duration,
+        name: &str,
+        stream: StreamId,
+        report: &Report,
+    ) -> Result<(), Discarded> {
+        let Some((number, proxy)) = self.fleet.named(name) else {
+            return Err(self.reports.discard(Discarded::NotJoined));
+        };
+        let (zone, roster) = (proxy.zone, &self.roster);
+        let listed = |id: &ReplicaId| roster.get(id).is_some_and(|one| one.phase != Phase::Gone);
+        self.reports.take(now, number, zone, stream, report, listed)
+    }
+
+    /// The proxy on a stream took all that it was sent up to a version.
+    pub fn acked(&mut self, now: Duration, stream: StreamId, version: u64) {
+        let Some(number) = self.fleet.number_of(stream) else { return };
+        for ordered in self.fleet.acked(stream, version) {
+            self.rules.acked(now.saturating_sub(ordered));
+            self.causes.insert(Cause::Acked);
+        }
+        if self.fleet.get(number).is_some_and(|proxy| proxy.acked >= proxy.sent) {
+            self.pace.answered(number);
+        }
+    }
+
+    /// The proxy on a stream would not take a version, and says why. Its last good tables stand; it is sent
+    /// nothing again before something has changed.
+    pub fn nacked(&mut self, stream: StreamId, version: u64, words: &str) {
+        let Some(number) = self.fleet.number_of(stream) else { return };
+        self.fleet.nacked(stream, version, words);
+        self.pace.answered(number);
+        if let Some(proxy) = self.fleet.get(number) {
+            let words = proxy.nacked.as_ref().map(|(_, words)| words.clone()).unwrap_or_default();
+            self.out.push_back(Step::Note(Note::Nacked { proxy: proxy.name.clone(), version, words }));
+        }
+    }
+
+    /// The proxy on a stream asks for something that it was not sent yet.
+    pub fn wants(&mut self, now: Duration, stream: StreamId, lines: usize) {
+        if let Some(number) = self.fleet.number_of(stream) {
+            self.pace.want(now, number, lines, true);
+        }
+    }
+
+    /// A flush was written, as so many lines; 0 if there was nothing to say.
+    pub fn sent(&mut self, now: Duration, number: ProxyId, lines: usize) {
+        self.offered = None;
+        if let Some(proxy) = self.fleet.get_mut(number).filter(|_| lines > 0) {
+            proxy.sent = proxy.newest();
+        }
+        self.pace.sent(now, number, lines);
+    }
+
+    /// The proxy's stream has no room for a flush.
+    pub fn stalled(&mut self, number: ProxyId) {
+        self.offered = None;
+        self.pace.stalled(number);
+    }
+
+    /// The proxy's stream has room again.
+    pub fn roomy(&mut self, stream: StreamId) {
+        if let Some(number) = self.fleet.number_of(stream) {
+            self.pace.roomy(number);
+        }
+    }
+
+    /// What a probe found: how long the answer took, if one came.
+    pub fn probed(&mut self, now: Duration, replica: &ReplicaId, took: Option<Duration>, load: &[f64]) {
+        self.rules.probed(now, replica, took, load);
+        self.causes.insert(Cause::Probed);
+    }
+
+    /// A changed limit on lines of reports.
+    pub fn limit_reports(&mut self, lines_per_s: f64) {
+        self.reports.limit(lines_per_s);
+    }
+
+    // ---- steps
+
+    /// The next thing to do, until there is none.
+    pub fn step(&mut self, now: Duration) -> Option<Step> {
+        // A host that left a flush undone would be offered it for ever.
+        if let Some(number) = self.offered.take() {
+            self.pace.stalled(number);
+        }
+        self.settle(now);
+        if let Some(step) = self.out.pop_front() {
+            return Some(step);
+        }
+        let number = self.pace.next(now)?;
+        self.offered = Some(number);
+        Some(Step::Flush(number))
+    }
+
+    /// When to pull [`Engine::step`] again, if nothing else happens.
+    pub fn next_due(&self, now: Duration) -> Duration {
+        let dues = [self.roster.next_due(), self.reports.next_due(), self.pace.next_due(now)];
+        dues.into_iter().flatten().fold(self.beat_at, Duration::min)
+    }
+
+    fn settle(&mut self, now: Duration) {
+        if let Some(listed) = self.roster.due(now) {
+            self.listed(now, &listed);
+        }
+        for told in self.reports.due(now) {
+            self.causes.insert(Cause::Reports);
+            match told {
+                Told::Met(met) => self.rules.met(now, met),
+                Told::Came(came) => self.rules.came(came),
+            }
+        }
+        let waited = self.lobby.len();
+        while let Some((number, usual)) = self.lobby.front().copied() {
+            // One at a time goes in even where the channel never has room, or nobody ever would.
+            let fits = self.pace.has_room(self.set_aside + self.join_cost);
+            if !fits && (self.set_aside > 0.0 || self.pace.waiting(now) > 0) {
+                break;
+            }
+            self.lobby.pop_front();
+            let Some(proxy) = self.fleet.get(number) else { continue };
+            self.rules.joined(now, number, proxy.zone, usual, proxy.fresh);
+            self.set_aside += self.join_cost;
+            self.causes.insert(Cause::Joined);
+        }
+        if waited > 0 && !self.lobby.is_empty() && waited != self.lobby.len() {
+            self.out.push_back(Step::Note(Note::Lobby(self.lobby.len())));
+        }
+        if now >= self.beat_at {
+            self.causes.insert(Cause::Beat);
+            self.set_aside = 0.0;
+            self.rules.beat();
+        }
+        if !self.causes.is_empty() {
+            self.pull(now);
+        }
+    }
+
+    fn listed(&mut self, now: Duration, listed: &[wrenthread::interface::Listed]) {
+        self.rules.listed(now, listed, true);
+        let tables = &self.tables;
+        let held: BTreeSet<&ReplicaId> =
+            self.fleet.iter().flat_map(|(_, one)| &one.standing).map(|(id, _)| id).collect();
+        self.roster.forget(|id| tables.names(id) || held.contains(id));
+        // Addresses may have changed under the same names.
+        let all = self.fleet.numbers();
+        self.refresh(now, &all, None);
+        self.causes.insert(Cause::Roster);
+    }
+
+    /// One flush: all that the module decides now, under one version.
+    fn pull(&mut self, now: Duration) {
+        let answers: Arc<[Cause]> = std::mem::take(&mut self.causes).into_iter().collect();
+        let (mut concerned, mut everyone, mut marked) = (BTreeSet::new(), false, false);
+        self.pulls += 1;
+        let version = self.version + 1;
+        while let Some(decision) = self.rules.decide(now) {
+            let what = match decision {
+                Decision::Wake(after) => {
+                    self.beat_at = now + after;
+                    continue;
+                }
+                Decision::Mark(_) => {
+                    marked = true;
+                    continue;
+                }
+                Decision::Probe(replica) => {
+                    self.out.push_back(Step::Probe(replica));
+                    continue;
+                }
+                Decision::Withdraw(replica, out) => {
+                    self.tables.withdraw(replica.clone(), out);
+                    everyone = true;
+                    What::Withdraw(replica, out)
+                }
+                Decision::Lines(table, lines) => {
+                    let (holder, count) = (self.holder(table), lines.len());
+                    self.tables.lay(table, lines);
+                    concerned.extend(holder);
+                    What::Lines(self.name_of(holder), count)
+                }
+                Decision::Follow(number, table, groups) => {
+                    if let Some(proxy) = self.fleet.get_mut(number) {
+                        for (place, follows) in proxy.follows.iter_mut().enumerate() {
+                            if groups >> place & 1 == 1 {
+                                *follows = Some(table);
+                            }
+                        }
+                        concerned.insert(number);
+                    }
+                    What::Follow(self.name_of(Some(number)), groups)
+                }
+                Decision::Level(groups, level, tries) => {
+                    self.tables.level(groups, level, tries);
+                    everyone = true;
+                    What::Level(groups, level, tries)
+                }
+            };
+            self.out.push_back(Step::Note(Note::Decided { what, version, answers: answers.clone() }));
+        }
+        let concerned: Vec<ProxyId> =
+            if everyone { self.fleet.numbers() } else { concerned.into_iter().collect() };
+        self.refresh(now, &concerned, marked.then_some(now));
+    }
+
+    /// The module numbers a proxy's two tables by twice its number; the adapter and this need only the way back.
+    fn holder(&self, table: TableId) -> Option<ProxyId> {
+        let follows = |proxy: &Proxy| proxy.follows.contains(&Some(table));
+        let near = [table / 2].into_iter().find(|number| self.fleet.get(*number).is_some_and(follows));
+        near.or_else(|| self.fleet.iter().find(|(_, proxy)| follows(proxy)).map(|(number, _)| number))
+    }
+
+    fn name_of(&self, number: Option<ProxyId>) -> Arc<str> {
+        number.and_then(|number| self.fleet.get(number)).map_or_else(|| "".into(), |one| one.name.clone())
+    }
+
+    /// Brings what these proxies should hold up to date; what changed is due to them.
+    fn refresh(&mut self, now: Duration, numbers: &[ProxyId], marked: Option<Duration>) {
+        let version = self.version + 1;
+        let mut changed = false;
+        let tries = self.tables.tries();
+        for number in numbers {
+            let Some(proxy) = self.fleet.get_mut(*number) else { continue };
+            let (mut lines, mut urgent) = (0, false);
+            for group in 0..self.groups {
+                let kept = proxy.tables[group].take();
+                let follows = proxy.follows[group];
+                let told = kept.is_some();
+                let wanted = self.tables.wanted(&self.roster, group, follows, &proxy.standing, told);
+                proxy.tables[group] = match (wanted, kept) {
+                    (None, kept) => kept,
+                    (Some(wanted), Some(kept)) if *kept.table == wanted => Some(kept),
+                    (Some(wanted), kept) => {
+                        lines += kept
+                            .as_ref()
+                            .map_or(wanted.lines.len() + 1, |kept| wanted.differing(&kept.table));
+                        // Who came with holdings that nobody knows, or may send to a drain, can't wait.
+                        let drains = |(id, _): &(ReplicaId, f64)| self.tables.is_withdrawn(id);
+                        urgent |= match &kept {
+                            Some(kept) => self.tables.outdates(&kept.table),
+                            None => !proxy.fresh || proxy.standing.iter().any(drains),
+                        };
+                        // Groups that follow one table share one copy.
+                        let alike = proxy.tables[..group].iter().flatten().find(|one| *one.table == wanted);
+                        let table = alike.map_or_else(|| Arc::new(wanted), |one| one.table.clone());
+                        Some(Kept { version, table })
+                    }
+                };
+            }
+            if proxy.tries.1 != tries {
+                proxy.tries = (version, tries.clone());
+                lines += self.groups;
+            }
+            if lines > 0 {
+                changed = true;
+                if let Some(at) = marked {
+                    proxy.mark(version, at);
+                }
+                self.pace.want(now, *number, lines, urgent);
+            }
+        }
+        self.version += u64::from(changed);
+    }
+
+    // ---- what fronts and operators read
+
+    pub fn proxy(&self, number: ProxyId) -> Option<&Proxy> {
+        self.fleet.get(number)
+    }
+
+    pub fn number_of(&self, stream: StreamId) -> Option<ProxyId> {
+        self.fleet.number_of(stream)
+    }
+
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    pub fn replicas(&self) -> impl Iterator<Item = (&ReplicaId, &Known)> {
+        self.roster.iter()
+    }
+
+    pub fn known_roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    pub fn is_withdrawn(&self, replica: &ReplicaId) -> bool {
+        self.tables.is_withdrawn(replica)
+    }
+
+    /// Why the module has a ready replica out, in its own words.
+    pub fn why_out(&self, replica: &ReplicaId) -> Option<&'static str> {
+        self.rules.why_out(replica)
+    }
+
+    /// Whether a proxy is one of the few on solved tables.
+    pub fn is_critical(&self, number: ProxyId) -> bool {
+        self.rules.is_critical(number)
+    }
+
+    /// By group.
+    pub fn levels(&self) -> &[(f64, FurtherTries)] {
+        self.tables.levels()
+    }
+
+    pub fn reports(&self) -> (&BTreeMap<Discarded, u64>, u64) {
+        self.reports.tally()
+    }
+
+    pub fn figures(&self, now: Duration) -> Figures {
+        Figures {
+            version: self.version,
+            pulls: self.pulls,
+            joined: self.fleet.len(),
+            lobby: self.lobby.len(),
+            lines_waiting: self.pace.waiting(now),
+            lines_waited_most: self.pace.most_waited(),
+            reports_waiting: self.reports.waiting(),
+            roster_doubted: self.roster.doubted(),
+        }
+    }
+}
+
+/// Counts for status pages and metrics.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Figures {
+    pub version: u64,
+    pub pulls: u64,
+    pub joined: usize,
+    pub lobby: usize,
+    pub lines_waiting: usize,
+    pub lines_waited_most: usize,
+    pub reports_waiting: usize,
+    pub roster_doubted: bool,
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/engine/tests.rs
@@ -0,0 +1,232 @@
+use super::*;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(100_000 + ms)
+}
+
+fn entry(id: &str, phase: Phase) -> Entry {
+    Entry { id: id.into(), address: format!("{id}:1").into(), zone: 0, weight: 1.0, phase, started: None }
+}
+
+fn ready(names: &[&str]) -> Vec<Entry> {
+    names.iter().map(|name| entry(name, Phase::Ready)).collect()
+}
+
+fn join(name: &str, standing: &[&str]) -> Join {
+    let standing = standing.iter().map(|id| ((*id).into(), 1.0)).collect();
+    Join { name: name.into(), zone: 0, usual: 5.0, standing, holds_orders: false }
+}
+
+fn engine(names: &[&str]) -> Engine {
+    let mut engine = Engine::new(Setup::example(2), ms(0));
+    engine.roster(ms(0), ready(names));
+    engine
+}
+
+/// A host whose proxies take all at once: what was flushed, by proxy, and the notes.
+fn run(engine: &mut Engine, now: Duration) -> (Vec<ProxyId>, Vec<Note>) {
+    let (mut flushed, mut notes) = (Vec::new(), Vec::new());
+    while let Some(step) = engine.step(now) {
+        match step {
+            Step::Flush(number) => {
+                flushed.push(number);
+                engine.sent(now, number, 3);
+            }
+            Step::Note(note) => notes.push(note),
+            Step::Close(_) | Step::Probe(_) => {}
+        }
+    }
+    (flushed, notes)
+}
+
+fn open(engine: &Engine, number: ProxyId) -> Vec<String> {
+    let table = &engine.proxy(number).unwrap().tables[0];
+    let lines = table.iter().flat_map(|kept| &kept.table.lines).filter(|line| line.open);
+    lines.map(|line| line.replica.to_string()).collect()
+}
+
+#[test]
+fn a_proxy_with_a_standing_table_is_left_alone_and_one_without_is_given_its_tables() {
+    let mut engine = engine(&["a", "b", "c"]);
+    let fresh = engine.joined(ms(1), 1, &join("p", &["a", "b", "c"])).unwrap().number;
+    let bare = engine.joined(ms(1), 2, &join("q", &[])).unwrap().number;
+    let (flushed, _) = run(&mut engine, ms(300));
+    assert_eq!(flushed, [bare]);
+    assert!(engine.proxy(fresh).unwrap().tables.iter().all(Option::is_none));
+    assert_eq!(open(&engine, bare), ["a", "b", "c"]);
+}
+
+#[test]
+fn a_standing_table_that_could_not_be_drawn_now_is_not_taken_for_one() {
+    let mut engine = engine(&["a", "b", "c"]);
+    engine.joined(ms(1), 1, &join("p", &["a", "gone"])).unwrap();
+    engine.joined(ms(1), 2, &Join { holds_orders: true, ..join("q", &["a", "b", "c"]) }).unwrap();
+    let (flushed, _) = run(&mut engine, ms(300));
+    assert_eq!(flushed, [0, 1]);
+}
+
+#[test]
+fn a_drain_reaches_standing_tables_and_own_ones_at_once() {
+    let mut engine = engine(&["a", "b", "c", "d"]);
+    engine.joined(ms(1), 1, &join("p", &["a", "b", "c", "d"])).unwrap();
+    engine.joined(ms(1), 2, &join("q", &[])).unwrap();
+    run(&mut engine, ms(600));
+    engine.acked(ms(610), 2, engine.proxy(1).unwrap().newest());
+    let mut list = ready(&["a", "b", "c", "d"]);
+    list[0].phase = Phase::Draining;
+    engine.roster(ms(700), list);
+    let (flushed, notes) = run(&mut engine, ms(1600));
+    assert_eq!(flushed, [0, 1]);
+    assert!(notes.iter().any(|note| matches!(note,
+        Note::Decided { what: What::Withdraw(id, true), answers, .. } if &**id == "a"
+            && answers.contains(&Cause::Roster) | answers.contains(&Cause::Beat))));
+    assert!((0..2).all(|number| !open(&engine, number).contains(&"a".to_string())));
+    assert!(!open(&engine, 0).is_empty(), "a standing table is told of whole, but for the drain");
+}
+
+#[test]
+fn a_drain_for_a_replica_never_listed_and_a_report_on_it_change_nothing() {
+    let mut engine = engine(&["a", "b", "c"]);
+    engine.joined(ms(1), 1, &join("p", &[])).unwrap();
+    run(&mut engine, ms(600));
+    let before = open(&engine, 0);
+    let mut list = ready(&["a", "b", "c"]);
+    list.push(entry("never", Phase::Draining));
+    engine.roster(ms(700), list);
+    run(&mut engine, ms(1600));
+    assert_eq!(open(&engine, 0), before);
+}
+
+#[test]
+fn an_empty_roster_bares_nobody_and_what_is_back_is_nothing_new() {
+    let mut engine = engine(&["a", "b", "c"]);
+    engine.joined(ms(1), 1, &join("p", &[])).unwrap();
+    run(&mut engine, ms(600));
+    engine.roster(ms(700), vec![]);
+    let (flushed, notes) = run(&mut engine, ms(5000));
+    assert!(flushed.is_empty() && matches!(notes[0], Note::Doubted(_)));
+    assert_eq!(open(&engine, 0).len(), 3);
+    engine.roster(ms(6000), ready(&["a", "b", "c"]));
+    assert!(!engine.figures(ms(6000)).roster_doubted);
+    assert!(run(&mut engine, ms(60_000)).0.is_empty());
+}
+
+#[test]
+fn a_nack_in_the_midst_of_a_flush_holds_still_until_something_changes() {
+    let mut engine = engine(&["a", "b", "c"]);
+    engine.joined(ms(1), 1, &join("p", &[])).unwrap();
+    engine.joined(ms(1), 2, &join("q", &[])).unwrap();
+    run(&mut engine, ms(600));
+    let version = engine.proxy(0).unwrap().newest();
+    engine.nacked(1, version, "no such locality");
+    engine.acked(ms(700), 2, version);
+    let (flushed, notes) = run(&mut engine, ms(3000));
+    assert!(flushed.is_empty());
+    assert!(matches!(&notes[0], Note::Nacked { words, .. } if words == "no such locality"));
+    assert_eq!(engine.proxy(0).unwrap().acked, 0);
+    engine.roster(ms(3100), ready(&["a", "b"]));
+    assert_eq!(run(&mut engine, ms(4000)).0, [0, 1]);
+    engine.acked(ms(4100), 1, engine.proxy(0).unwrap().newest());
+    assert_eq!(engine.proxy(0).unwrap().nacked, None);
+}
+
+#[test]
+fn the_module_hears_of_acks_of_marked_orders_once() {
+    let mut engine = engine(&["a", "b", "c"]);
+    engine.joined(ms(1), 1, &join("p", &[])).unwrap();
+    run(&mut engine, ms(600));
+    engine.acked(ms(650), 1, engine.proxy(0).unwrap().newest());
+    engine.roster(ms(700), ready(&["a", "b"]));
+    run(&mut engine, ms(1600));
+    let version = engine.proxy(0).unwrap().newest();
+    engine.acked(ms(1700), 1, version - 1);
+    assert!(!engine.causes.contains(&Cause::Acked), "an older version's answers nothing marked later");
+    engine.acked(ms(1800), 1, version);
+    assert!(engine.causes.remove(&Cause::Acked));
+    engine.acked(ms(1900), 1, version);
+    assert!(!engine.causes.contains(&Cause::Acked));
+}
+
+#[test]
+fn a_proxy_that_comes_back_to_a_new_governor_with_its_old_orders_is_given_a_whole_state() {
+    let mut engine = engine(&["a", "b", "c"]);
+    let back = Join { holds_orders: true, ..join("p", &[]) };
+    engine.joined(ms(1), 1, &back).unwrap();
+    assert_eq!(run(&mut engine, ms(300)).0, [0]);
+    assert_eq!(open(&engine, 0), ["a", "b", "c"]);
+}
+
+#[test]
+fn a_relay_that_never_reads_gets_the_newest_state_once_it_does() {
+    let mut engine = engine(&["a", "b", "c", "d"]);
+    engine.joined(ms(1), 1, &join("p", &[])).unwrap();
+    while let Some(step) = engine.step(ms(300)) {
+        if let Step::Flush(number) = step {
+            engine.stalled(number);
+        }
+    }
+    for round in 0..50 {
+        let list = if round % 2 == 0 { ready(&["a", "b", "c"]) } else { ready(&["a", "b", "d"]) };
+        engine.roster(ms(1000 * (round + 1)), list);
+        assert!(run(&mut engine, ms(1000 * (round + 1) + 600)).0.is_empty());
+    }
+    engine.roomy(1);
+    assert_eq!(run(&mut engine, ms(60_000)).0, [0], "once, not fifty times");
+    assert!(open(&engine, 0).contains(&"d".to_string()));
+}
+
+#[test]
+fn a_thousand_relays_in_one_second_are_let_in_as_the_channel_bears() {
+    let names: Vec<String> = (0..24).map(|n| format!("r{n:02}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut setup = Setup::example(2);
+    (setup.module.lines_per_s, setup.module.waiting_most) = (5000.0, 4000.0);
+    let most = setup.module.waiting_most;
+    let mut engine = Engine::new(setup, ms(0));
+    engine.roster(ms(0), ready(&names));
+    for number in 0..1000 {
+        engine.joined(ms(number), number, &join(&format!("p{number:04}"), &[])).unwrap();
+    }
+    let late = engine.joined(ms(999), 5000, &join("late", &[]));
+    assert_eq!(late, Err(Refused::Full { joined: 1000, most: 1000 }));
+    let mut done = BTreeSet::new();
+    for tick in 0..2000 {
+        let now = ms(1000 + tick * 20);
+        for number in run(&mut engine, now).0 {
+            engine.acked(now, u64::from(number), engine.proxy(number).unwrap().newest());
+            done.insert(number);
+        }
+        let figures = engine.figures(now);
+        assert!((figures.lines_waiting as f64) < most, "{figures:?}");
+        if done.len() == 1000 {
+            return;
+        }
+    }
+    panic!("{} of 1000 have tables", done.len());
+}
+
+#[test]
+fn the_same_inputs_give_the_same_steps() {
+    let steps = || {
+        let mut engine = engine(&["a", "b", "c"]);
+        engine.joined(ms(1), 1, &join("p", &["a", "b", "c"])).unwrap();
+        engine.joined(ms(2), 2, &join("q", &[])).unwrap();
+        let mut steps = Vec::new();
+        for tick in 1..40 {
+            engine.roster(ms(tick * 250), ready(if tick % 3 == 0 { &["a", "b"] } else { &["a", "b", "c"] }));
+            while let Some(step) = engine.step(ms(tick * 250)) {
+                if let Step::Flush(number) = step {
+                    engine.sent(ms(tick * 250), number, 2);
+                    let proxy = engine.proxy(number).unwrap();
+                    let (stream, newest) = (proxy.stream, proxy.newest());
+                    engine.acked(ms(tick * 250), stream, newest);
+                }
+                steps.push(step);
+            }
+        }
+        steps
+    };
+    let first = steps();
+    assert!(first.len() > 20);
+    assert_eq!(first, steps());
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,381 @@
+//! Who is joined: names and numbers, streams, what each proxy holds, what it was sent and has not acknowledged.
+//!
+//! Proxies come with names, the module knows numbers. A number stays with its name for as long as it can: the
+//! module keeps what it last laid into a number's tables, so a proxy that comes back is sent only changes. It
+//! goes to another name only once its holder has been away for [`REUSE_AFTER`], the longest away first.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use wrenthread::interface::{FurtherTries, ProxyId, ReplicaId, TableId};
+
+use crate::tables::Kept;
+
+/// Numbers are 16 bits wide, and the module gives two tables to each proxy out of as many table numbers, three
+/// of which are kept for other ends: a proxy numbered from here on would never get a table of its own.
+pub const MOST_PROXIES: usize = (u16::MAX as usize - 2) / 2;
+/// Reports and acknowledgements of the former holder are long over by then.
+pub const REUSE_AFTER: Duration = Duration::from_secs(600);
+/// So many takeovers of one name within [`CONTEST_OVER`] mean two proxies of one name, not a reconnect.
+const CONTESTED: usize = 4;
+const CONTEST_OVER: Duration = Duration::from_secs(10);
+/// Marks beyond this many wait for a proxy that acknowledges nothing: the oldest are dropped.
+const MOST_MARKS: usize = 16;
+
+/// A front's stream. Numbers are given by the host and never used twice in a governor's life.
+pub type StreamId = u64;
+
+/// What a proxy says of itself when its stream opens.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Join {
+    pub name: Arc<str>,
+    pub zone: usize,
+    /// Flows a second that it ordinarily receives.
+    pub usual: f64,
+    /// The lines of the standing table that it holds, if it names any.
+    pub standing: Vec<(ReplicaId, f64)>,
+    /// It says that it holds tables of this or another governor besides.
+    pub holds_orders: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum Refused {
+    #[error(
+        "{joined} proxies are joined, and no more numbers are free (at most {most}); join another governor"
+    )]
+    Full { joined: usize, most: usize },
+    #[error(
+        "streams under the name `{name}` replaced each other {times} times in {over:?}: two proxies have it; \
+             give each its own node id"
+    )]
+    Contested { name: Arc<str>, times: usize, over: Duration },
+    #[error("a proxy must come with a name (node id)")]
+    Nameless,
+}
+
+/// Which kind of tables a proxy stands on; told to operators only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    Standing,
+    Own,
+}
+
+/// One joined proxy.
+#[derive(Debug, Clone)]
+pub struct Proxy {
+    pub name: Arc<str>,
+    pub stream: StreamId,
+    pub zone: usize,
+    pub joined_at: Duration,
+    pub standing: Vec<(ReplicaId, f64)>,
+    pub fresh: bool,
+    /// By group: the table that it follows.
+    pub follows: Vec<Option<TableId>>,
+    /// By group: what it should hold, if the governor has anything to say about it.
+    pub tables: Vec<Option<Kept>>,
+    /// By group, and the version of the last change.
+    pub tries: (u64, Vec<FurtherTries>),
+    pub sent: u64,
+    pub acked: u64,
+    /// Version and words of the last table that the proxy would not take, until it takes a later one.
+    pub nacked: Option<(u64, String)>,
+    marks: VecDeque<(u64, Duration)>,
+}
+
+impl Proxy {
+    /// The version of the newest change to what this proxy should hold.
+    pub fn newest(&self) -> u64 {
+        self.tables.iter().flatten().map(|kept| kept.version).fold(self.tries.0, u64::max)
+    }
+
+    pub fn kind(&self) -> Kind {
+        if self.follows.iter().any(Option::is_some) { Kind::Own } else { Kind::Standing }
+    }
+
+    /// A marked order of this version left at this time.
+    pub fn mark(&mut self, version: u64, now: Duration) {
+        if self.marks.len() == MOST_MARKS {
+            self.marks.pop_front();
+        }
+        self.marks.push_back((version, now));
+    }
+
+    /// Marks that an acknowledgement of a version answers, by the time that they were ordered. An older
+    /// acknowledgement than one heard before answers nothing.
+    fn answered(&mut self, version: u64) -> Vec<Duration> {
+        self.acked = self.acked.max(version);
+        let mut answered = Vec::new();
+        while let Some((_, at)) = self.marks.pop_front_if(|(marked, _)| *marked <= version) {
+            answered.push(at);
+        }
+        answered
+    }
+}
+
+/// Gives a number back to its name, or a free one, or none.
+#[derive(Debug)]
+pub struct Numbers {
+    by_name: BTreeMap<Arc<str>, ProxyId>,
+    /// Names that are away, by since when.
+    away: BTreeSet<(Duration, Arc<str>)>,
+    next: usize,
+    most: usize,
+}
+
+impl Numbers {
+    pub fn new(most: usize) -> Self {
+        Numbers { by_name: BTreeMap::new(), away: BTreeSet::new(), next: 0, most: most.min(MOST_PROXIES) }
+    }
+
+    /// The second value is the name that loses the number.
+    pub fn give(&mut self, now: Duration, name: &Arc<str>) -> Option<(ProxyId, Option<Arc<str>>)> {
+        if let Some(number) = self.by_name.get(name) {
+            self.away.retain(|(_, away)| away != name);
+            return Some((*number, None));
+        }
+        if self.next < self.most {
+            let number = self.next as ProxyId;
+            self.next += 1;
+            self.by_name.insert(name.clone(), number);
+            return Some((number, None));
+        }
+        let (since, _) = self.away.first()?;
+        if now < *since + REUSE_AFTER {
+            return None;
+        }
+        let (_, former) = self.away.pop_first()?;
+        let number = self.by_name.remove(&former)?;
+        self.by_name.insert(name.clone(), number);
+        Some((number, Some(former)))
+    }
+
+    pub fn away(&mut self, now: Duration, name: &Arc<str>) {
+        if self.by_name.contains_key(name) {
+            self.away.insert((now, name.clone()));
+        }
+    }
+
+    pub fn most(&self) -> usize {
+        self.most
+    }
+}
+
+#[derive(Debug)]
+pub struct Fleet {
+    proxies: BTreeMap<ProxyId, Proxy>,
+    by_stream: BTreeMap<StreamId, ProxyId>,
+    by_name: BTreeMap<Arc<str>, ProxyId>,
+    numbers: Numbers,
+    /// By name: when streams under it were replaced while they were still up.
+    contests: BTreeMap<Arc<str>, VecDeque<Duration>>,
+}
+
+/// A join that was let in.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Joined {
+    pub number: ProxyId,
+    /// An older stream under the same name, which is over with this.
+    pub replaced: Option<StreamId>,
+    /// Its number was another proxy's.
+    pub reused: bool,
+}
+
+impl Fleet {
+    /// `most` proxies at once; never more than [`MOST_PROXIES`].
+    pub fn new(most: usize) -> Self {
+        Fleet {
+            proxies: BTreeMap::new(),
+            by_stream: BTreeMap::new(),
+            by_name: BTreeMap::new(),
+            numbers: Numbers::new(most),
+            contests: BTreeMap::new(),
+        }
+    }
+
+    /// Lets a proxy in. The newest stream of a name is the true one: a proxy whose stream broke unnoticed comes
+    /// back before its old one is known to be gone. Names that are taken over again and again are refused to the
+    /// newcomer for a while, or two proxies of one name would throw each other out for ever.
+    pub fn join(
+        &mut self,
+        now: Duration,
+        stream: StreamId,
+        join: &Join,
+        fresh: bool,
+        groups: usize,
+        tries: (u64, Vec<FurtherTries>),
+    ) -> Result<Joined, Refused> {
+        if join.name.is_empty() {
+            return Err(Refused::Nameless);
+        }
+        let held = self.by_name.get(&join.name).and_then(|number| self.proxies.get(number));
+        let replaced = held.map(|held| held.stream);
+        if replaced.is_some() {
+            let times = self.contests.entry(join.name.clone()).or_default();
+            while times.pop_front_if(|at| *at + CONTEST_OVER <= now).is_some() {}
+            if times.len() >= CONTESTED {
+                return Err(Refused::Contested {
+                    name: join.name.clone(),
+                    times: times.len(),
+                    over: CONTEST_OVER,
+                });
+            }
+            times.push_back(now);
+        }
+        self.contests.retain(|_, times| times.back().is_some_and(|last| *last + CONTEST_OVER > now));
+        let Some((number, former)) = self.numbers.give(now, &join.name) else {
+            return Err(Refused::Full { joined: self.proxies.len(), most: self.numbers.most() });
+        };
+        if let Some(old) = replaced {
+            self.by_stream.remove(&old);
+        }
+        self.by_stream.insert(stream, number);
+        self.by_name.insert(join.name.clone(), number);
+        let proxy = Proxy {
+            name: join.name.clone(),
+            stream,
+            zone: join.zone,
+            joined_at: now,
+            standing: join.standing.clone(),
+            fresh,
+            follows: vec![None; groups],
+            tables: vec![None; groups],
+            tries,
+            sent: 0,
+            acked: 0,
+            nacked: None,
+            marks: VecDeque::new(),
+        };
+        self.proxies.insert(number, proxy);
+        Ok(Joined { number, replaced, reused: former.is_some() })
+    }
+
+    /// A stream is over. None if a later one under the same name has taken its place.
+    pub fn leave(&mut self, now: Duration, stream: StreamId) -> Option<ProxyId> {
+        let number = self.by_stream.remove(&stream)?;
+        let proxy = self.proxies.remove(&number)?;
+        self.by_name.remove(&proxy.name);
+        self.numbers.away(now, &proxy.name);
+        Some(number)
+    }
+
+    /// A proxy took all up to a version: the times at which the marks that this answers were ordered.
+    pub fn acked(&mut self, stream: StreamId, version: u64) -> Vec<Duration> {
+        let Some(proxy) = self.on_mut(stream) else { return Vec::new() };
+        if proxy.nacked.as_ref().is_some_and(|(refused, _)| *refused <= version) {
+            proxy.nacked = None;
+        }
+        proxy.answered(version)
+    }
+
+    /// A proxy would not take a version. What it held before stands.
+    pub fn nacked(&mut self, stream: StreamId, version: u64, words: &str) {
+        if let Some(proxy) = self.on_mut(stream) {
+            // The words are the proxy's, and might be of any length.
+            proxy.nacked = Some((version, words.chars().take(500).collect()));
+        }
+    }
+
+    pub fn get(&self, number: ProxyId) -> Option<&Proxy> {
+        self.proxies.get(&number)
+    }
+
+    pub fn get_mut(&mut self, number: ProxyId) -> Option<&mut Proxy> {
+        self.proxies.get_mut(&number)
+    }
+
+    pub fn number_of(&self, stream: StreamId) -> Option<ProxyId> {
+        self.by_stream.get(&stream).copied()
+    }
+
+    pub fn named(&self, name: &str) -> Option<(ProxyId, &Proxy)> {
+        let number = self.by_name.get(name)?;
+        Some((*number, self.proxies.get(number)?))
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (ProxyId, &Proxy)> {
+        self.proxies.iter().map(|(number, proxy)| (*number, proxy))
+    }
+
+    pub fn numbers(&self) -> Vec<ProxyId> {
+        self.proxies.keys().copied().collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.proxies.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.proxies.is_empty()
+    }
+
+    fn on_mut(&mut self, stream: StreamId) -> Option<&mut Proxy> {
+        self.by_stream.get(&stream).and_then(|number| self.proxies.get_mut(number))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn join(name: &str) -> Join {
+        Join { name: name.into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: false }
+    }
+
+    fn put(fleet: &mut Fleet, now: u64, stream: StreamId, name: &str) -> Result<Joined, Refused> {
+        fleet.join(Duration::from_secs(now), stream, &join(name), false, 1, (0, vec![]))
+    }
+
+    #[test]
+    fn numbers_stay_with_names_and_are_reused_only_long_after() {
+        let mut fleet = Fleet::new(2);
+        assert_eq!(put(&mut fleet, 1, 1, "a").unwrap().number, 0);
+        assert_eq!(put(&mut fleet, 1, 2, "b").unwrap().number, 1);
+        fleet.leave(Duration::from_secs(2), 1);
+        assert!(matches!(put(&mut fleet, 3, 3, "c"), Err(Refused::Full { joined: 1, most: 2 })));
+        assert_eq!(put(&mut fleet, 4, 4, "a").unwrap().number, 0, "its own again");
+        fleet.leave(Duration::from_secs(5), 4);
+        assert_eq!(put(&mut fleet, 700, 5, "c").unwrap().number, 0);
+        assert!(put(&mut fleet, 701, 6, "a").is_err(), "its number is another's now");
+    }
+
+    #[test]
+    fn no_number_is_given_beyond_those_that_can_hold_tables() {
+        let mut numbers = Numbers::new(usize::MAX);
+        let given = (0..70_000).map_while(|n| numbers.give(Duration::ZERO, &format!("p{n}").into()));
+        assert_eq!(given.map(|(number, _)| number).last(), Some(32_765));
+    }
+
+    #[test]
+    fn the_newest_stream_of_a_name_counts_and_the_old_ones_end_is_no_leaving() {
+        let mut fleet = Fleet::new(9);
+        put(&mut fleet, 1, 1, "a").unwrap();
+        assert_eq!(put(&mut fleet, 2, 2, "a").unwrap().replaced, Some(1));
+        assert_eq!(fleet.leave(Duration::from_secs(3), 1), None);
+        assert_eq!(fleet.len(), 1);
+        assert_eq!(fleet.leave(Duration::from_secs(3), 2), Some(0));
+    }
+
+    #[test]
+    fn two_proxies_of_one_name_do_not_throw_each_other_out_for_ever() {
+        let mut fleet = Fleet::new(9);
+        for stream in 0..5 {
+            put(&mut fleet, 1, stream, "a").unwrap();
+        }
+        assert!(matches!(put(&mut fleet, 2, 9, "a"), Err(Refused::Contested { times: 4, .. })));
+        assert_eq!(fleet.number_of(4), Some(0), "who is in stays in");
+        assert!(put(&mut fleet, 12, 10, "a").is_ok());
+    }
+
+    #[test]
+    fn an_ack_answers_all_marks_up_to_it_and_an_older_one_none() {
+        let mut fleet = Fleet::new(9);
+        put(&mut fleet, 1, 1, "a").unwrap();
+        let proxy = fleet.get_mut(0).unwrap();
+        (3..6).for_each(|version| proxy.mark(version, Duration::from_secs(version)));
+        assert_eq!(fleet.acked(1, 4), [Duration::from_secs(3), Duration::from_secs(4)]);
+        assert_eq!(fleet.acked(1, 2), []);
+        assert_eq!(fleet.get(0).unwrap().acked, 4);
+        assert_eq!(fleet.acked(7, 5), [], "no such stream");
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,23 @@
+//! What stands between the decision module and the fronts, as state machines that open no socket and read no
+//! clock: times and names come in as arguments, and the same inputs give the same outputs.
+//!
+//! [`engine::Engine`] holds one instance of the module. A host tells it what happened, then pulls
+//! [`engine::Engine::step`] until it gives `None`, and carries out each step. Fronts read what a proxy should
+//! hold from [`engine::Engine::proxy`] and only translate it.
+//!
+//! | module | what it keeps |
+//! | --- | --- |
+//! | [`roster`] | the list of replicas, their starts and drains, and whether an empty list is believed |
+//! | [`fleet`] | who is joined under which number, what each holds, what is sent and not yet acknowledged |
+//! | [`tables`] | what the module's decisions make of each proxy's tables |
+//! | [`pace`] | which proxy may be written to next, and what waits |
+//! | [`reports`] | load reports, folded to what the module hears |
+//! | [`weights`] | weights as whole numbers, without losing a line |
+
+pub mod engine;
+pub mod fleet;
+pub mod pace;
+pub mod reports;
+pub mod roster;
+pub mod tables;
+pub mod weights;
--- /dev/null
+++ b/crates/core/src/pace.rs
@@ -0,0 +1,313 @@
+//! Which proxy may be written to next, and what waits.
+//!
+//! Nothing is queued as messages. A proxy either holds the newest state or is due to be told of it; what it is
+//! told is drawn up when its turn comes, so that states which came in between are merged. Turns go to drains
+//! first, then to who has waited longest. A proxy that does not take what it was sent costs the others nothing.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use wrenthread::interface::ProxyId;
+
+/// How much of a second's lines may go at once after a pause, so that a flush leaves in one go.
+const BURST: Duration = Duration::from_millis(250);
+/// What is unacknowledged for longer is with a proxy that does not read, and no longer in the channel.
+const STALLED_AFTER: Duration = Duration::from_secs(5);
+
+/// The channel, as the settings state it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Channel {
+    pub lines_per_s: f64,
+    /// Lines that a message costs on top of its own.
+    pub head_lines: f64,
+    /// Lines that may wait, in all.
+    pub waiting_most: f64,
+    /// Messages that one proxy may be sent within the span.
+    pub messages_most: Option<(usize, Duration)>,
+}
+
+#[derive(Debug, Default, Clone)]
+struct Due {
+    since: Duration,
+    lines: usize,
+    urgent: bool,
+    /// The front has no room for it: its stream is not being read.
+    stalled: bool,
+}
+
+#[derive(Debug, Default)]
+struct Line {
+    due: Option<Due>,
+    /// Lines that were written and not acknowledged, and since when the first of them.
+    in_flight: Option<(usize, Duration)>,
+    written: VecDeque<Duration>,
+}
+
+#[derive(Debug)]
+pub struct Pace {
+    channel: Channel,
+    tokens: f64,
+    filled_at: Duration,
+    proxies: BTreeMap<ProxyId, Line>,
+    turns: BTreeSet<(bool, Duration, ProxyId)>,
+    waiting: usize,
+    most_waited: usize,
+}
+
+impl Pace {
+    pub fn new(channel: Channel, now: Duration) -> Self {
+        let tokens = channel.lines_per_s * BURST.as_secs_f64();
+        Pace {
+            channel,
+            tokens,
+            filled_at: now,
+            proxies: BTreeMap::new(),
+            turns: BTreeSet::new(),
+            waiting: 0,
+            most_waited: 0,
+        }
+    }
+
+    /// A proxy's newest state differs from what it was sent by so many lines. What was said of it before is
+    /// merged with this; a drain is never held back by the rest.
+    pub fn want(&mut self, now: Duration, proxy: ProxyId, lines: usize, urgent: bool) {
+        let line = self.proxies.entry(proxy).or_default();
+        let old = line.due.take();
+        let due = match &old {
+            None => Due { since: now, lines, urgent, stalled: false },
+            Some(old) => Due { lines: old.lines + lines, urgent: old.urgent || urgent, ..old.clone() },
+        };
+        if let Some(old) = &old {
+            self.turns.remove(&(!old.urgent, old.since, proxy));
+            self.waiting -= old.lines;
+        }
+        self.waiting += due.lines;
+        self.most_waited = self.most_waited.max(self.waiting);
+        if !due.stalled {
+            self.turns.insert((!due.urgent, due.since, proxy));
+        }
+        line.due = Some(due);
+    }
+
+    /// The next proxy that may be written to, in the order of turns. It stays due until [`Pace::sent`] or [`Pace::stalled`].
+    pub fn next(&mut self, now: Duration) -> Option<ProxyId> {
+        self.fill(now);
+        let free = |(ordinary, _, proxy): &&(bool, Duration, ProxyId)| {
+            self.proxies.get(proxy).is_some_and(|line| self.free_at(line, !ordinary, now) <= now)
+        };
+        let (ordinary, _, proxy) = *self.turns.iter().find(free)?;
+        (self.tokens >= self.least(self.proxies.get(&proxy)?, !ordinary)).then_some(proxy)
+    }
+
+    /// A proxy was written so many lines: 0 if there turned out to be nothing to say.
+    pub fn sent(&mut self, now: Duration, proxy: ProxyId, lines: usize) {
+        self.fill(now);
+        self.settle(proxy);
+        let Some(line) = self.proxies.get_mut(&proxy) else { return };
+        if lines == 0 {
+            return;
+        }
+        let (before, since) = line.in_flight.unwrap_or((0, now));
+        line.in_flight = Some((before + lines, since));
+        if let Some((most, over)) = self.channel.messages_most {
+            line.written.push_back(now);
+            while line.written.len() > most || line.written.front().is_some_and(|at| *at + over <= now) {
+                line.written.pop_front();
+            }
+        }
+        self.tokens -= self.channel.head_lines + lines as f64;
+    }
+
+    /// A proxy's stream has no room: it is left out until [`Pace::roomy`], and its state goes on being merged.
+    pub fn stalled(&mut self, proxy: ProxyId) {
+        let Some(due) = self.proxies.get_mut(&proxy).and_then(|line| line.due.as_mut()) else { return };
+        due.stalled = true;
+        self.turns.remove(&(!due.urgent, due.since, proxy));
+    }
+
+    /// A proxy's stream has room again.
+    pub fn roomy(&mut self, proxy: ProxyId) {
+        let Some(due) = self.proxies.get_mut(&proxy).and_then(|line| line.due.as_mut()) else { return };
+        due.stalled = false;
+        self.turns.insert((!due.urgent, due.since, proxy));
+    }
+
+    /// A proxy took (or would not take) all that it was sent.
+    pub fn answered(&mut self, proxy: ProxyId) {
+        if let Some(line) = self.proxies.get_mut(&proxy) {
+            line.in_flight = None;
+        }
+    }
+
+    pub fn forget(&mut self, proxy: ProxyId) {
+        self.settle(proxy);
+        self.proxies.remove(&proxy);
+    }
+
+    /// When [`Pace::next`] is worth asking again, if nothing else happens.
+    pub fn next_due(&self, now: Duration) -> Option<Duration> {
+        let lines = self.turns.iter().filter_map(|(ordinary, _, proxy)| {
+            let line = self.proxies.get(proxy)?;
+            let short = ((self.least(line, !ordinary) - self.tokens) / self.channel.lines_per_s.max(1e-9))
+                .clamp(0.0, 60.0);
+            let filled = self.filled_at + Duration::from_secs_f64(short) + Duration::from_millis(1);
+            Some(self.free_at(line, !ordinary, now).max(filled))
+        });
+        // All wait for the same tokens: the first few in turn tell when it goes on.
+        lines.take(64).min().map(|at| at.max(now))
+    }
+
+    /// Lines that wait: due to proxies, or written to them less than some seconds ago and not acknowledged.
+    pub fn waiting(&self, now: Duration) -> usize {
+        let flight = |line: &Line| match line.in_flight {
+            Some((lines, since)) if now < since + STALLED_AFTER => lines,
+            _ => 0,
+        };
+        self.waiting + self.proxies.values().map(flight).sum::<usize>()
+    }
+
+    pub fn most_waited(&self) -> usize {
+        self.most_waited
+    }
+
+    /// Whether so many more lines may come to wait, with a reserve of a fifth left for drains.
+    pub fn has_room(&self, lines: f64) -> bool {
+        let heads = self.turns.len() as f64 * self.channel.head_lines;
+        let debt = (-self.tokens).max(0.0);
+        self.waiting as f64 + heads + debt + lines <= 0.8 * self.channel.waiting_most
+    }
+
+    pub fn head_lines(&self) -> f64 {
+        self.channel.head_lines
+    }
+
+    /// The least that must be in store for a flush. A drain may go into debt with the channel, by one burst at
+    /// most; the rest then waits the longer.
+    fn least(&self, line: &Line, urgent: bool) -> f64 {
+        let lines = line.due.as_ref().map_or(0, |due| due.lines) as f64;
+        if urgent { -self.burst() } else { (self.channel.head_lines + lines).min(self.burst()) }
+    }
+
+    fn burst(&self) -> f64 {
+        self.channel.lines_per_s * BURST.as_secs_f64()
+    }
+
+    fn fill(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.filled_at).as_secs_f64();
+        self.tokens = (self.tokens + passed * self.channel.lines_per_s).min(self.burst());
+        self.filled_at = self.filled_at.max(now);
+    }
+
+    fn settle(&mut self, proxy: ProxyId) {
+        if let Some(due) = self.proxies.get_mut(&proxy).and_then(|line| line.due.take()) {
+            self.turns.remove(&(!due.urgent, due.since, proxy));
+            self.waiting -= due.lines;
+        }
+    }
+
+    /// When a proxy may be written to, the channel apart. What is ordinary waits for the acknowledgement of what
+    /// went before, so that a slow proxy gets fewer and newer states; a drain waits for nothing but the limit
+    /// on messages, of which one is kept for it.
+    fn free_at(&self, line: &Line, urgent: bool, now: Duration) -> Duration {
+        let answered = match line.in_flight {
+            Some((_, since)) if !urgent => since + STALLED_AFTER,
+            _ => now,
+        };
+        let Some((most, over)) = self.channel.messages_most else { return answered };
+        let most = if urgent { most } else { most.saturating_sub(1) }.max(1);
+        let full = line.written.len().checked_sub(most).and_then(|at| line.written.get(at));
+        full.map_or(answered, |at| answered.max(*at + over))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    fn pace(lines_per_s: f64, messages_most: Option<(usize, Duration)>) -> Pace {
+        Pace::new(Channel { lines_per_s, head_lines: 10.0, waiting_most: 100.0, messages_most }, ms(0))
+    }
+
+    #[test]
+    fn drains_go_first_and_the_longest_waiting_next() {
+        let mut pace = pace(10_000.0, None);
+        pace.want(ms(1), 1, 5, false);
+        pace.want(ms(2), 2, 5, false);
+        pace.want(ms(3), 3, 1, true);
+        let mut order = Vec::new();
+        while let Some(proxy) = pace.next(ms(4)) {
+            pace.sent(ms(4), proxy, 5);
+            order.push(proxy);
+        }
+        assert_eq!(order, [3, 1, 2]);
+        assert_eq!(pace.waiting, 0);
+    }
+
+    #[test]
+    fn what_is_due_to_a_slow_proxy_is_merged_but_a_drain_goes_at_once() {
+        let mut pace = pace(10_000.0, None);
+        pace.want(ms(1), 1, 5, false);
+        pace.next(ms(1)).unwrap();
+        pace.sent(ms(1), 1, 5);
+        pace.want(ms(2), 1, 5, false);
+        assert_eq!(pace.next(ms(3)), None, "not acknowledged yet");
+        pace.want(ms(4), 1, 2, true);
+        assert_eq!(pace.next(ms(4)), Some(1));
+        assert_eq!(pace.waiting(ms(4)), 12);
+        pace.sent(ms(4), 1, 6);
+        pace.answered(1);
+        assert_eq!(pace.waiting(ms(5)), 0);
+    }
+
+    #[test]
+    fn a_proxy_that_never_reads_holds_up_nobody_and_grows_nothing() {
+        let mut pace = pace(10_000.0, None);
+        pace.want(ms(1), 1, 5, true);
+        pace.want(ms(2), 2, 5, false);
+        pace.stalled(1);
+        assert_eq!(pace.next(ms(2)), Some(2));
+        (0..1000).for_each(|_| pace.want(ms(3), 1, 1, true));
+        assert_eq!((pace.proxies.len(), pace.turns.len()), (2, 1));
+        pace.roomy(1);
+        assert_eq!(pace.next(ms(4)), Some(1));
+        pace.forget(1);
+        assert_eq!(pace.next(ms(4)), Some(2));
+    }
+
+    #[test]
+    fn the_channels_pace_is_kept_and_the_time_of_the_next_is_known() {
+        let mut pace = pace(100.0, None);
+        pace.want(ms(0), 1, 90, false);
+        pace.want(ms(0), 2, 1, false);
+        assert_eq!(pace.next(ms(0)), Some(1), "a state larger than a burst goes once the burst is full");
+        pace.sent(ms(0), 1, 90);
+        assert_eq!(pace.next(ms(1)), None);
+        let due = pace.next_due(ms(1)).unwrap();
+        assert!((ms(800)..ms(900)).contains(&due), "{due:?}");
+        assert_eq!(pace.next(due), Some(2));
+        pace.want(ms(1), 3, 1, true);
+        pace.sent(due, 2, 1);
+        assert!(!pace.has_room(80.0) && pace.has_room(60.0));
+    }
+
+    #[test]
+    fn messages_to_a_proxy_are_limited_and_the_last_is_kept_for_a_drain() {
+        let mut pace = pace(10_000.0, Some((2, ms(1000))));
+        pace.want(ms(0), 1, 1, false);
+        pace.sent(ms(0), 1, 1);
+        pace.answered(1);
+        pace.want(ms(10), 1, 1, false);
+        assert_eq!(pace.next(ms(10)), None);
+        assert_eq!(pace.next_due(ms(10)), Some(ms(1000)));
+        pace.want(ms(20), 1, 1, true);
+        assert_eq!(pace.next(ms(20)), Some(1));
+        pace.sent(ms(20), 1, 1);
+        pace.want(ms(30), 1, 1, true);
+        assert_eq!(pace.next(ms(30)), None);
+        assert_eq!(pace.next(ms(1000)), Some(1));
+    }
+}
--- /dev/null
+++ b/crates/core/src/reports.rs
@@ -0,0 +1,425 @@
+//! Load reports, folded to what the module hears: `Met` by zone and replica, `Came` by proxy and group.
+//!
+//! Public load reports carry no number. A report counts once, or not at all, by three marks:
+//!
+//! - its stream: only the newest of a proxy counts, what an older one still brings is over;
+//! - its content: one that says the very same, to the nanosecond of its interval, as one of the last few of the
+//!   same proxy is a copy, on whichever stream it comes. An idle proxy's empty reports may be alike; they tell
+//!   nothing, so nothing is lost;
+//! - its interval: all intervals of a proxy together can't be longer than the time since it began to report. What
+//!   goes beyond that was counted before, out of order. Late reports fit, as their time has passed.
+//!
+//! What was counted is gathered over a period and passed on as so many lines a second at most, those that have
+//! waited longest first; the rest goes on being summed.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+use wrenthread::interface::{Came, Met, ProxyId, ReplicaId};
+
+use crate::fleet::StreamId;
+
+/// Copies come soon after: so many reports are remembered of each proxy.
+const REMEMBERED: usize = 8;
+/// Intervals and their way here are not exact: so much may be counted ahead of time.
+const AHEAD: Duration = Duration::from_millis(1500);
+/// An interval beyond this says nothing of the present.
+const LONGEST: Duration = Duration::from_secs(300);
+/// No proxy sends more than this between two reports; beyond it a counter went backwards and wrapped.
+const MOST_TRIES: u64 = 1 << 40;
+
+/// What a proxy met at one replica within the interval.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AtReplica {
+    pub group: usize,
+    pub replica: ReplicaId,
+    pub delivered: u64,
+    pub dropped: u64,
+    pub issued: u64,
+    pub in_progress: u64,
+    /// Sum of the answer times of the delivered ones that tell it, and their number.
+    pub answers: (Duration, u64),
+    /// The replica's latest word of its load, in the order of the settings' load fields.
+    pub load: Vec<f64>,
+}
+
+/// One report of one proxy.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Report {
+    pub interval: Duration,
+    pub met: Vec<AtReplica>,
+    /// By group: flows that were blocked before any try.
+    pub blocked: Vec<(usize, u64)>,
+}
+
+/// Why a report, or a line of one, did not count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum Discarded {
+    #[error("from a proxy that has not joined")]
+    NotJoined,
+    #[error("from an older stream of the proxy")]
+    OldStream,
+    #[error("a copy of one counted before")]
+    Copy,
+    #[error("more time reported than has passed")]
+    OutOfOrder,
+    #[error("an interval of nothing, or longer than five minutes")]
+    Interval,
+    #[error("counters that can't be: more answered than tried, or beyond all bounds")]
+    Counters,
+    #[error("on a replica that is not listed")]
+    Unlisted,
+}
+
+#[derive(Debug, Default)]
+struct Source {
+    stream: StreamId,
+    since: Duration,
+    covered: Duration,
+    seen: VecDeque<u64>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Key {
+    Met(usize, ReplicaId),
+    Came(ProxyId, usize),
+}
+
+#[derive(Debug, Default, Clone)]
+struct Sum {
+    tries: u64,
+    dropped: u64,
+    answers: (Duration, u64),
+    load: Vec<f64>,
+}
+
+/// A line for the module.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Told {
+    Met(Met),
+    Came(Came),
+}
+
+#[derive(Debug)]
+pub struct Reports {
+    period: Duration,
+    lines_per_s: f64,
+    sources: BTreeMap<ProxyId, Source>,
+    sums: BTreeMap<Key, Sum>,
+    /// What waits, by since when.
+    order: BTreeSet<(Duration, Key)>,
+    last: BTreeMap<Key, Duration>,
+    next: Option<Duration>,
+    spare: f64,
+    discarded: BTreeMap<Discarded, u64>,
+    counted: u64,
+}
+
+impl Reports {
+    /// `period`: how often sums are passed on; `lines_per_s`: how many lines a second at most.
+    pub fn new(period: Duration, lines_per_s: f64) -> Self {
+        Reports {
+            period: period.max(Duration::from_millis(10)),
+            lines_per_s,
+            sources: BTreeMap::new(),
+            sums: BTreeMap::new(),
+            order: BTreeSet::new(),
+            last: BTreeMap::new(),
+            next: None,
+            spare: 0.0,
+            discarded: BTreeMap::new(),
+            counted: 0,
+        }
+    }
+
+    pub fn limit(&mut self, lines_per_s: f64) {
+        self.lines_per_s = lines_per_s;
+    }
+
+    pub fn discard(&mut self, why: Discarded) -> Discarded {
+        *self.discarded.entry(why).or_default() += 1;
+        why
+    }
+
+    /// Reports thrown away, by why; and those that counted.
+    pub fn tally(&self) -> (&BTreeMap<Discarded, u64>, u64) {
+        (&self.discarded, self.counted)
+    }
+
+    /// A number goes to another proxy: what its former holder reported is over.
+    pub fn forget(&mut self, proxy: ProxyId) {
+        self.sources.remove(&proxy);
+        let gone = |key: &Key| matches!(key, Key::Came(of, _) if *of == proxy);
+        self.sums.retain(|key, _| !gone(key));
+        self.order.retain(|(_, key)| !gone(key));
+        self.last.retain(|key, _| !gone(key));
+    }
+
+    /// Counts a report, but for its lines on replicas that `listed` does not know. Streams are numbered in the
+    /// order in which they were opened.
+    pub fn take(
+        &mut self,
+        now: Duration,
+        proxy: ProxyId,
+        zone: usize,
+        stream: StreamId,
+        report: &Report,
+        listed: impl Fn(&ReplicaId) -> bool,
+    ) -> Result<(), Discarded> {
+        let verdict = self.judge(now, proxy, stream, report);
+        if let Err(why) = verdict {
+            return Err(self.discard(why));
+        }
+        self.counted += 1;
+        let mut came: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
+        for (group, blocked) in &report.blocked {
+            came.entry(*group).or_default().0 += blocked;
+        }
+        for met in &report.met {
+            let (flows, dropped) = came.entry(met.group).or_default();
+            // A try of which nothing has come yet is a flow that came.
+            *flows += met.issued.max(met.delivered + met.dropped);
+            *dropped += met.dropped;
+            if !listed(&met.replica) {
+                self.discard(Discarded::Unlisted);
+                continue;
+            }
+            if met.delivered + met.dropped > 0 || !met.load.is_empty() {
+                let sum = self.sum(now, Key::Met(zone, met.replica.clone()));
+                sum.tries += met.delivered + met.dropped;
+                sum.dropped += met.dropped;
+                sum.answers.0 = sum.answers.0.saturating_add(met.answers.0);
+                sum.answers.1 += met.answers.1;
+                if !met.load.is_empty() {
+                    sum.load = met.load.clone();
+                }
+            }
+        }
+        for (group, (flows, dropped)) in came {
+            let sum = self.sum(now, Key::Came(proxy, group));
+            sum.tries += flows;
+            sum.dropped += dropped;
+        }
+        self.next = self.next.or(Some(now + self.period));
+        Ok(())
+    }
+
+    fn judge(
+        &mut self,
+        now: Duration,
+        proxy: ProxyId,
+        stream: StreamId,
+        report: &Report,
+    ) -> Result<(), Discarded> {
+        if report.interval.is_zero() || report.interval > LONGEST {
+            return Err(Discarded::Interval);
+        }
+        let since = now.saturating_sub(report.interval);
+        let source = self.sources.entry(proxy).or_insert_with(|| Source { since, ..Source::default() });
+        if stream < source.stream {
+            return Err(Discarded::OldStream);
+        }
+        // What it met while its stream was broken comes on the next one: the account goes on.
+        source.stream = stream;
+        let odd = |met: &AtReplica| {
+            let most = met.delivered.max(met.dropped).max(met.issued);
+            most > MOST_TRIES || met.answers.1 > met.delivered || met.load.iter().any(|one| !one.is_finite())
+        };
+        if report.met.iter().any(odd) || report.blocked.iter().any(|(_, blocked)| *blocked > MOST_TRIES) {
+            return Err(Discarded::Counters);
+        }
+        let mark = digest(report);
+        if source.seen.contains(&mark) {
+            return Err(Discarded::Copy);
+        }
+        if source.covered + report.interval > now.saturating_sub(source.since) + AHEAD + report.interval / 2 {
+            return Err(Discarded::OutOfOrder);
+        }
+        source.covered += report.interval;
+        source.seen.push_back(mark);
+        if source.seen.len() > REMEMBERED {
+            source.seen.pop_front();
+        }
+        // An account that lags far behind would let copies of long ago in: what was never reported is given up.
+        let passed = now.saturating_sub(source.since);
+        source.covered = source.covered.max(passed.saturating_sub(LONGEST));
+        Ok(())
+    }
+
+    fn sum(&mut self, now: Duration, key: Key) -> &mut Sum {
+        if !self.sums.contains_key(&key) {
+            self.order.insert((now, key.clone()));
+        }
+        self.sums.entry(key).or_default()
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        self.next
+    }
+
+    /// Lines for the module, if a period is over.
+    pub fn due(&mut self, now: Duration) -> Vec<Told> {
+        if self.next.is_none_or(|next| now < next) {
+            return Vec::new();
+        }
+        let share = self.lines_per_s * self.period.as_secs_f64();
+        // A share below one line adds up; what was not used is not saved for later.
+        self.spare = self.spare.min(1.0) + share.min(1e9);
+        let mut told = Vec::new();
+        while self.spare >= 1.0 {
+            let Some((since, key)) = self.order.pop_first() else { break };
+            let sum = self.sums.remove(&key).unwrap_or_default();
+            self.spare -= 1.0;
+            let before = self.last.insert(key.clone(), now);
+            // From the last line of its kind, but no more than a few periods before its first count: what was
+            // not met at all in between would make the rate of what is met now look like nothing.
+            let from = before.unwrap_or_default().max(since.saturating_sub(self.period));
+            let span = now.saturating_sub(from).max(self.period);
+            told.push(match key {
+                Key::Met(zone, replica) => Told::Met(Met {
+                    zone,
+                    replica,
+                    tries: sum.tries,
+                    dropped: sum.dropped,
+                    mean: (sum.answers.1 > 0).then(|| sum.answers.0.div_f64(sum.answers.1 as f64)),
+                    span,
+                    load: sum.load,
+                }),
+                Key::Came(proxy, group) => {
+                    Told::Came(Came { proxy, group, flows: sum.tries, dropped: sum.dropped, span })
+                }
+            });
+        }
+        self.last.retain(|_, at| *at + LONGEST > now);
+        self.next = Some(now + self.period).filter(|_| !self.order.is_empty());
+        told
+    }
+
+    /// Lines that wait for their turn.
+    pub fn waiting(&self) -> usize {
+        self.order.len()
+    }
+}
+
+fn digest(report: &Report) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    report.interval.hash(&mut hasher);
+    report.blocked.hash(&mut hasher);
+    for met in &report.met {
+        (met.group, &met.replica, met.delivered, met.dropped, met.issued, met.in_progress).hash(&mut hasher);
+        met.answers.hash(&mut hasher);
+        met.load.iter().for_each(|one| one.to_bits().hash(&mut hasher));
+    }
+    hasher.finish()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    fn report(interval: u64, delivered: u64, dropped: u64) -> Report {
+        let met = AtReplica {
+            group: 0,
+            replica: "a".into(),
+            delivered,
+            dropped,
+            issued: delivered + dropped,
+            in_progress: 0,
+            answers: (ms(20u64.saturating_mul(delivered)), delivered),
+            load: vec![],
+        };
+        Report { interval: ms(interval), met: vec![met], blocked: vec![(0, 1)] }
+    }
+
+    fn reports() -> Reports {
+        Reports::new(ms(500), 1000.0)
+    }
+
+    fn take(reports: &mut Reports, now: u64, stream: StreamId, report: &Report) -> Result<(), Discarded> {
+        reports.take(ms(now), 7, 2, stream, report, |id| &**id == "a")
+    }
+
+    #[test]
+    fn a_report_becomes_a_line_by_replica_and_one_by_group() {
+        let mut reports = reports();
+        take(&mut reports, 11_000, 1, &report(1000, 9, 1)).unwrap();
+        take(&mut reports, 11_300, 1, &report(500, 10, 0)).unwrap();
+        assert_eq!(reports.due(ms(11_499)), []);
+        let told = reports.due(ms(11_500));
+        let Told::Met(met) = &told[0] else { panic!("{told:?}") };
+        assert_eq!((met.zone, met.tries, met.dropped, met.mean), (2, 20, 1, Some(ms(20))));
+        let Told::Came(came) = told[1] else { panic!("{told:?}") };
+        assert_eq!((came.proxy, came.flows, came.dropped), (7, 22, 1));
+        assert_eq!(reports.next_due(), None);
+    }
+
+    #[test]
+    fn a_copy_counts_once_on_whichever_stream_it_comes() {
+        let mut reports = reports();
+        take(&mut reports, 11_000, 1, &report(1000, 9, 1)).unwrap();
+        assert_eq!(take(&mut reports, 30_000, 1, &report(1000, 9, 1)), Err(Discarded::Copy));
+        assert_eq!(take(&mut reports, 31_000, 2, &report(1000, 9, 1)), Err(Discarded::Copy));
+        assert_eq!(take(&mut reports, 31_000, 1, &report(1000, 8, 1)), Err(Discarded::OldStream));
+        assert_eq!(reports.tally().1, 1);
+    }
+
+    #[test]
+    fn late_reports_count_but_not_more_time_than_has_passed() {
+        let mut reports = reports();
+        take(&mut reports, 11_000, 1, &report(1000, 1, 0)).unwrap();
+        for late in 2..=5 {
+            take(&mut reports, 15_000, 1, &report(1000, late, 0)).unwrap();
+        }
+        take(&mut reports, 15_000, 1, &report(1001, 6, 0)).unwrap();
+        assert_eq!(take(&mut reports, 15_000, 1, &report(1002, 7, 0)), Err(Discarded::OutOfOrder));
+        take(&mut reports, 17_000, 1, &report(1002, 7, 0)).unwrap();
+    }
+
+    #[test]
+    fn spans_of_nothing_and_impossible_counters_do_not_count() {
+        let mut reports = reports();
+        assert_eq!(take(&mut reports, 11_000, 1, &report(0, 1, 0)), Err(Discarded::Interval));
+        assert_eq!(take(&mut reports, 11_000, 1, &report(400_000, 1, 0)), Err(Discarded::Interval));
+        assert_eq!(take(&mut reports, 11_000, 1, &report(1000, u64::MAX, 0)), Err(Discarded::Counters));
+        let mut odd = report(1000, 5, 0);
+        odd.met[0].answers.1 = 6;
+        assert_eq!(take(&mut reports, 11_000, 1, &odd), Err(Discarded::Counters));
+        assert_eq!(reports.due(ms(99_000)), []);
+    }
+
+    #[test]
+    fn lines_on_unlisted_replicas_are_left_out_and_the_rest_counts() {
+        let mut reports = reports();
+        let mut both = report(1000, 5, 0);
+        both.met.push(AtReplica { replica: "gone".into(), ..both.met[0].clone() });
+        take(&mut reports, 11_000, 1, &both).unwrap();
+        assert_eq!(reports.tally().0[&Discarded::Unlisted], 1);
+        assert_eq!(reports.due(ms(12_000)).len(), 2);
+    }
+
+    #[test]
+    fn the_limit_holds_and_the_oldest_lines_go_first() {
+        let mut reports = Reports::new(ms(500), 4.0);
+        for proxy in 0..6 {
+            let idle = Report { interval: ms(1000), met: vec![], blocked: vec![(0, u64::from(proxy) + 1)] };
+            reports.take(ms(11_000 + u64::from(proxy)), proxy, 0, 1, &idle, |_| true).unwrap();
+        }
+        let told = |told: Vec<Told>| -> Vec<(ProxyId, u64)> {
+            let came = told.into_iter().map(|one| match one {
+                Told::Came(came) => (came.proxy, came.flows),
+                Told::Met(met) => panic!("{met:?}"),
+            });
+            came.collect()
+        };
+        assert_eq!(told(reports.due(ms(11_500))), [(0, 1), (1, 2)]);
+        let more = Report { interval: ms(1000), met: vec![], blocked: vec![(0, 50)] };
+        reports.take(ms(11_600), 5, 0, 1, &more, |_| true).unwrap();
+        assert_eq!(told(reports.due(ms(12_000))), [(2, 3), (3, 4)]);
+        assert_eq!(told(reports.due(ms(12_500))), [(4, 5), (5, 56)], "and what waits is summed");
+    }
+}
--- /dev/null
+++ b/crates/core/src/roster.rs
@@ -0,0 +1,233 @@
+//! The list of replicas: what it says, and whether it is believed.
+//!
+//! Lists come whole. An empty one after one that was not is most often a source that lost its own list: it is
+//! doubted until it has stood for a stated time, and the last one stays in force meanwhile. That guards
+//! against a fleet blocked by a broken source; it does harm where all replicas really left at once, as their
+//! proxies keep lines to them for so long (and find nobody there either way).
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wrenthread::interface::{Listed, Phase, ReplicaId};
+
+/// One replica, as its source names it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Entry {
+    pub id: ReplicaId,
+    /// Where proxies reach it, `host:port`.
+    pub address: Arc<str>,
+    /// Its place in the zones of the settings.
+    pub zone: usize,
+    pub weight: f64,
+    pub phase: Phase,
+    /// When its process started, on the host's clock; none for long ago.
+    pub started: Option<Duration>,
+}
+
+/// What the engine knows of a replica beyond what the module needs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Known {
+    pub address: Arc<str>,
+    pub zone: usize,
+    pub weight: f64,
+    pub phase: Phase,
+    pub started: Option<Duration>,
+}
+
+#[derive(Debug)]
+pub struct Roster {
+    known: BTreeMap<ReplicaId, Known>,
+    by_address: BTreeMap<Arc<str>, ReplicaId>,
+    empty_after: Duration,
+    /// Since when the source has said that there are no replicas at all.
+    empty_since: Option<Duration>,
+    lists: u64,
+}
+
+/// What became of a list.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Taken {
+    /// Nothing differs from what was known.
+    Same,
+    /// What the module is to be told, whole.
+    Changed(Vec<Listed>),
+    /// The list is empty and the last one stays in force until the time given.
+    Doubted(Duration),
+}
+
+impl Roster {
+    /// `empty_after`: how long an empty list must stand before it is believed.
+    pub fn new(empty_after: Duration) -> Self {
+        Roster {
+            known: BTreeMap::new(),
+            by_address: BTreeMap::new(),
+            empty_after,
+            empty_since: None,
+            lists: 0,
+        }
+    }
+
+    /// Takes a whole list. What it leaves out is gone. A start later than `now` is taken for `now`: the
+    /// source's clock runs ahead, and a replica from the future would count as cold for too long.
+    pub fn take(&mut self, now: Duration, entries: Vec<Entry>) -> Taken {
+        self.lists += 1;
+        let held = self.known.values().any(|one| one.phase != Phase::Gone);
+        if entries.is_empty() && held {
+            let since = *self.empty_since.get_or_insert(now);
+            if now < since + self.empty_after {
+                return Taken::Doubted(since + self.empty_after);
+            }
+        } else {
+            self.empty_since = None;
+        }
+        self.replace(now, entries)
+    }
+
+    /// To be called when an empty list's time is over: it is believed then.
+    pub fn due(&mut self, now: Duration) -> Option<Vec<Listed>> {
+        let since = self.empty_since.filter(|since| now >= *since + self.empty_after)?;
+        match self.replace(since, Vec::new()) {
+            Taken::Changed(listed) => Some(listed),
+            _ => None,
+        }
+    }
+
+    /// When [`Roster::due`] is next to be called.
+    pub fn next_due(&self) -> Option<Duration> {
+        let held = self.known.values().any(|one| one.phase != Phase::Gone);
+        self.empty_since.filter(|_| held).map(|since| since + self.empty_after)
+    }
+
+    fn replace(&mut self, now: Duration, entries: Vec<Entry>) -> Taken {
+        let before = self.known.clone();
+        self.known.values_mut().for_each(|one| one.phase = Phase::Gone);
+        for entry in entries {
+            let Entry { id, address, zone, weight, phase, started } = entry;
+            // Clamped once: a start that moved with each list would make a new process of each.
+            let known = before.get(&id).and_then(|known| known.started);
+            let started = started.map(|at| if at > now { known.unwrap_or(now) } else { at });
+            self.known.insert(id, Known { address, zone, weight, phase, started });
+        }
+        if self.known == before {
+            return Taken::Same;
+        }
+        // Two replicas may have had one address, one after the other: the one that is not gone has it.
+        self.by_address.clear();
+        let (gone, here): (Vec<_>, Vec<_>) = self.known.iter().partition(|(_, one)| one.phase == Phase::Gone);
+        for (id, one) in gone.into_iter().chain(here) {
+            self.by_address.insert(one.address.clone(), id.clone());
+        }
+        let listed = self.known.iter().filter(|(_, one)| one.phase != Phase::Gone);
+        Taken::Changed(
+            listed
+                .map(|(id, one)| Listed {
+                    id: id.clone(),
+                    phase: one.phase,
+                    zone: one.zone,
+                    weight: one.weight,
+                    started: one.started,
+                })
+                .collect(),
+        )
+    }
+
+    /// What was last known of a replica, also of one that is gone.
+    pub fn get(&self, id: &ReplicaId) -> Option<&Known> {
+        self.known.get(id)
+    }
+
+    /// The replica that has an address, or had it last.
+    pub fn at(&self, address: &str) -> Option<&ReplicaId> {
+        self.by_address.get(address)
+    }
+
+    pub fn is_ready(&self, id: &ReplicaId) -> bool {
+        self.known.get(id).is_some_and(|one| one.phase == Phase::Ready)
+    }
+
+    pub fn ready_in(&self, zone: usize) -> usize {
+        self.known.values().filter(|one| one.zone == zone && one.phase == Phase::Ready).count()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&ReplicaId, &Known)> {
+        self.known.iter()
+    }
+
+    /// How many lists have come.
+    pub fn lists(&self) -> u64 {
+        self.lists
+    }
+
+    pub fn doubted(&self) -> bool {
+        self.next_due().is_some()
+    }
+
+    /// Drops what is gone and named nowhere, so that years of deploys under new names don't pile up here.
+    pub fn forget(&mut self, named: impl Fn(&ReplicaId) -> bool) {
+        self.known.retain(|id, one| one.phase != Phase::Gone || named(id));
+        self.by_address.retain(|_, id| self.known.contains_key(id));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(id: &str, phase: Phase, started: Option<u64>) -> Entry {
+        Entry {
+            id: id.into(),
+            address: format!("10.0.0.1:{}", id.len()).into(),
+            zone: 0,
+            weight: 1.0,
+            phase,
+            started: started.map(Duration::from_secs),
+        }
+    }
+
+    const fn s(seconds: u64) -> Duration {
+        Duration::from_secs(seconds)
+    }
+
+    #[test]
+    fn an_empty_list_is_believed_only_once_it_has_stood() {
+        let mut roster = Roster::new(s(30));
+        roster.take(s(1), vec![entry("a", Phase::Ready, None)]);
+        assert_eq!(roster.take(s(10), vec![]), Taken::Doubted(s(40)));
+        assert_eq!(roster.due(s(39)), None);
+        assert!(roster.is_ready(&"a".into()));
+        assert_eq!(roster.take(s(20), vec![entry("a", Phase::Ready, None)]), Taken::Same);
+        assert_eq!(roster.next_due(), None, "the list is back");
+        assert_eq!(roster.take(s(50), vec![]), Taken::Doubted(s(80)));
+        assert_eq!(roster.due(s(80)), Some(vec![]));
+        assert!(!roster.is_ready(&"a".into()));
+    }
+
+    #[test]
+    fn a_start_ahead_of_the_clock_is_taken_for_the_first_sight_of_it() {
+        let mut roster = Roster::new(s(30));
+        roster.take(s(10), vec![entry("a", Phase::Ready, Some(500))]);
+        assert_eq!(roster.get(&"a".into()).unwrap().started, Some(s(10)));
+        assert_eq!(roster.take(s(11), vec![entry("a", Phase::Ready, Some(500))]), Taken::Same);
+    }
+
+    #[test]
+    fn a_new_process_under_an_old_name_is_told_of() {
+        let mut roster = Roster::new(s(30));
+        roster.take(s(10), vec![entry("a", Phase::Ready, Some(1))]);
+        let Taken::Changed(listed) = roster.take(s(20), vec![entry("a", Phase::Ready, Some(15))]) else {
+            panic!("the start differs")
+        };
+        assert_eq!(listed[0].started, Some(s(15)));
+    }
+
+    #[test]
+    fn an_address_belongs_to_whoever_is_not_gone() {
+        let mut roster = Roster::new(s(30));
+        roster.take(s(1), vec![entry("b", Phase::Ready, None)]);
+        roster.take(s(2), vec![entry("a", Phase::Ready, None)]);
+        assert_eq!(roster.at("10.0.0.1:1"), Some(&"a".into()));
+        roster.forget(|_| false);
+        assert!(roster.get(&"b".into()).is_none());
+    }
+}
--- /dev/null
+++ b/crates/core/src/tables.rs
@@ -0,0 +1,217 @@
+//! What the module's decisions make of each proxy's tables.
+//!
+//! Lines are the module's, or a proxy's own standing ones: none is made up here. A withdrawn replica's line
+//! stands, shut, so that fronts can tell proxies of it by the same resource as all else.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use wrenthread::interface::{FurtherTries, GroupSet, ReplicaId, TableId};
+
+use crate::roster::Roster;
+
+/// One line of a proxy's table, with all that a front needs to say it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Line {
+    pub replica: ReplicaId,
+    pub address: Arc<str>,
+    pub zone: usize,
+    pub weight: f64,
+    /// Shut lines are not to be sent to: the replica drains, is gone, or is held back.
+    pub open: bool,
+}
+
+/// A group's table, as one proxy should hold it. Lines are in the order of their replicas' names.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Table {
+    pub lines: Vec<Line>,
+    /// The share of the group's flows to let in.
+    pub level: f64,
+}
+
+impl Table {
+    /// Lines that differ from another table's.
+    pub fn differing(&self, other: &Table) -> usize {
+        let mut old = other.lines.iter().peekable();
+        let mut differing = 0;
+        for line in &self.lines {
+            while old.next_if(|old| old.replica < line.replica).is_some() {
+                differing += 1;
+            }
+            match old.next_if(|old| old.replica == line.replica) {
+                Some(same) if same == line => {}
+                _ => differing += 1,
+            }
+        }
+        differing + old.count() + usize::from(self.level != other.level)
+    }
+}
+
+/// A table with the version of its last change.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Kept {
+    pub version: u64,
+    pub table: Arc<Table>,
+}
+
+#[derive(Debug, Default)]
+pub struct Tables {
+    laid: BTreeMap<TableId, BTreeMap<ReplicaId, f64>>,
+    withdrawn: BTreeSet<ReplicaId>,
+    levels: Vec<(f64, FurtherTries)>,
+}
+
+impl Tables {
+    /// So many groups, all of their flows let in, with these further tries.
+    pub fn new(groups: usize, tries: FurtherTries) -> Self {
+        Tables { levels: vec![(1.0, tries); groups], ..Tables::default() }
+    }
+
+    /// Changed lines of a table; a weight of 0 takes the line out.
+    pub fn lay(&mut self, table: TableId, lines: Vec<(ReplicaId, f64)>) {
+        let laid = self.laid.entry(table).or_default();
+        laid.extend(lines);
+        laid.retain(|_, weight| *weight > 0.0);
+    }
+
+    pub fn withdraw(&mut self, replica: ReplicaId, out: bool) {
+        if out {
+            self.withdrawn.insert(replica);
+        } else {
+            self.withdrawn.remove(&replica);
+        }
+    }
+
+    pub fn level(&mut self, groups: GroupSet, level: f64, tries: FurtherTries) {
+        for (place, kept) in self.levels.iter_mut().enumerate().take(64) {
+            if groups >> place & 1 == 1 {
+                *kept = (level, tries);
+            }
+        }
+    }
+
+    pub fn levels(&self) -> &[(f64, FurtherTries)] {
+        &self.levels
+    }
+
+    pub fn tries(&self) -> Vec<FurtherTries> {
+        self.levels.iter().map(|(_, tries)| *tries).collect()
+    }
+
+    pub fn is_withdrawn(&self, replica: &ReplicaId) -> bool {
+        self.withdrawn.contains(replica)
+    }
+
+    /// What a proxy should hold for a group: the table that it follows; else its own standing lines, where
+    /// something is to be said of them; else nothing, and it stays on what it has.
+    ///
+    /// `told`: the proxy holds something from here for this group already, which must be kept up to date. A
+    /// line to a replica that no list ever named is left out, as nobody knows where it is.
+    pub fn wanted(
+        &self,
+        roster: &Roster,
+        group: usize,
+        follows: Option<TableId>,
+        standing: &[(ReplicaId, f64)],
+        told: bool,
+    ) -> Option<Table> {
+        let level = self.levels.get(group).map_or(1.0, |(level, _)| *level);
+        let line = |(replica, weight): (&ReplicaId, f64)| {
+            let known = roster.get(replica)?;
+            Some(Line {
+                replica: replica.clone(),
+                address: known.address.clone(),
+                zone: known.zone,
+                weight,
+                open: !self.withdrawn.contains(replica),
+            })
+        };
+        if let Some(table) = follows {
+            let laid = self.laid.get(&table).into_iter().flatten();
+            return Some(Table {
+                lines: laid.map(|(id, weight)| (id, *weight)).filter_map(line).collect(),
+                level,
+            });
+        }
+        let mut lines: Vec<Line> =
+            standing.iter().map(|(id, weight)| (id, *weight)).filter_map(line).collect();
+        lines.sort_by(|one, other| one.replica.cmp(&other.replica));
+        let told = told || level < 1.0 || lines.iter().any(|line| !line.open);
+        (told && !lines.is_empty()).then_some(Table { lines, level })
+    }
+
+    /// Whether a table that a proxy holds lets flows go to what is withdrawn by now.
+    pub fn outdates(&self, held: &Table) -> bool {
+        held.lines.iter().any(|line| line.open && self.withdrawn.contains(&line.replica))
+    }
+
+    /// Whether any table, withdrawn or not, names a replica.
+    pub fn names(&self, replica: &ReplicaId) -> bool {
+        self.laid.values().any(|lines| lines.contains_key(replica))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::roster::Entry;
+    use std::time::Duration;
+    use wrenthread::interface::Phase;
+
+    fn roster(names: &[&str]) -> Roster {
+        let mut roster = Roster::new(Duration::ZERO);
+        let entry = |name: &&str| Entry {
+            id: (**name).into(),
+            address: format!("{name}:1").into(),
+            zone: 0,
+            weight: 1.0,
+            phase: Phase::Ready,
+            started: None,
+        };
+        roster.take(Duration::ZERO, names.iter().map(entry).collect());
+        roster
+    }
+
+    #[test]
+    fn a_standing_table_is_spoken_of_only_once_there_is_something_to_say() {
+        let (roster, mut tables) = (roster(&["a", "b"]), Tables::new(1, FurtherTries::Never));
+        let standing = [("b".into(), 1.0), ("a".into(), 2.0)];
+        assert_eq!(tables.wanted(&roster, 0, None, &standing, false), None);
+        tables.withdraw("a".into(), true);
+        let table = tables.wanted(&roster, 0, None, &standing, false).unwrap();
+        let lines: Vec<_> = table.lines.iter().map(|one| (&*one.replica, one.weight, one.open)).collect();
+        assert_eq!(lines, [("a", 2.0, false), ("b", 1.0, true)]);
+        tables.withdraw("a".into(), false);
+        assert!(tables.wanted(&roster, 0, None, &standing, true).unwrap().lines[0].open, "and kept up then");
+    }
+
+    #[test]
+    fn a_withdrawal_shuts_lines_laid_before_and_after_it() {
+        let (roster, mut tables) = (roster(&["a", "b"]), Tables::new(1, FurtherTries::Never));
+        tables.lay(4, vec![("a".into(), 1.0)]);
+        tables.withdraw("b".into(), true);
+        tables.lay(4, vec![("b".into(), 1.0), ("a".into(), 0.0), ("unlisted".into(), 1.0)]);
+        let table = tables.wanted(&roster, 0, Some(4), &[], false).unwrap();
+        assert_eq!(table.lines.len(), 1);
+        assert!(!table.lines[0].open && &*table.lines[0].replica == "b");
+    }
+
+    #[test]
+    fn differing_lines_are_counted_and_what_lets_flows_to_drains_is_known() {
+        let line = |name: &str, weight, open| Line {
+            replica: name.into(),
+            address: "x".into(),
+            zone: 0,
+            weight,
+            open,
+        };
+        let one = Table { lines: vec![line("a", 1.0, true), line("c", 1.0, true)], level: 1.0 };
+        let two = Table { lines: vec![line("b", 1.0, true), line("c", 2.0, true)], level: 0.5 };
+        assert_eq!((two.differing(&one), one.differing(&one)), (4, 0));
+        let mut tables = Tables::new(1, FurtherTries::Never);
+        assert!(!tables.outdates(&one));
+        tables.withdraw("c".into(), true);
+        assert!(tables.outdates(&one));
+        assert!(!tables.outdates(&Table { lines: vec![line("c", 1.0, false)], level: 1.0 }));
+    }
+}
--- /dev/null
+++ b/crates/core/src/weights.rs
@@ -0,0 +1,62 @@
+//! Weights as the whole numbers that public protocols carry.
+//!
+//! Two kinds of proxies read them: some pick a locality by its weight and then a line in it, others pick among
+//! all lines. Both come to the same shares, as a locality's weight is the sum of its open lines.
+
+/// A line's share moves by less than this part of itself, in either direction, as long as the lightest and
+/// all lines together are less than 4 million apart; beyond that the lightest lines are raised to 1.
+pub const ROUNDED_BY: f64 = 0.001;
+
+/// What the lightest line is scaled to, so that rounding down loses less than [`ROUNDED_BY`] of it.
+const LIGHTEST: f64 = 1.0 / ROUNDED_BY;
+
+/// Scales weights to whole numbers of at least 1 whose sum fits a `u32`.
+///
+/// All are rounded down: so no line, and none of a cold replica's, gains more than [`ROUNDED_BY`] of its
+/// share. Weights that are not finite or not above 0 are taken for the lightest: a line is never lost here,
+/// as whether a line exists is not this function's to say.
+pub fn whole(weights: &[f64]) -> Vec<u32> {
+    let sound = |weight: &f64| weight.is_finite() && *weight > 0.0;
+    let lightest = weights.iter().copied().filter(sound).fold(f64::INFINITY, f64::min);
+    let lightest = if lightest.is_finite() { lightest } else { 1.0 };
+    let weight = |weight: &f64| if sound(weight) { *weight } else { lightest };
+    let largest = weights.iter().map(weight).fold(lightest, f64::max);
+    // In parts of the largest, so that no sum of finite weights overflows.
+    let sum: f64 = weights.iter().map(|one| weight(one) / largest).sum();
+    let room = f64::from(u32::MAX) - weights.len() as f64;
+    let scale = (LIGHTEST / (lightest / largest)).min(room / sum.max(1.0));
+    weights.iter().map(|one| ((weight(one) / largest * scale) as u32).max(1)).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn lines_that_mean_nothing_are_kept_as_the_lightest() {
+        assert_eq!(whole(&[f64::NAN, 2.0, -1.0, 0.0]), [1000, 1000, 1000, 1000]);
+        assert_eq!(whole(&[]), Vec::<u32>::new());
+        assert_eq!(whole(&[f64::INFINITY]), [1000]);
+    }
+
+    proptest! {
+        #[test]
+        fn shares_stay_and_no_line_is_lost(weights in prop::collection::vec(0.001f64..1000.0, 1..200)) {
+            let whole = whole(&weights);
+            let (sum, all): (f64, u64) = (weights.iter().sum(), whole.iter().map(|one| u64::from(*one)).sum());
+            prop_assert!(all <= u64::from(u32::MAX));
+            for (weight, whole) in weights.iter().zip(&whole) {
+                let (was, is) = (weight / sum, f64::from(*whole) / all as f64);
+                prop_assert!(*whole >= 1 && (is / was - 1.0).abs() < 1.01 * ROUNDED_BY, "{was} {is}");
+            }
+        }
+
+        #[test]
+        fn sums_fit_however_far_apart(weights in prop::collection::vec(0.0f64..f64::MAX, 1..50)) {
+            let whole = whole(&weights);
+            prop_assert!(whole.iter().map(|one| u64::from(*one)).sum::<u64>() <= u64::from(u32::MAX));
+            prop_assert!(whole.iter().all(|one| *one >= 1));
+        }
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -348,6 +348,23 @@
         self.wake = true;
     }
 
+    /// For operators: whether a proxy is bound to solved tables.
+    pub fn is_critical(&self, proxy: ProxyId) -> bool {
+        self.critical.range((proxy, 0)..=(proxy, 1)).next().is_some()
+    }
+
+    /// For operators: why a replica gets nothing, or little, if that is so.
+    pub fn why_out(&self, id: &ReplicaId) -> Option<&'static str> {
+        let replica = self.replicas.get(id)?;
+        match replica.health {
+            _ if !replica.ready => Some("drains or is gone"),
+            _ if replica.held => Some("too cold for tables that can't be read"),
+            Health::Out(..) => Some("withdrawn: does not answer, or drops far more than the fleet"),
+            Health::Trial(_) => Some("on trial after a withdrawal"),
+            Health::Fit => None,
+        }
+    }
+
     /// The next decision. What was put in is settled by the first pull after a `None`.
     pub fn decide(&mut self, now: Duration) -> Option<Decision> {
         if !self.settled {
