xDS front: sessions without I/O, encoding, decoding, services, an upstream roster

Need: proxies of the public kind must be able to follow the governor with nothing of ours.

Change: crates/xds. Sessions compare what a proxy should hold with what its stream was sent, in both variants of ADS; LRS becomes reports, CSDS is carried to the owner of all state.

--- /dev/null
+++ b/crates/xds/src/decode.rs
@@ -0,0 +1,349 @@
+//! From the specification's messages to the core's words. What can't be understood is an error that says where.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wrenthread::interface::{Phase, ReplicaId};
+use wrenthread_core::fleet::Join;
+use wrenthread_core::reports::{AtReplica, Report};
+use wrenthread_core::roster::Entry;
+
+use crate::Wire;
+use crate::pb::envoy::config::core::v3::{
+    Address, HealthStatus, Metadata, Node, address, socket_address::PortSpecifier,
+};
+use crate::pb::envoy::config::endpoint::v3::lb_endpoint::HostIdentifier;
+use crate::pb::envoy::config::endpoint::v3::{ClusterLoadAssignment, ClusterStats};
+use crate::pb::google::protobuf::{Struct, Value, value};
+
+/// The key under which nodes and endpoints say what the specification has no field for.
+pub const METADATA: &str = "wrenthread";
+/// Longer names, and larger standing tables, are not taken.
+const LONGEST_NAME: usize = 256;
+const MOST_STANDING: usize = 1000;
+
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum Unclear {
+    #[error("the stream's first message has no node")]
+    NoNode,
+    #[error("node id: {0}")]
+    Name(String),
+    #[error("node `{node}` is in zone `{zone}`; the settings know {known}")]
+    Zone { node: String, zone: String, known: String },
+    #[error("node `{node}`: metadata `wrenthread.{field}`: {why}")]
+    Metadata { node: String, field: &'static str, why: String },
+    #[error("endpoint {place} of `{cluster}`: {why}")]
+    Endpoint { cluster: String, place: usize, why: String },
+}
+
+fn field<'a>(fields: &'a Struct, name: &str) -> Option<&'a value::Kind> {
+    fields.fields.get(name)?.kind.as_ref()
+}
+
+fn number(value: Option<&value::Kind>) -> Option<f64> {
+    match value {
+        Some(value::Kind::NumberValue(number)) if number.is_finite() => Some(*number),
+        _ => None,
+    }
+}
+
+fn text(value: Option<&value::Kind>) -> Option<&str> {
+    match value {
+        Some(value::Kind::StringValue(text)) => Some(text),
+        _ => None,
+    }
+}
+
+fn ours(metadata: Option<&Metadata>) -> Option<&Struct> {
+    metadata?.filter_metadata.get(METADATA)
+}
+
+/// A name that a node may have.
+pub fn name(node: Option<&Node>) -> Result<&str, Unclear> {
+    let node = node.ok_or(Unclear::NoNode)?;
+    if node.id.is_empty() {
+        return Err(Unclear::Name("is empty; every proxy needs one of its own".into()));
+    }
+    if node.id.len() > LONGEST_NAME {
+        return Err(Unclear::Name(format!("has {} bytes; {LONGEST_NAME} are allowed", node.id.len())));
+    }
+    Ok(&node.id)
+}
+
+/// What a node says of itself. `usual` stands in where it does not say how many flows it gets.
+///
+/// A node's standing table is its own word, in its metadata:
+/// `{"wrenthread": {"usual": 6.5, "standing": [{"replica": "r1", "weight": 1.0}, ...]}}`.
+pub fn join(wire: &Wire, node: Option<&Node>, usual: f64, holds_orders: bool) -> Result<Join, Unclear> {
+    let name = name(node)?;
+    let node = node.ok_or(Unclear::NoNode)?;
+    let said = node.locality.as_ref().map_or("", |locality| &locality.zone);
+    let zone = match wire.zones.iter().position(|zone| zone == said) {
+        Some(zone) => zone,
+        None if said.is_empty() && wire.zones.len() == 1 => 0,
+        None => {
+            let known = wire.zones.iter().map(|zone| format!("`{zone}`")).collect::<Vec<_>>().join(", ");
+            return Err(Unclear::Zone { node: name.into(), zone: said.into(), known });
+        }
+    };
+    let bad = |field, why: &str| Unclear::Metadata { node: name.into(), field, why: why.into() };
+    let mut join = Join { name: Arc::from(name), zone, usual, standing: Vec::new(), holds_orders };
+    let metadata = node.metadata.as_ref().and_then(|metadata| field(metadata, METADATA));
+    let Some(value::Kind::StructValue(said)) = metadata else { return Ok(join) };
+    if said.fields.contains_key("usual") {
+        let usual = number(field(said, "usual")).filter(|usual| *usual >= 0.0);
+        join.usual = usual.ok_or_else(|| bad("usual", "is not a number of flows a second"))?;
+    }
+    if let Some(standing) = field(said, "standing") {
+        let value::Kind::ListValue(lines) = standing else { return Err(bad("standing", "is not a list")) };
+        if lines.values.len() > MOST_STANDING {
+            return Err(bad("standing", &format!("has more than {MOST_STANDING} lines")));
+        }
+        let line = |value: &Value| {
+            let Some(value::Kind::StructValue(line)) = &value.kind else { return None };
+            let weight = number(field(line, "weight")).filter(|weight| *weight > 0.0)?;
+            Some((ReplicaId::from(text(field(line, "replica"))?), weight))
+        };
+        let lines: Option<Vec<_>> = lines.values.iter().map(line).collect();
+        join.standing =
+            lines.ok_or_else(|| bad("standing", "a line needs a `replica` and a `weight` above 0"))?;
+    }
+    Ok(join)
+}
+
+/// `host:port`, as the roster spells it.
+pub fn host_port(at: Option<&Address>) -> Option<String> {
+    let Some(address::Address::SocketAddress(socket)) = &at?.address else { return None };
+    let Some(PortSpecifier::PortValue(port)) = &socket.port_specifier else { return None };
+    Some(match socket.address.contains(':') {
+        true => format!("[{}]:{port}", socket.address),
+        false => format!("{}:{port}", socket.address),
+    })
+}
+
+/// One proxy's load statistics, a report for each interval that its clusters name. `at` finds the replica at an
+/// address; groups that the settings don't know and lines without a known address are counted and left out.
+pub fn reports(
+    wire: &Wire,
+    stats: &[ClusterStats],
+    at: impl Fn(&str) -> Option<ReplicaId>,
+) -> (Vec<Report>, usize) {
+    let mut by_interval: BTreeMap<Duration, Report> = BTreeMap::new();
+    let mut unknown = 0;
+    for cluster in stats {
+        let Some(group) = wire.groups.iter().position(|group| group.name == cluster.cluster_name) else {
+            unknown += 1;
+            continue;
+        };
+        let interval = cluster.load_report_interval.as_ref().map_or(Duration::ZERO, |span| {
+            Duration::new(span.seconds.try_into().unwrap_or(0), span.nanos.clamp(0, 999_999_999) as u32)
+        });
+        let report =
+            by_interval.entry(interval).or_insert(Report { interval, met: Vec::new(), blocked: Vec::new() });
+        report.blocked.push((group, cluster.total_dropped_requests));
+        for endpoint in cluster.upstream_locality_stats.iter().flat_map(|zone| &zone.upstream_endpoint_stats)
+        {
+            let Some(replica) = host_port(endpoint.address.as_ref()).and_then(|address| at(&address)) else {
+                unknown += 1;
+                continue;
+            };
+            let metric = |name: &String| {
+                endpoint.load_metric_stats.iter().find(|metric| metric.metric_name == *name).filter(
+                    |metric| {
+                        metric.num_requests_finished_with_metric > 0
+                            && metric.total_metric_value.is_finite()
+                            && metric.total_metric_value >= 0.0
+                    },
+                )
+            };
+            let mean = |name: &String| {
+                metric(name).map(|one| one.total_metric_value / one.num_requests_finished_with_metric as f64)
+            };
+            // All fields or none: the module reads them by place.
+            let load: Option<Vec<f64>> = wire.load_metrics.iter().map(mean).collect();
+            let answers = metric(&wire.answer_metric).map_or((Duration::ZERO, 0), |one| {
+                let seconds = Duration::try_from_secs_f64(one.total_metric_value / 1000.0);
+                (seconds.unwrap_or(Duration::MAX), one.num_requests_finished_with_metric)
+            });
+            report.met.push(AtReplica {
+                group,
+                replica,
+                delivered: endpoint.total_successful_requests,
+                dropped: endpoint.total_error_requests,
+                issued: endpoint.total_issued_requests,
+                in_progress: endpoint.total_requests_in_progress,
+                answers,
+                load: load.unwrap_or_default(),
+            });
+        }
+    }
+    (by_interval.into_values().collect(), unknown)
+}
+
+/// An upstream's endpoints as roster entries. `started` turns seconds of the calendar into the host's time.
+///
+/// Health maps to phases: DRAINING drains; UNHEALTHY, TIMEOUT and DEGRADED are left to the module's own eyes
+/// and count as ready, since a source that calls everything ill would bare the fleet; absent ones are gone.
+pub fn entries(
+    wire: &Wire,
+    assignment: &ClusterLoadAssignment,
+    started: impl Fn(f64) -> Option<Duration>,
+) -> Result<Vec<Entry>, Unclear> {
+    let mut entries = Vec::new();
+    for zone in &assignment.endpoints {
+        let said = zone.locality.as_ref().map_or("", |locality| &locality.zone);
+        for endpoint in &zone.lb_endpoints {
+            let place = entries.len() + 1;
+            let bad =
+                |why: String| Unclear::Endpoint { cluster: assignment.cluster_name.clone(), place, why };
+            let zone = wire
+                .zones
+                .iter()
+                .position(|zone| zone == said)
+                .or((said.is_empty() && wire.zones.len() == 1).then_some(0))
+                .ok_or_else(|| bad(format!("zone `{said}` is not in the settings")))?;
+            let Some(HostIdentifier::Endpoint(host)) = &endpoint.host_identifier else {
+                return Err(bad("has no address of its own".into()));
+            };
+            let address =
+                host_port(host.address.as_ref()).ok_or_else(|| bad("has no address with a port".into()))?;
+            let ours = ours(endpoint.metadata.as_ref());
+            let id = ours.and_then(|ours| text(field(ours, "replica"))).unwrap_or(&address);
+            let started = ours.and_then(|ours| number(field(ours, "started"))).and_then(&started);
+            let weight =
+                endpoint.load_balancing_weight.as_ref().map_or(1.0, |weight| f64::from(weight.value));
+            entries.push(Entry {
+                id: id.into(),
+                address: address.as_str().into(),
+                zone,
+                weight: weight.max(1.0),
+                phase: match HealthStatus::try_from(endpoint.health_status) {
+                    Ok(HealthStatus::Draining) => Phase::Draining,
+                    _ => Phase::Ready,
+                },
+                started,
+            });
+        }
+    }
+    Ok(entries)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::encode;
+    use crate::pb::envoy::config::core::v3::Locality;
+    use crate::pb::envoy::config::endpoint::v3::{
+        EndpointLoadMetricStats, UpstreamEndpointStats, UpstreamLocalityStats,
+    };
+
+    fn wire() -> Wire {
+        Wire {
+            epoch: 1,
+            zones: vec!["north".into(), "south".into()],
+            groups: vec![crate::WireGroup {
+                name: "match".into(),
+                route: crate::Route::Prefix("/".into()),
+                expiry: Duration::from_secs(1),
+            }],
+            report_every: Duration::from_secs(1),
+            load_metrics: vec!["queue".into()],
+            answer_metric: "answer_ms".into(),
+        }
+    }
+
+    fn node(id: &str, zone: &str, metadata: Option<Value>) -> Node {
+        let fields = metadata.map(|said| (METADATA.to_string(), said)).into_iter().collect();
+        Node {
+            id: id.into(),
+            locality: Some(Locality { zone: zone.into(), ..Locality::default() }),
+            metadata: Some(Struct { fields }),
+            ..Node::default()
+        }
+    }
+
+    fn structure(fields: Vec<(&str, value::Kind)>) -> Value {
+        let fields =
+            fields.into_iter().map(|(name, kind)| (name.to_string(), Value { kind: Some(kind) })).collect();
+        Value { kind: Some(value::Kind::StructValue(Struct { fields })) }
+    }
+
+    #[test]
+    fn a_node_says_its_zone_its_flows_and_its_standing_table() {
+        let line = structure(vec![
+            ("replica", value::Kind::StringValue("r1".into())),
+            ("weight", value::Kind::NumberValue(2.0)),
+        ]);
+        let list = crate::pb::google::protobuf::ListValue { values: vec![line] };
+        let said = structure(vec![
+            ("usual", value::Kind::NumberValue(6.5)),
+            ("standing", value::Kind::ListValue(list)),
+        ]);
+        let join = super::join(&wire(), Some(&node("p", "south", Some(said))), 1.0, false).unwrap();
+        assert_eq!((join.zone, join.usual, join.standing), (1, 6.5, vec![("r1".into(), 2.0)]));
+    }
+
+    #[test]
+    fn nodes_that_can_not_be_placed_are_told_why() {
+        let why = |node: &Node| super::join(&wire(), Some(node), 1.0, false).unwrap_err().to_string();
+        assert!(why(&node("p", "west", None)).contains("`north`, `south`"));
+        assert!(why(&node("", "north", None)).contains("every proxy needs one"));
+        let said = structure(vec![("usual", value::Kind::NumberValue(f64::NAN))]);
+        assert!(why(&node("p", "north", Some(said))).contains("wrenthread.usual"));
+        let said = structure(vec![("standing", value::Kind::BoolValue(true))]);
+        assert!(why(&node("p", "north", Some(said))).contains("is not a list"));
+        assert!(matches!(super::join(&wire(), None, 1.0, false), Err(Unclear::NoNode)));
+    }
+
+    #[test]
+    fn load_statistics_become_reports_by_interval() {
+        let endpoint = |port: u32| UpstreamEndpointStats {
+            address: Some(encode::address(&format!("10.0.0.1:{port}"))),
+            total_successful_requests: 8,
+            total_error_requests: 2,
+            total_issued_requests: 11,
+            load_metric_stats: vec![
+                EndpointLoadMetricStats {
+                    metric_name: "answer_ms".into(),
+                    num_requests_finished_with_metric: 8,
+                    total_metric_value: 160.0,
+                },
+                EndpointLoadMetricStats {
+                    metric_name: "queue".into(),
+                    num_requests_finished_with_metric: 8,
+                    total_metric_value: 16.0,
+                },
+            ],
+            ..UpstreamEndpointStats::default()
+        };
+        let stats = |name: &str| ClusterStats {
+            cluster_name: name.into(),
+            total_dropped_requests: 3,
+            load_report_interval: Some(crate::pb::google::protobuf::Duration { seconds: 1, nanos: 5 }),
+            upstream_locality_stats: vec![UpstreamLocalityStats {
+                upstream_endpoint_stats: vec![endpoint(1), endpoint(2)],
+                ..UpstreamLocalityStats::default()
+            }],
+            ..ClusterStats::default()
+        };
+        let at = |address: &str| (address == "10.0.0.1:1").then(|| "r1".into());
+        let (reports, unknown) = super::reports(&wire(), &[stats("match"), stats("other")], at);
+        assert_eq!((reports.len(), unknown), (1, 2));
+        assert_eq!(reports[0].interval, Duration::new(1, 5));
+        assert_eq!(reports[0].blocked, [(0, 3)]);
+        let met = &reports[0].met[0];
+        assert_eq!(
+            (met.delivered, met.dropped, met.issued, met.load.as_slice()),
+            (8, 2, 11, [2.0].as_slice())
+        );
+        assert_eq!(met.answers, (Duration::from_millis(160), 8));
+    }
+
+    #[test]
+    fn addresses_go_there_and_back() {
+        for at in ["10.0.0.1:80", "[::1]:8080", "worker.local:1"] {
+            assert_eq!(host_port(Some(&encode::address(at))).as_deref(), Some(at));
+        }
+    }
+}
--- /dev/null
+++ b/crates/xds/src/encode.rs
@@ -0,0 +1,385 @@
+//! From what a proxy should hold to the specification's resources.
+//!
+//! Shut lines leave the resource. They could stand as DRAINING instead, but proxies that pick a locality first
+//! scale its weight by the part of its hosts that is healthy, and so would come to other shares than those that
+//! pick among all lines.
+
+use std::collections::BTreeMap;
+
+use prost::{Message, Name};
+use wrenthread::interface::FurtherTries;
+use wrenthread_core::fleet::Proxy;
+use wrenthread_core::tables::Table;
+use wrenthread_core::weights;
+
+use crate::pb::envoy::config::cluster::v3::Cluster;
+use crate::pb::envoy::config::cluster::v3::cluster::common_lb_config::{
+    LocalityConfigSpecifier, LocalityWeightedLbConfig,
+};
+use crate::pb::envoy::config::cluster::v3::cluster::{
+    ClusterDiscoveryType, CommonLbConfig, DiscoveryType, EdsClusterConfig, LbPolicy,
+};
+use crate::pb::envoy::config::core::v3::{
+    Address, AggregatedConfigSource, ApiVersion, ConfigSource, HealthStatus, Locality, SelfConfigSource,
+    SocketAddress, address, config_source::ConfigSourceSpecifier, socket_address::PortSpecifier,
+};
+use crate::pb::envoy::config::endpoint::v3::cluster_load_assignment::{Policy, policy::DropOverload};
+use crate::pb::envoy::config::endpoint::v3::lb_endpoint::HostIdentifier;
+use crate::pb::envoy::config::endpoint::v3::{
+    ClusterLoadAssignment, Endpoint, LbEndpoint, LocalityLbEndpoints,
+};
+use crate::pb::envoy::config::listener::v3::{ApiListener, Listener};
+use crate::pb::envoy::config::route::v3::header_matcher::HeaderMatchSpecifier;
+use crate::pb::envoy::config::route::v3::route_match::PathSpecifier;
+use crate::pb::envoy::config::route::v3::{
+    HeaderMatcher, RetryPolicy, Route as WireRoute, RouteAction, RouteConfiguration, RouteMatch, VirtualHost,
+    route, route_action,
+};
+use crate::pb::envoy::extensions::filters::http::router::v3::Router;
+use crate::pb::envoy::extensions::filters::network::http_connection_manager::v3::{
+    HttpConnectionManager, HttpFilter, Rds, http_connection_manager::RouteSpecifier, http_filter,
+};
+use crate::pb::envoy::r#type::matcher::v3::{StringMatcher, string_matcher::MatchPattern};
+use crate::pb::envoy::r#type::v3::{FractionalPercent, Percent, fractional_percent::DenominatorType};
+use crate::pb::google::protobuf::{Any, Duration, UInt32Value};
+use crate::{Route, Wire, WireGroup};
+
+/// The one listener and the one route configuration that all proxies are given.
+pub const LISTENER: &str = "wrenthread";
+pub const ROUTES: &str = "wrenthread-routes";
+/// The category under which proxies report flows that a level blocked.
+pub const LEVEL: &str = "level";
+const MILLION: f64 = 1_000_000.0;
+
+/// The resource types, in the order in which they are made before what names them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    Clusters,
+    Endpoints,
+    Listeners,
+    Routes,
+}
+
+impl Kind {
+    pub const ALL: [Kind; 4] = [Kind::Clusters, Kind::Endpoints, Kind::Listeners, Kind::Routes];
+
+    pub fn url(self) -> String {
+        match self {
+            Kind::Clusters => Cluster::type_url(),
+            Kind::Endpoints => ClusterLoadAssignment::type_url(),
+            Kind::Listeners => Listener::type_url(),
+            Kind::Routes => RouteConfiguration::type_url(),
+        }
+    }
+
+    pub fn of(url: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|kind| kind.url() == url)
+    }
+
+    /// Types of which a response must hold all that there is, and whose empty subscription means everything.
+    pub fn whole(self) -> bool {
+        matches!(self, Kind::Clusters | Kind::Listeners)
+    }
+}
+
+/// All that there is to be had for one proxy: names and the versions of their last change.
+pub fn catalogue(wire: &Wire, proxy: &Proxy, kind: Kind) -> BTreeMap<String, u64> {
+    let groups = wire.groups.iter().zip(&proxy.tables);
+    match kind {
+        Kind::Clusters => groups.map(|(group, _)| (group.name.clone(), 1)).collect(),
+        Kind::Endpoints => {
+            groups.filter_map(|(group, kept)| Some((group.name.clone(), kept.as_ref()?.version))).collect()
+        }
+        Kind::Listeners => BTreeMap::from([(LISTENER.to_string(), 1)]),
+        Kind::Routes => BTreeMap::from([(ROUTES.to_string(), proxy.tries.0)]),
+    }
+}
+
+/// One resource of the catalogue, and how many lines it has. None for a name that is not in it.
+pub fn resource(wire: &Wire, proxy: &Proxy, kind: Kind, name: &str) -> Option<(Any, usize)> {
+    let place = || wire.groups.iter().position(|group| group.name == name);
+    Some(match kind {
+        Kind::Clusters => (packed(&cluster(&wire.groups[place()?])), 1),
+        Kind::Endpoints => {
+            let table = &proxy.tables.get(place()?)?.as_ref()?.table;
+            (packed(&assignment(wire, name, table)), table.lines.len().max(1))
+        }
+        Kind::Listeners if name == LISTENER => (packed(&listener()), 1),
+        Kind::Routes if name == ROUTES => (packed(&routes(wire, &proxy.tries.1)), wire.groups.len()),
+        Kind::Listeners | Kind::Routes => return None,
+    })
+}
+
+/// What a resource's content comes to: the same content has the same mark, whoever gave it and when.
+pub fn digest(resource: &Any) -> String {
+    blake3::hash(&resource.value).to_hex()[..16].to_string()
+}
+
+fn packed<M: Message + Name>(message: &M) -> Any {
+    Any { type_url: M::type_url(), value: message.encode_to_vec() }
+}
+
+fn span(span: std::time::Duration) -> Duration {
+    Duration { seconds: span.as_secs().min(i64::MAX as u64) as i64, nanos: span.subsec_nanos() as i32 }
+}
+
+fn ads() -> ConfigSource {
+    ConfigSource {
+        resource_api_version: ApiVersion::V3 as i32,
+        config_source_specifier: Some(ConfigSourceSpecifier::Ads(AggregatedConfigSource {})),
+        ..ConfigSource::default()
+    }
+}
+
+fn cluster(group: &WireGroup) -> Cluster {
+    Cluster {
+        name: group.name.clone(),
+        cluster_discovery_type: Some(ClusterDiscoveryType::Type(DiscoveryType::Eds as i32)),
+        eds_cluster_config: Some(EdsClusterConfig { eds_config: Some(ads()), service_name: String::new() }),
+        lb_policy: LbPolicy::RoundRobin as i32,
+        common_lb_config: Some(CommonLbConfig {
+            // A proxy must not fall back on lines that are shut because few are open.
+            healthy_panic_threshold: Some(Percent { value: 0.0 }),
+            locality_config_specifier: Some(LocalityConfigSpecifier::LocalityWeightedLbConfig(
+                LocalityWeightedLbConfig {},
+            )),
+            ..CommonLbConfig::default()
+        }),
+        lrs_server: Some(ConfigSource {
+            resource_api_version: ApiVersion::V3 as i32,
+            config_source_specifier: Some(ConfigSourceSpecifier::Self_(SelfConfigSource::default())),
+            ..ConfigSource::default()
+        }),
+        ..Cluster::default()
+    }
+}
+
+/// `host:port` as the specification's address; anything else stays whole, with port 0.
+pub fn address(at: &str) -> Address {
+    let (host, port) = at
+        .rsplit_once(':')
+        .and_then(|(host, port)| Some((host, port.parse::<u16>().ok()?)))
+        .unwrap_or((at, 0));
+    let host = host.strip_prefix('[').and_then(|host| host.strip_suffix(']')).unwrap_or(host);
+    Address {
+        address: Some(address::Address::SocketAddress(SocketAddress {
+            address: host.to_string(),
+            port_specifier: Some(PortSpecifier::PortValue(u32::from(port))),
+            ..SocketAddress::default()
+        })),
+    }
+}
+
+/// A table: its open lines by zone, the weight of a zone the sum of theirs.
+pub fn assignment(wire: &Wire, name: &str, table: &Table) -> ClusterLoadAssignment {
+    let open: Vec<_> = table.lines.iter().filter(|line| line.open).collect();
+    let weights = weights::whole(&open.iter().map(|line| line.weight).collect::<Vec<_>>());
+    let mut zones: BTreeMap<usize, (u32, Vec<LbEndpoint>)> = BTreeMap::new();
+    for (line, weight) in open.into_iter().zip(weights) {
+        let (sum, endpoints) = zones.entry(line.zone).or_default();
+        *sum += weight;
+        endpoints.push(LbEndpoint {
+            health_status: HealthStatus::Healthy as i32,
+            load_balancing_weight: Some(UInt32Value { value: weight }),
+            host_identifier: Some(HostIdentifier::Endpoint(Endpoint {
+                address: Some(address(&line.address)),
+                ..Endpoint::default()
+            })),
+            ..LbEndpoint::default()
+        });
+    }
+    let endpoints = zones.into_iter().map(|(zone, (sum, lb_endpoints))| LocalityLbEndpoints {
+        locality: Some(Locality {
+            zone: wire.zones.get(zone).cloned().unwrap_or_default(),
+            ..Locality::default()
+        }),
+        lb_endpoints,
+        load_balancing_weight: Some(UInt32Value { value: sum }),
+        ..LocalityLbEndpoints::default()
+    });
+    let blocked = ((1.0 - table.level.clamp(0.0, 1.0)) * MILLION).round() as u32;
+    let overload = DropOverload {
+        category: LEVEL.to_string(),
+        drop_percentage: Some(FractionalPercent {
+            numerator: blocked,
+            denominator: DenominatorType::Million as i32,
+        }),
+    };
+    ClusterLoadAssignment {
+        cluster_name: name.to_string(),
+        endpoints: endpoints.collect(),
+        policy: (blocked > 0).then(|| Policy { drop_overloads: vec![overload], ..Policy::default() }),
+        ..ClusterLoadAssignment::default()
+    }
+}
+
+fn listener() -> Listener {
+    let manager = HttpConnectionManager {
+        stat_prefix: LISTENER.to_string(),
+        route_specifier: Some(RouteSpecifier::Rds(Rds {
+            config_source: Some(ads()),
+            route_config_name: ROUTES.to_string(),
+        })),
+        http_filters: vec![HttpFilter {
+            name: "envoy.filters.http.router".to_string(),
+            config_type: Some(http_filter::ConfigType::TypedConfig(packed(&Router::default()))),
+            ..HttpFilter::default()
+        }],
+        ..HttpConnectionManager::default()
+    };
+    Listener {
+        name: LISTENER.to_string(),
+        api_listener: Some(ApiListener { api_listener: Some(packed(&manager)) }),
+        ..Listener::default()
+    }
+}
+
+/// What a proxy may do after a try without a good answer, as a route's policy.
+fn retries(tries: FurtherTries) -> Option<RetryPolicy> {
+    let on = match tries {
+        FurtherTries::Never => return None,
+        // Both prove that the first try never ran.
+        FurtherTries::IfNeverRan => "connect-failure,refused-stream",
+        FurtherTries::Once => "5xx,reset,connect-failure,refused-stream",
+    };
+    Some(RetryPolicy {
+        retry_on: on.to_string(),
+        num_retries: Some(UInt32Value { value: 1 }),
+        host_selection_retry_max_attempts: 3,
+        ..RetryPolicy::default()
+    })
+}
+
+fn routes(wire: &Wire, tries: &[FurtherTries]) -> RouteConfiguration {
+    let routes = wire.groups.iter().zip(tries).map(|(group, tries)| {
+        let (path, headers) = match &group.route {
+            Route::Prefix(prefix) => (prefix.clone(), vec![]),
+            Route::Header(name, value) => {
+                let exact = StringMatcher {
+                    match_pattern: Some(MatchPattern::Exact(value.clone())),
+                    ..StringMatcher::default()
+                };
+                let header = HeaderMatcher {
+                    name: name.clone(),
+                    header_match_specifier: Some(HeaderMatchSpecifier::StringMatch(exact)),
+                    ..HeaderMatcher::default()
+                };
+                ("/".to_string(), vec![header])
+            }
+        };
+        WireRoute {
+            name: group.name.clone(),
+            r#match: Some(RouteMatch {
+                headers,
+                path_specifier: Some(PathSpecifier::Prefix(path)),
+                ..RouteMatch::default()
+            }),
+            action: Some(route::Action::Route(RouteAction {
+                cluster_specifier: Some(route_action::ClusterSpecifier::Cluster(group.name.clone())),
+                timeout: Some(span(group.expiry)),
+                retry_policy: retries(*tries),
+                ..RouteAction::default()
+            })),
+            ..WireRoute::default()
+        }
+    });
+    RouteConfiguration {
+        name: ROUTES.to_string(),
+        virtual_hosts: vec![VirtualHost {
+            name: "all".to_string(),
+            domains: vec!["*".to_string()],
+            routes: routes.collect(),
+            ..VirtualHost::default()
+        }],
+        ..RouteConfiguration::default()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use wrenthread_core::tables::Line;
+
+    fn wire() -> Wire {
+        let group = |name: &str, route| WireGroup {
+            name: name.into(),
+            route,
+            expiry: std::time::Duration::from_millis(2500),
+        };
+        Wire {
+            epoch: 7,
+            zones: vec!["north".into(), "south".into()],
+            groups: vec![
+                group("match", Route::Prefix("/match".into())),
+                group("charge", Route::Header("x-group".into(), "charge".into())),
+            ],
+            report_every: std::time::Duration::from_secs(1),
+            load_metrics: vec!["queue".into()],
+            answer_metric: "answer_ms".into(),
+        }
+    }
+
+    fn line(name: &str, zone: usize, weight: f64, open: bool) -> Line {
+        Line { replica: name.into(), address: format!("10.0.0.1:{}", name.len()).into(), zone, weight, open }
+    }
+
+    #[test]
+    fn shut_lines_leave_and_levels_are_said_in_parts_of_a_million() {
+        let lines = vec![line("a", 0, 1.0, true), line("bb", 0, 5.0, false), line("ccc", 1, 3.0, true)];
+        let said = assignment(&wire(), "match", &Table { lines, level: 0.85 });
+        let weights: Vec<u32> =
+            said.endpoints.iter().map(|one| one.load_balancing_weight.unwrap().value).collect();
+        assert_eq!(weights, [1000, 3000]);
+        let dropped = &said.policy.unwrap().drop_overloads[0];
+        assert_eq!(dropped.drop_percentage.unwrap().numerator, 150_000);
+        let whole = assignment(&wire(), "match", &Table { lines: vec![], level: 1.0 });
+        assert!(whole.policy.is_none() && whole.endpoints.is_empty());
+    }
+
+    #[test]
+    fn further_tries_are_only_what_the_module_allows() {
+        let said = routes(&wire(), &[FurtherTries::Never, FurtherTries::IfNeverRan]);
+        let policies: Vec<Option<String>> = said.virtual_hosts[0]
+            .routes
+            .iter()
+            .map(|route| match route.action.as_ref().unwrap() {
+                route::Action::Route(action) => action.retry_policy.as_ref().map(|one| one.retry_on.clone()),
+                other => panic!("{other:?}"),
+            })
+            .collect();
+        assert_eq!(policies, [None, Some("connect-failure,refused-stream".into())]);
+    }
+
+    #[test]
+    fn the_same_content_has_the_same_mark() {
+        let table = Table { lines: vec![line("a", 0, 1.0, true)], level: 1.0 };
+        let one = packed(&assignment(&wire(), "match", &table));
+        assert_eq!(digest(&one), digest(&packed(&assignment(&Wire { epoch: 8, ..wire() }, "match", &table))));
+        let other = Table { level: 0.5, ..table };
+        assert_ne!(digest(&one), digest(&packed(&assignment(&wire(), "match", &other))));
+    }
+
+    proptest! {
+        #[test]
+        fn both_kinds_of_proxies_come_to_the_same_shares(
+            lines in prop::collection::vec((0usize..2, 0.01f64..50.0), 1..40),
+        ) {
+            let table = Table {
+                lines: lines.iter().enumerate().map(|(n, (zone, weight))| line(&"x".repeat(n + 1), *zone, *weight, true)).collect(),
+                level: 1.0,
+            };
+            let said = assignment(&wire(), "match", &table);
+            let weight = |one: &LbEndpoint| f64::from(one.load_balancing_weight.unwrap().value);
+            let all: f64 = said.endpoints.iter().flat_map(|zone| &zone.lb_endpoints).map(weight).sum();
+            let zones: f64 = said.endpoints.iter().map(|zone| f64::from(zone.load_balancing_weight.unwrap().value)).sum();
+            for zone in &said.endpoints {
+                let here: f64 = zone.lb_endpoints.iter().map(weight).sum();
+                for one in &zone.lb_endpoints {
+                    let by_zone = f64::from(zone.load_balancing_weight.unwrap().value) / zones * weight(one) / here;
+                    prop_assert!((by_zone - weight(one) / all).abs() < 1e-12);
+                }
+            }
+        }
+    }
+}
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -1,1 +1,45 @@
+//! The gRPC front, by the public specifications of xDS and LRS: nothing of ours is needed on a proxy's side.
+//!
+//! [`session::Session`] is what the protocol is about, for one stream, without I/O: subscriptions, versions,
+//! nonces, what was sent and is not acknowledged. [`encode`] and [`decode`] turn the core's words into messages
+//! and back. [`service`] carries messages between sockets and the one task that owns engine and sessions;
+//! [`upstream`] is the other way round, the governor as a client that follows another's endpoints as its roster.
 
+pub mod decode;
+pub mod encode;
+pub mod service;
+pub mod session;
+pub mod upstream;
+
+/// The messages of the specifications, for those who stand on the other side of a socket.
+pub use envoy_types::pb;
+
+/// What the front needs to know of the settings to name things on the wire.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Wire {
+    /// This governor's life; versions and nonces carry it.
+    pub epoch: u64,
+    pub zones: Vec<String>,
+    pub groups: Vec<WireGroup>,
+    /// How often proxies are to report.
+    pub report_every: std::time::Duration,
+    /// The names of load metrics in reports, in the order of the module's load fields.
+    pub load_metrics: Vec<String>,
+    /// The metric that holds an answer's time in milliseconds.
+    pub answer_metric: String,
+}
+
+/// A traffic group: a cluster of its own and a route to it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WireGroup {
+    pub name: String,
+    pub route: Route,
+    pub expiry: std::time::Duration,
+}
+
+/// What tells a group's flows from others'.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Route {
+    Prefix(String),
+    Header(String, String),
+}
--- /dev/null
+++ b/crates/xds/src/service.rs
@@ -0,0 +1,280 @@
+//! The gRPC services: they carry messages between sockets and the task that owns engine and sessions, and know
+//! nothing else. Each stream's answers go through a short channel, so a proxy that does not read fills only its
+//! own, and what would be sent to it is merged meanwhile.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::ReceiverStream;
+use tokio_stream::{Stream, StreamExt};
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::pb::envoy::config::core::v3::Node;
+use crate::pb::envoy::config::endpoint::v3::ClusterStats;
+use crate::pb::envoy::service::discovery::v3::aggregated_discovery_service_server::{
+    AggregatedDiscoveryService, AggregatedDiscoveryServiceServer,
+};
+use crate::pb::envoy::service::discovery::v3::{
+    DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse,
+};
+use crate::pb::envoy::service::load_stats::v3::load_reporting_service_server::{
+    LoadReportingService, LoadReportingServiceServer,
+};
+use crate::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
+use crate::pb::envoy::service::status::v3::client_status_discovery_service_server::{
+    ClientStatusDiscoveryService, ClientStatusDiscoveryServiceServer,
+};
+use crate::pb::envoy::service::status::v3::{ClientStatusRequest, ClientStatusResponse};
+use crate::session;
+
+/// Responses that may wait in a stream's channel: those of one flush, and of a drain behind it.
+pub const CHANNEL: usize = 8;
+/// Room that a flush needs there: one response of each type.
+pub const ROOM: usize = 4;
+
+/// Where a stream's answers go.
+#[derive(Debug, Clone)]
+pub enum Answers {
+    Sotw(mpsc::Sender<Result<DiscoveryResponse, Status>>),
+    Delta(mpsc::Sender<Result<DeltaDiscoveryResponse, Status>>),
+}
+
+impl Answers {
+    /// Whether a whole flush fits.
+    pub fn has_room(&self) -> bool {
+        match self {
+            Answers::Sotw(answers) => answers.capacity() >= ROOM,
+            Answers::Delta(answers) => answers.capacity() >= ROOM,
+        }
+    }
+
+    /// Waits until a whole flush fits; false if the stream is over.
+    pub async fn room(&self) -> bool {
+        match self {
+            Answers::Sotw(answers) => answers.reserve_many(ROOM).await.is_ok(),
+            Answers::Delta(answers) => answers.reserve_many(ROOM).await.is_ok(),
+        }
+    }
+
+    /// Gives a response to the stream. What does not fit is lost, so ask [`Answers::has_room`] first; what is
+    /// said on a stream that is over is lost with it.
+    pub fn send(&self, response: session::Response) {
+        let _ = match (self, response) {
+            (Answers::Sotw(answers), session::Response::Sotw(response)) => {
+                answers.try_send(Ok(response)).is_ok()
+            }
+            (Answers::Delta(answers), session::Response::Delta(response)) => {
+                answers.try_send(Ok(response)).is_ok()
+            }
+            _ => false,
+        };
+    }
+
+    /// Ends the stream with a status, if it still has room to hear it.
+    pub fn end(&self, status: Status) {
+        let _ = match self {
+            Answers::Sotw(answers) => answers.try_send(Err(status)).is_ok(),
+            Answers::Delta(answers) => answers.try_send(Err(status)).is_ok(),
+        };
+    }
+}
+
+/// What happens on the sockets, for the one task that owns all state.
+#[derive(Debug)]
+pub enum Event {
+    Opened { stream: u64, answers: Answers },
+    Asked { stream: u64, request: Box<session::Request> },
+    Closed { stream: u64 },
+    ReportsOpened { stream: u64, node: Box<Node> },
+    Reported { stream: u64, stats: Vec<ClusterStats> },
+    ReportsClosed { stream: u64 },
+    Status { request: Box<ClientStatusRequest>, reply: oneshot::Sender<ClientStatusResponse> },
+}
+
+/// All three services.
+#[derive(Debug, Clone)]
+pub struct Front {
+    events: mpsc::Sender<Event>,
+    streams: Arc<AtomicU64>,
+    report_every: std::time::Duration,
+}
+
+type Answer<T> = Pin<Box<dyn Stream<Item = Result<T, Status>> + Send>>;
+
+impl Front {
+    /// Events go to `events`; a full channel holds streams back, which is how load reaches their sockets.
+    pub fn new(events: mpsc::Sender<Event>, report_every: std::time::Duration) -> Self {
+        Front { events, streams: Arc::new(AtomicU64::new(1)), report_every }
+    }
+
+    /// The services, for a server's router.
+    pub fn services(
+        &self,
+    ) -> (
+        AggregatedDiscoveryServiceServer<Front>,
+        LoadReportingServiceServer<Front>,
+        ClientStatusDiscoveryServiceServer<Front>,
+    ) {
+        (
+            AggregatedDiscoveryServiceServer::new(self.clone()),
+            LoadReportingServiceServer::new(self.clone()),
+            ClientStatusDiscoveryServiceServer::new(self.clone()),
+        )
+    }
+
+    /// One numbering for all kinds of streams, in the order of their opening.
+    pub fn number(&self) -> u64 {
+        self.streams.fetch_add(1, Ordering::Relaxed)
+    }
+
+    async fn tell(&self, event: Event) -> Result<(), Status> {
+        self.events.send(event).await.map_err(|_| Status::unavailable("the governor is stopping"))
+    }
+
+    /// Carries a stream's requests to the owner until it ends or breaks.
+    async fn carry<R>(
+        &self,
+        answers: Answers,
+        requests: Streaming<R>,
+        into: fn(R) -> session::Request,
+    ) -> Result<(), Status>
+    where
+        R: Send + 'static,
+    {
+        let stream = self.number();
+        self.tell(Event::Opened { stream, answers: answers.clone() }).await?;
+        let front = self.clone();
+        tokio::spawn(async move {
+            let mut requests = requests;
+            loop {
+                let request = tokio::select! {
+                    request = requests.next() => request,
+                    () = closed(&answers) => None,
+                };
+                let Some(Ok(request)) = request else { break };
+                let request = Box::new(into(request));
+                if front.tell(Event::Asked { stream, request }).await.is_err() {
+                    break;
+                }
+            }
+            let _ = front.tell(Event::Closed { stream }).await;
+        });
+        Ok(())
+    }
+}
+
+async fn closed(answers: &Answers) {
+    match answers {
+        Answers::Sotw(answers) => answers.closed().await,
+        Answers::Delta(answers) => answers.closed().await,
+    }
+}
+
+#[tonic::async_trait]
+impl AggregatedDiscoveryService for Front {
+    type StreamAggregatedResourcesStream = Answer<DiscoveryResponse>;
+    type DeltaAggregatedResourcesStream = Answer<DeltaDiscoveryResponse>;
+
+    async fn stream_aggregated_resources(
+        &self,
+        request: Request<Streaming<DiscoveryRequest>>,
+    ) -> Result<Response<Self::StreamAggregatedResourcesStream>, Status> {
+        let (answers, stream) = mpsc::channel(CHANNEL);
+        self.carry(Answers::Sotw(answers), request.into_inner(), session::Request::Sotw).await?;
+        Ok(Response::new(Box::pin(ReceiverStream::new(stream))))
+    }
+
+    async fn delta_aggregated_resources(
+        &self,
+        request: Request<Streaming<DeltaDiscoveryRequest>>,
+    ) -> Result<Response<Self::DeltaAggregatedResourcesStream>, Status> {
+        let (answers, stream) = mpsc::channel(CHANNEL);
+        self.carry(Answers::Delta(answers), request.into_inner(), session::Request::Delta).await?;
+        Ok(Response::new(Box::pin(ReceiverStream::new(stream))))
+    }
+}
+
+#[tonic::async_trait]
+impl LoadReportingService for Front {
+    type StreamLoadStatsStream = Answer<LoadStatsResponse>;
+
+    async fn stream_load_stats(
+        &self,
+        request: Request<Streaming<LoadStatsRequest>>,
+    ) -> Result<Response<Self::StreamLoadStatsStream>, Status> {
+        let (answers, stream) = mpsc::channel(CHANNEL);
+        let (front, mut requests) = (self.clone(), request.into_inner());
+        tokio::spawn(async move {
+            let Some(Ok(first)) = requests.next().await else { return };
+            let Some(node) = first.node else {
+                let why = Status::invalid_argument("the stream's first message has no node");
+                let _ = answers.send(Err(why)).await;
+                return;
+            };
+            let stream = front.number();
+            let every = front.report_every;
+            let asked = LoadStatsResponse {
+                send_all_clusters: true,
+                report_endpoint_granularity: true,
+                load_reporting_interval: Some(crate::pb::google::protobuf::Duration {
+                    seconds: every.as_secs() as i64,
+                    nanos: every.subsec_nanos() as i32,
+                }),
+                ..LoadStatsResponse::default()
+            };
+            let opened = Event::ReportsOpened { stream, node: Box::new(node) };
+            if front.tell(opened).await.is_err() || answers.send(Ok(asked)).await.is_err() {
+                return;
+            }
+            let mut stats = first.cluster_stats;
+            loop {
+                if !stats.is_empty() && front.tell(Event::Reported { stream, stats }).await.is_err() {
+                    break;
+                }
+                stats = tokio::select! {
+                    request = requests.next() => match request {
+                        Some(Ok(request)) => request.cluster_stats,
+                        _ => break,
+                    },
+                    () = answers.closed() => break,
+                };
+            }
+            let _ = front.tell(Event::ReportsClosed { stream }).await;
+        });
+        Ok(Response::new(Box::pin(ReceiverStream::new(stream))))
+    }
+}
+
+#[tonic::async_trait]
+impl ClientStatusDiscoveryService for Front {
+    type StreamClientStatusStream = Answer<ClientStatusResponse>;
+
+    async fn stream_client_status(
+        &self,
+        request: Request<Streaming<ClientStatusRequest>>,
+    ) -> Result<Response<Self::StreamClientStatusStream>, Status> {
+        let front = self.clone();
+        let answers = request.into_inner().then(move |request| {
+            let front = front.clone();
+            async move { front.status(request?).await }
+        });
+        Ok(Response::new(Box::pin(answers)))
+    }
+
+    async fn fetch_client_status(
+        &self,
+        request: Request<ClientStatusRequest>,
+    ) -> Result<Response<ClientStatusResponse>, Status> {
+        self.status(request.into_inner()).await.map(Response::new)
+    }
+}
+
+impl Front {
+    async fn status(&self, request: ClientStatusRequest) -> Result<ClientStatusResponse, Status> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(Event::Status { request: Box::new(request), reply }).await?;
+        answer.await.map_err(|_| Status::unavailable("the governor is stopping"))
+    }
+}
--- /dev/null
+++ b/crates/xds/src/upstream.rs
@@ -0,0 +1,121 @@
+//! The governor as a client: it follows endpoints of another control plane as its roster.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use prost::Message;
+use tokio::sync::mpsc;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::Endpoint;
+use wrenthread_core::roster::Entry;
+
+use crate::Wire;
+use crate::decode;
+use crate::encode::Kind;
+use crate::pb::envoy::config::core::v3::Node;
+use crate::pb::envoy::config::endpoint::v3::ClusterLoadAssignment;
+use crate::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
+use crate::pb::envoy::service::discovery::v3::{DiscoveryRequest, DiscoveryResponse};
+use crate::pb::google::rpc::Status;
+
+/// First wait after a broken stream, doubled up to the second.
+const AGAIN: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(10));
+
+/// What a response says, put beside what was known: the new whole list, or why it is not taken.
+///
+/// Endpoints come by cluster, and a response need not name all of them: those it leaves out stay as they were.
+pub fn merged(
+    wire: &Wire,
+    known: &BTreeMap<String, Vec<Entry>>,
+    response: &DiscoveryResponse,
+    started: impl Fn(f64) -> Option<Duration>,
+) -> Result<BTreeMap<String, Vec<Entry>>, String> {
+    let mut merged = known.clone();
+    for resource in &response.resources {
+        let assignment = ClusterLoadAssignment::decode(resource.value.as_slice())
+            .map_err(|error| format!("not a ClusterLoadAssignment: {error}"))?;
+        let entries = decode::entries(wire, &assignment, &started).map_err(|error| error.to_string())?;
+        merged.insert(assignment.cluster_name, entries);
+    }
+    let mut seen = BTreeMap::new();
+    for (cluster, entries) in &merged {
+        for entry in entries {
+            if let Some(other) = seen.insert(entry.id.clone(), cluster) {
+                return Err(format!(
+                    "replica `{}` is in `{other}` and in `{cluster}`, or twice in one",
+                    entry.id
+                ));
+            }
+        }
+    }
+    Ok(merged)
+}
+
+/// Follows clusters of an upstream for ever; whole lists go to `lists`. A list with an error in it is answered
+/// by a NACK with the error's words, and the last good one stays.
+pub async fn follow(
+    wire: Wire,
+    uri: String,
+    clusters: Vec<String>,
+    started: impl Fn(f64) -> Option<Duration> + Clone,
+    lists: mpsc::Sender<Vec<Entry>>,
+) {
+    let (mut known, mut wait) = (BTreeMap::new(), AGAIN.0);
+    while !lists.is_closed() {
+        match once(&wire, &uri, &clusters, &started, &lists, &mut known).await {
+            Ok(true) => wait = AGAIN.0,
+            Ok(false) => {}
+            Err(error) => {
+                tracing::warn!(%uri, %error, "the upstream roster can't be followed; the last list stays")
+            }
+        }
+        tokio::time::sleep(wait).await;
+        wait = (2 * wait).min(AGAIN.1);
+    }
+}
+
+async fn once(
+    wire: &Wire,
+    uri: &str,
+    clusters: &[String],
+    started: &(impl Fn(f64) -> Option<Duration> + Clone),
+    lists: &mpsc::Sender<Vec<Entry>>,
+    known: &mut BTreeMap<String, Vec<Entry>>,
+) -> Result<bool, Box<dyn std::error::Error>> {
+    let endpoint = Endpoint::from_shared(uri.to_string())?
+        .connect_timeout(Duration::from_secs(3))
+        .http2_keep_alive_interval(Duration::from_secs(10))
+        .keep_alive_while_idle(true);
+    let mut client = AggregatedDiscoveryServiceClient::new(endpoint.connect().await?);
+    let (requests, stream) = mpsc::channel(4);
+    let ask = |version: &str, nonce: &str, error: Option<String>, node: bool| DiscoveryRequest {
+        version_info: version.to_string(),
+        node: node.then(|| Node { id: format!("wrenthread-{:x}", wire.epoch), ..Node::default() }),
+        resource_names: clusters.to_vec(),
+        type_url: Kind::Endpoints.url(),
+        response_nonce: nonce.to_string(),
+        error_detail: error.map(|message| Status { code: 3, message, ..Status::default() }),
+        ..DiscoveryRequest::default()
+    };
+    requests.send(ask("", "", None, true)).await?;
+    let mut responses = client.stream_aggregated_resources(ReceiverStream::new(stream)).await?.into_inner();
+    let (mut version, mut any) = (String::new(), false);
+    while let Some(response) = responses.next().await {
+        let response = response?;
+        match merged(wire, known, &response, started) {
+            Ok(merged) => {
+                *known = merged;
+                any = true;
+                version.clone_from(&response.version_info);
+                requests.send(ask(&version, &response.nonce, None, false)).await?;
+                lists.send(known.values().flatten().cloned().collect()).await?;
+            }
+            Err(error) => {
+                tracing::warn!(%uri, %error, "a list of the upstream is not taken; the last one stays");
+                requests.send(ask(&version, &response.nonce, Some(error), false)).await?;
+            }
+        }
+    }
+    Ok(any)
+}
