--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -23,7 +23,7 @@
 //! let steps: Vec<Step> = std::iter::from_fn(|| {
 //!     let step = engine.step(later)?;
 //!     if let Step::Flush(number) = step {
-//!         engine.sent(later, number, 1); // here a front writes what `Engine::proxy` says
+//!         engine.sent(later, number, 1, 1); // here a front writes what `Engine::proxy` says
 //!     }
 //!     Some(step)
 //! }).collect();
@@ -292,6 +292,13 @@
         }
     }
 
+    /// The proxy on a stream has answered all that it was sent, whatever that was.
+    pub fn settled(&mut self, stream: StreamId) {
+        if let Some(number) = self.fleet.number_of(stream) {
+            self.pace.answered(number);
+        }
+    }
+
     /// The proxy on a stream asks for something that it was not sent yet.
     pub fn wants(&mut self, now: Duration, stream: StreamId, lines: usize) {
         if let Some(number) = self.fleet.number_of(stream) {
@@ -299,13 +306,13 @@
         }
     }
 
-    /// A flush was written, as so many lines; 0 if there was nothing to say.
-    pub fn sent(&mut self, now: Duration, number: ProxyId, lines: usize) {
+    /// A flush was written, as so many lines in so many messages; none if there was nothing to say.
+    pub fn sent(&mut self, now: Duration, number: ProxyId, lines: usize, messages: usize) {
         self.offered = None;
         if let Some(proxy) = self.fleet.get_mut(number).filter(|_| lines > 0) {
             proxy.sent = proxy.newest();
         }
-        self.pace.sent(now, number, lines);
+        self.pace.sent(now, number, lines, messages);
     }
 
     /// The proxy's stream has no room for a flush.
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -30,7 +30,7 @@
         match step {
             Step::Flush(number) => {
                 flushed.push(number);
-                engine.sent(now, number, 3);
+                engine.sent(now, number, 3, 1);
             }
             Step::Note(note) => notes.push(note),
             Step::Close(_) | Step::Probe(_) => {}
@@ -216,7 +216,7 @@
             engine.roster(ms(tick * 250), ready(if tick % 3 == 0 { &["a", "b"] } else { &["a", "b", "c"] }));
             while let Some(step) = engine.step(ms(tick * 250)) {
                 if let Step::Flush(number) = step {
-                    engine.sent(ms(tick * 250), number, 2);
+                    engine.sent(ms(tick * 250), number, 2, 1);
                     let proxy = engine.proxy(number).unwrap();
                     let (stream, newest) = (proxy.stream, proxy.newest());
                     engine.acked(ms(tick * 250), stream, newest);
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -101,6 +101,11 @@
         self.marks.push_back((version, now));
     }
 
+    /// How long the oldest marked order has waited for its acknowledgement.
+    pub fn lag(&self, now: Duration) -> Duration {
+        self.marks.front().map_or(Duration::ZERO, |(_, at)| now.saturating_sub(*at))
+    }
+
     /// Marks that an acknowledgement of a version answers, by the time that they were ordered. An older
     /// acknowledgement than one heard before answers nothing.
     fn answered(&mut self, version: u64) -> Vec<Duration> {
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -14,6 +14,9 @@
 /// What is unacknowledged for longer is with a proxy that does not read, and no longer in the channel.
 const STALLED_AFTER: Duration = Duration::from_secs(5);
 
+/// A flush may be so many messages, one of each type of resource; the limit on messages leaves room for them.
+const FLUSH_MESSAGES: usize = 4;
+
 /// The channel, as the settings state it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Channel {
@@ -99,8 +102,8 @@
         (self.tokens >= self.least(self.proxies.get(&proxy)?, !ordinary)).then_some(proxy)
     }
 
-    /// A proxy was written so many lines: 0 if there turned out to be nothing to say.
-    pub fn sent(&mut self, now: Duration, proxy: ProxyId, lines: usize) {
+    /// A proxy was written so many lines in so many messages: none if there turned out to be nothing to say.
+    pub fn sent(&mut self, now: Duration, proxy: ProxyId, lines: usize, messages: usize) {
         self.fill(now);
         self.settle(proxy);
         let Some(line) = self.proxies.get_mut(&proxy) else { return };
@@ -110,12 +113,12 @@
         let (before, since) = line.in_flight.unwrap_or((0, now));
         line.in_flight = Some((before + lines, since));
         if let Some((most, over)) = self.channel.messages_most {
-            line.written.push_back(now);
+            line.written.extend(std::iter::repeat_n(now, messages));
             while line.written.len() > most || line.written.front().is_some_and(|at| *at + over <= now) {
                 line.written.pop_front();
             }
         }
-        self.tokens -= self.channel.head_lines + lines as f64;
+        self.tokens -= self.channel.head_lines * messages.max(1) as f64 + lines as f64;
     }
 
     /// A proxy's stream has no room: it is left out until [`Pace::roomy`], and its state goes on being merged.
@@ -214,7 +217,7 @@
             _ => now,
         };
         let Some((most, over)) = self.channel.messages_most else { return answered };
-        let most = if urgent { most } else { most.saturating_sub(1) }.max(1);
+        let most = (most + 1).saturating_sub(FLUSH_MESSAGES + usize::from(!urgent)).max(1);
         let full = line.written.len().checked_sub(most).and_then(|at| line.written.get(at));
         full.map_or(answered, |at| answered.max(*at + over))
     }
@@ -240,7 +243,7 @@
         pace.want(ms(3), 3, 1, true);
         let mut order = Vec::new();
         while let Some(proxy) = pace.next(ms(4)) {
-            pace.sent(ms(4), proxy, 5);
+            pace.sent(ms(4), proxy, 5, 1);
             order.push(proxy);
         }
         assert_eq!(order, [3, 1, 2]);
@@ -252,13 +255,13 @@
         let mut pace = pace(10_000.0, None);
         pace.want(ms(1), 1, 5, false);
         pace.next(ms(1)).unwrap();
-        pace.sent(ms(1), 1, 5);
+        pace.sent(ms(1), 1, 5, 1);
         pace.want(ms(2), 1, 5, false);
         assert_eq!(pace.next(ms(3)), None, "not acknowledged yet");
         pace.want(ms(4), 1, 2, true);
         assert_eq!(pace.next(ms(4)), Some(1));
         assert_eq!(pace.waiting(ms(4)), 12);
-        pace.sent(ms(4), 1, 6);
+        pace.sent(ms(4), 1, 6, 1);
         pace.answered(1);
         assert_eq!(pace.waiting(ms(5)), 0);
     }
@@ -284,28 +287,28 @@
         pace.want(ms(0), 1, 90, false);
         pace.want(ms(0), 2, 1, false);
         assert_eq!(pace.next(ms(0)), Some(1), "a state larger than a burst goes once the burst is full");
-        pace.sent(ms(0), 1, 90);
+        pace.sent(ms(0), 1, 90, 1);
         assert_eq!(pace.next(ms(1)), None);
         let due = pace.next_due(ms(1)).unwrap();
         assert!((ms(800)..ms(900)).contains(&due), "{due:?}");
         assert_eq!(pace.next(due), Some(2));
         pace.want(ms(1), 3, 1, true);
-        pace.sent(due, 2, 1);
+        pace.sent(due, 2, 1, 1);
         assert!(!pace.has_room(80.0) && pace.has_room(60.0));
     }
 
     #[test]
     fn messages_to_a_proxy_are_limited_and_the_last_is_kept_for_a_drain() {
-        let mut pace = pace(10_000.0, Some((2, ms(1000))));
+        let mut pace = pace(10_000.0, Some((5, ms(1000))));
         pace.want(ms(0), 1, 1, false);
-        pace.sent(ms(0), 1, 1);
+        pace.sent(ms(0), 1, 1, 1);
         pace.answered(1);
         pace.want(ms(10), 1, 1, false);
         assert_eq!(pace.next(ms(10)), None);
         assert_eq!(pace.next_due(ms(10)), Some(ms(1000)));
         pace.want(ms(20), 1, 1, true);
         assert_eq!(pace.next(ms(20)), Some(1));
-        pace.sent(ms(20), 1, 1);
+        pace.sent(ms(20), 1, 1, 1);
         pace.want(ms(30), 1, 1, true);
         assert_eq!(pace.next(ms(30)), None);
         assert_eq!(pace.next(ms(1000)), Some(1));
--- /dev/null
+++ b/crates/daemon/src/host.rs
@@ -0,0 +1,436 @@
+//! One governor's state and what to do with each thing that happens: engine, streams and sessions, in the hands
+//! of one task. Everything here is plain calls; sockets, files and waiting are the loop's.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tonic::Status;
+use wrenthread::interface::{FurtherTries, Phase, ProxyId};
+use wrenthread_core::engine::{Engine, Note, Setup, Step, What};
+use wrenthread_core::fleet::{Kind, Proxy, Refused};
+use wrenthread_core::roster::Entry;
+use wrenthread_xds::pb::envoy::admin::v3::ClientResourceStatus;
+use wrenthread_xds::pb::envoy::config::core::v3::{Locality, Node};
+use wrenthread_xds::pb::envoy::service::status::v3::client_config::GenericXdsConfig;
+use wrenthread_xds::pb::envoy::service::status::v3::{
+    ClientConfig, ClientStatusRequest, ClientStatusResponse, ConfigStatus,
+};
+use wrenthread_xds::pb::envoy::r#type::matcher::v3::string_matcher::MatchPattern;
+use wrenthread_xds::service::{Answers, Event};
+use wrenthread_xds::session::{Heard, Request, Session, Standing};
+use wrenthread_xds::{Wire, decode, encode};
+
+/// An ADS stream.
+struct Stream {
+    answers: Answers,
+    /// None until its first request.
+    session: Option<Session>,
+}
+
+/// Something for the loop to do.
+pub enum Chore {
+    /// Wait until the stream has room, then call [`Host::roomy`].
+    AwaitRoom(u64, Answers),
+}
+
+pub struct Host {
+    pub engine: Engine,
+    wire: Wire,
+    usual: f64,
+    streams: BTreeMap<u64, Stream>,
+    /// Load report streams, by the name that their node gave.
+    reporters: BTreeMap<u64, Arc<str>>,
+    listed: bool,
+}
+
+impl Host {
+    pub fn new(setup: Setup, wire: Wire, usual: f64, now: Duration) -> Self {
+        Host {
+            engine: Engine::new(setup, now),
+            wire,
+            usual,
+            streams: BTreeMap::new(),
+            reporters: BTreeMap::new(),
+            listed: false,
+        }
+    }
+
+    /// Whether a first list has come.
+    pub fn is_ready(&self) -> bool {
+        self.listed
+    }
+
+    pub fn roster(&mut self, now: Duration, entries: Vec<Entry>) {
+        tracing::info!(replicas = entries.len(), "a roster came");
+        metrics::counter!("wrenthread_rosters_total").increment(1);
+        self.listed = true;
+        self.engine.roster(now, entries);
+    }
+
+    pub fn event(&mut self, now: Duration, event: Event) {
+        match event {
+            Event::Opened { stream, answers } => {
+                self.streams.insert(stream, Stream { answers, session: None });
+            }
+            Event::Asked { stream, request } => self.asked(now, stream, *request),
+            Event::Closed { stream } => {
+                if let Some(number) = self.engine.number_of(stream) {
+                    let name = self.engine.proxy(number).map(|proxy| proxy.name.clone());
+                    tracing::info!(proxy = name.as_deref(), stream, "a proxy's stream is over");
+                }
+                self.streams.remove(&stream);
+                self.engine.left(now, stream);
+            }
+            Event::ReportsOpened { stream, node } => match decode::name(Some(&node)) {
+                Ok(name) => drop(self.reporters.insert(stream, name.into())),
+                Err(error) => tracing::warn!(%error, stream, "load reports that can't be placed"),
+            },
+            Event::Reported { stream, stats } => self.reported(now, stream, &stats),
+            Event::ReportsClosed { stream } => drop(self.reporters.remove(&stream)),
+            Event::Status { request, reply } => drop(reply.send(self.client_status(&request))),
+        }
+    }
+
+    fn asked(&mut self, now: Duration, stream: u64, request: Request) {
+        let Some(open) = self.streams.get_mut(&stream) else { return };
+        if open.session.is_none() {
+            let join = decode::join(&self.wire, request.node(), self.usual, request.holds_orders());
+            let joined =
+                join.map_err(|unclear| Status::invalid_argument(unclear.to_string())).and_then(|join| {
+                    let joined = self.engine.joined(now, stream, &join).map_err(|refused| match refused {
+                        Refused::Full { .. } => Status::resource_exhausted(refused.to_string()),
+                        Refused::Contested { .. } => Status::already_exists(refused.to_string()),
+                        Refused::Nameless => Status::invalid_argument(refused.to_string()),
+                    })?;
+                    let fresh = self.engine.proxy(joined.number).is_some_and(|proxy| proxy.fresh);
+                    tracing::info!(proxy = %join.name, zone = join.zone, fresh, stream, "a proxy joined");
+                    Ok(())
+                });
+            if let Err(status) = joined {
+                tracing::warn!(stream, why = status.message(), "a stream is turned away");
+                metrics::counter!("wrenthread_joins_refused_total").increment(1);
+                open.answers.end(status);
+                self.streams.remove(&stream);
+                return;
+            }
+        }
+        let session = open.session.get_or_insert_with(|| Session::new(self.wire.epoch, &request));
+        match session.request(request) {
+            Ok(heard) => {
+                let settled = session.settled();
+                for heard in heard {
+                    match heard {
+                        Heard::Acked(version) => self.engine.acked(now, stream, version),
+                        Heard::Nacked(version, words) => {
+                            metrics::counter!("wrenthread_nacks_total").increment(1);
+                            self.engine.nacked(stream, version, &words);
+                        }
+                        Heard::Wants => self.engine.wants(now, stream, 1),
+                        Heard::Unserved(url) => tracing::debug!(stream, url, "a type that is not served"),
+                    }
+                }
+                if settled {
+                    self.engine.settled(stream);
+                }
+            }
+            Err(bad) => {
+                tracing::warn!(stream, %bad, "a stream is ended");
+                open.answers.end(Status::invalid_argument(bad.to_string()));
+                self.streams.remove(&stream);
+                self.engine.left(now, stream);
+            }
+        }
+    }
+
+    fn reported(
+        &mut self,
+        now: Duration,
+        stream: u64,
+        stats: &[wrenthread_xds::pb::envoy::config::endpoint::v3::ClusterStats],
+    ) {
+        let Some(name) = self.reporters.get(&stream).cloned() else { return };
+        let roster = self.engine.known_roster();
+        let (reports, unknown) = decode::reports(&self.wire, stats, |address| roster.at(address).cloned());
+        if unknown > 0 {
+            metrics::counter!("wrenthread_report_lines_unknown_total").increment(unknown as u64);
+        }
+        for report in reports {
+            metrics::counter!("wrenthread_reports_total").increment(1);
+            if let Err(why) = self.engine.report(now, &name, stream, &report) {
+                metrics::counter!("wrenthread_reports_discarded_total", "why" => why.to_string())
+                    .increment(1);
+                tracing::debug!(proxy = %name, %why, "a load report does not count");
+            }
+        }
+    }
+
+    /// A stream has room again.
+    pub fn roomy(&mut self, stream: u64) {
+        self.engine.roomy(stream);
+    }
+
+    /// Carries out all that there is to do now. What takes waiting is handed to the loop.
+    pub fn pump(&mut self, now: Duration, mut chore: impl FnMut(Chore)) {
+        while let Some(step) = self.engine.step(now) {
+            match step {
+                Step::Flush(number) => chore_of(self.flush(now, number), &mut chore),
+                Step::Close(stream) => {
+                    if let Some(old) = self.streams.remove(&stream) {
+                        let why = "a later stream of this node id took over";
+                        old.answers.end(Status::aborted(why));
+                    }
+                }
+                Step::Probe(_) => {}
+                Step::Note(note) => self.note(&note),
+            }
+        }
+    }
+
+    fn flush(&mut self, now: Duration, number: ProxyId) -> Option<Chore> {
+        let stream = self.engine.proxy(number).map(|proxy| proxy.stream);
+        let open = stream.and_then(|stream| self.streams.get_mut(&stream));
+        let (Some(stream), Some(open)) = (stream, open) else {
+            self.engine.sent(now, number, 0, 0);
+            return None;
+        };
+        if !open.answers.has_room() {
+            self.engine.stalled(number);
+            metrics::counter!("wrenthread_stalls_total").increment(1);
+            return Some(Chore::AwaitRoom(stream, open.answers.clone()));
+        }
+        let (Some(session), Some(proxy)) = (open.session.as_mut(), self.engine.proxy(number)) else {
+            self.engine.sent(now, number, 0, 0);
+            return None;
+        };
+        let flushed = session.flush(&self.wire, proxy);
+        let settled = session.settled();
+        metrics::counter!("wrenthread_lines_sent_total").increment(flushed.lines as u64);
+        metrics::counter!("wrenthread_responses_total").increment(flushed.responses.len() as u64);
+        let messages = flushed.responses.len();
+        for response in flushed.responses {
+            open.answers.send(response);
+        }
+        self.engine.sent(now, number, flushed.lines, messages);
+        if let Some(version) = flushed.acked {
+            self.engine.acked(now, stream, version);
+        }
+        if settled {
+            self.engine.settled(stream);
+        }
+        None
+    }
+
+    fn groups(&self, set: u64) -> String {
+        let named = self.wire.groups.iter().enumerate().filter(|(place, _)| set >> place & 1 == 1);
+        named.map(|(_, group)| group.name.as_str()).collect::<Vec<_>>().join(",")
+    }
+
+    fn note(&self, note: &Note) {
+        match note {
+            Note::Decided { what, version, answers } => {
+                let answers = format!("{answers:?}").to_lowercase();
+                match what {
+                    What::Withdraw(replica, out) => {
+                        metrics::counter!("wrenthread_withdrawals_total").increment(u64::from(*out));
+                        let why = self.engine.why_out(replica).unwrap_or("");
+                        tracing::info!(decision = if *out { "withdraw" } else { "let back" }, %replica, why, version, answers);
+                    }
+                    What::Lines(proxy, lines) => {
+                        tracing::info!(decision = "lines", %proxy, lines, version, answers);
+                    }
+                    What::Follow(proxy, groups) => {
+                        let groups = self.groups(*groups);
+                        tracing::info!(decision = "bind", %proxy, groups, version, answers);
+                    }
+                    What::Level(groups, level, tries) => {
+                        let (groups, tries) = (self.groups(*groups), tries_word(*tries));
+                        tracing::info!(decision = "level", groups, level, tries, version, answers);
+                    }
+                }
+            }
+            Note::Doubted(_) => {
+                tracing::warn!("the roster is empty; the last one stays until it has been so for long")
+            }
+            Note::Nacked { proxy, version, words } => {
+                tracing::warn!(%proxy, version, words, "a proxy would not take a version; its last good tables stand");
+            }
+            Note::Lobby(waiting) => tracing::info!(waiting, "proxies wait to be let in: the channel is full"),
+        }
+    }
+
+    /// Ends all streams, with a word; proxies keep their tables.
+    pub fn stop(&mut self) {
+        for stream in std::mem::take(&mut self.streams).into_values() {
+            stream.answers.end(Status::unavailable("the governor stops; keep your tables and come back"));
+        }
+    }
+
+    // ---- what operators see
+
+    fn kind(&self, number: ProxyId, proxy: &Proxy) -> &'static str {
+        match proxy.kind() {
+            Kind::Standing => "standing",
+            Kind::Own if self.engine.is_critical(number) => "critical",
+            Kind::Own => "default",
+        }
+    }
+
+    fn zone(&self, zone: usize) -> &str {
+        self.wire.zones.get(zone).map_or("?", String::as_str)
+    }
+
+    pub fn status(&self, now: Duration, up: Duration) -> Value {
+        let figures = self.engine.figures(now);
+        let proxies: Vec<Value> = self
+            .engine
+            .fleet()
+            .iter()
+            .map(|(number, proxy)| {
+                json!({
+                    "name": &*proxy.name, "zone": self.zone(proxy.zone), "kind": self.kind(number, proxy),
+                    "newest": proxy.newest(), "sent": proxy.sent, "acked": proxy.acked,
+                    "lag_s": proxy.lag(now).as_secs_f64(),
+                    "nacked": proxy.nacked.as_ref().map(|(version, words)| json!({"version": version, "words": words})),
+                })
+            })
+            .collect();
+        let replicas: Vec<Value> = self
+            .engine
+            .replicas()
+            .map(|(id, known)| {
+                let why = self.engine.why_out(id);
+                let state = match known.phase {
+                    Phase::Gone => "gone",
+                    Phase::Draining => "draining",
+                    Phase::Ready if self.engine.is_withdrawn(id) => "withdrawn",
+                    Phase::Ready if why.is_some() => "on trial",
+                    Phase::Ready => "open",
+                };
+                json!({
+                    "id": &**id, "zone": self.zone(known.zone), "address": &*known.address, "weight": known.weight,
+                    "state": state, "why": why,
+                    "up_s": known.started.map(|at| now.saturating_sub(at).as_secs_f64()),
+                })
+            })
+            .collect();
+        let groups: Vec<Value> = self
+            .wire
+            .groups
+            .iter()
+            .zip(self.engine.levels())
+            .map(|(group, (level, tries))| json!({"name": group.name, "level": level, "tries": tries_word(*tries)}))
+            .collect();
+        let (discarded, counted) = self.engine.reports();
+        let discarded: BTreeMap<String, u64> =
+            discarded.iter().map(|(why, times)| (why.to_string(), *times)).collect();
+        json!({
+            "governor": {
+                "epoch": format!("{:x}", self.wire.epoch), "up_s": up.as_secs_f64(), "ready": self.listed,
+                "version": figures.version, "joined": figures.joined, "lobby": figures.lobby,
+                "lines_waiting": figures.lines_waiting, "lines_waited_most": figures.lines_waited_most,
+                "roster_doubted": figures.roster_doubted,
+                "reports": {"counted": counted, "waiting": figures.reports_waiting, "discarded": discarded},
+            },
+            "groups": groups, "proxies": proxies, "replicas": replicas,
+        })
+    }
+
+    /// What one proxy should hold, by group; none if it is not joined.
+    pub fn tables(&self, name: &str) -> Option<Value> {
+        let (number, proxy) = self.engine.fleet().named(name)?;
+        let groups = self.wire.groups.iter().zip(&proxy.tables).map(|(group, kept)| {
+            let lines = kept.as_ref().map(|kept| {
+                let lines = kept.table.lines.iter().map(|line| {
+                    json!({"replica": &*line.replica, "address": &*line.address, "zone": self.zone(line.zone),
+                        "weight": line.weight, "open": line.open})
+                });
+                lines.collect::<Vec<_>>()
+            });
+            json!({
+                "group": group.name, "version": kept.as_ref().map(|kept| kept.version),
+                "level": kept.as_ref().map(|kept| kept.table.level), "lines": lines,
+            })
+        });
+        let standing: Vec<Value> =
+            proxy.standing.iter().map(|(id, weight)| json!({"replica": &**id, "weight": weight})).collect();
+        Some(json!({
+            "name": name, "kind": self.kind(number, proxy), "sent": proxy.sent, "acked": proxy.acked,
+            "standing": standing, "groups": groups.collect::<Vec<_>>(),
+        }))
+    }
+
+    pub fn measure(&self, now: Duration) {
+        let figures = self.engine.figures(now);
+        metrics::gauge!("wrenthread_proxies_joined").set(figures.joined as f64);
+        metrics::gauge!("wrenthread_proxies_in_lobby").set(figures.lobby as f64);
+        metrics::gauge!("wrenthread_lines_waiting").set(figures.lines_waiting as f64);
+        metrics::gauge!("wrenthread_version").set(figures.version as f64);
+        metrics::gauge!("wrenthread_report_lines_waiting").set(figures.reports_waiting as f64);
+        for (group, (level, _)) in self.wire.groups.iter().zip(self.engine.levels()) {
+            metrics::gauge!("wrenthread_level", "group" => group.name.clone()).set(*level);
+        }
+        let lag = self.engine.fleet().iter().map(|(_, proxy)| proxy.lag(now)).max().unwrap_or_default();
+        metrics::gauge!("wrenthread_lag_seconds").set(lag.as_secs_f64());
+    }
+
+    fn client_status(&self, request: &ClientStatusRequest) -> ClientStatusResponse {
+        // Exact ids are heeded; matchers of other kinds match all, as too much is better than nothing here.
+        let wanted: Vec<&str> = request
+            .node_matchers
+            .iter()
+            .filter_map(|matcher| match &matcher.node_id.as_ref()?.match_pattern {
+                Some(MatchPattern::Exact(id)) => Some(id.as_str()),
+                _ => None,
+            })
+            .collect();
+        let named = |proxy: &Proxy| wanted.is_empty() || wanted.contains(&&*proxy.name);
+        let config = |(_, proxy): (ProxyId, &Proxy)| {
+            let session = self.streams.get(&proxy.stream).and_then(|stream| stream.session.as_ref())?;
+            let configs =
+                session.status(&self.wire, proxy).into_iter().map(|(kind, name, version, standing)| {
+                    let (config, client) = match standing {
+                        Standing::Acked => (ConfigStatus::Synced, ClientResourceStatus::Acked),
+                        Standing::Sent => (ConfigStatus::Stale, ClientResourceStatus::Requested),
+                        Standing::Nacked => (ConfigStatus::Error, ClientResourceStatus::Nacked),
+                        Standing::NotSent => (ConfigStatus::NotSent, ClientResourceStatus::Requested),
+                    };
+                    let contents =
+                        || encode::resource(&self.wire, proxy, kind, &name).map(|(resource, _)| resource);
+                    GenericXdsConfig {
+                        type_url: kind.url(),
+                        xds_config: if request.exclude_resource_contents { None } else { contents() },
+                        name,
+                        version_info: format!("{:x}.{version}", self.wire.epoch),
+                        config_status: config as i32,
+                        client_status: client as i32,
+                        ..GenericXdsConfig::default()
+                    }
+                });
+            let locality = Locality { zone: self.zone(proxy.zone).to_string(), ..Locality::default() };
+            Some(ClientConfig {
+                node: Some(Node { id: proxy.name.to_string(), locality: Some(locality), ..Node::default() }),
+                generic_xds_configs: configs.collect(),
+                ..ClientConfig::default()
+            })
+        };
+        let config =
+            self.engine.fleet().iter().filter(|(_, proxy)| named(proxy)).filter_map(config).collect();
+        ClientStatusResponse { config }
+    }
+}
+
+fn chore_of(made: Option<Chore>, chore: &mut impl FnMut(Chore)) {
+    if let Some(made) = made {
+        chore(made);
+    }
+}
+
+fn tries_word(tries: FurtherTries) -> &'static str {
+    match tries {
+        FurtherTries::Never => "never",
+        FurtherTries::IfNeverRan => "if-never-ran",
+        FurtherTries::Once => "once",
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,1 +1,148 @@
-fn main() {}
+//! `wrenthread`: a control service that hands weights to plain proxies.
+
+mod clock;
+mod host;
+mod http;
+mod roster_file;
+mod run;
+mod show;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Result;
+use clap::{Parser, Subcommand, ValueEnum};
+
+#[derive(Parser)]
+#[command(
+    version,
+    about,
+    after_help = "Exit codes: 0 done; 1 it failed, with the reason on standard error; \
+    2 the command line or the settings are wrong; 3 a rehearsal did not pass."
+)]
+struct Cli {
+    /// How logs are written
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    log: LogForm,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+}
+
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum Output {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a governor: SIGHUP reloads its settings, SIGTERM stops it
+    #[command(after_help = "Example: wrenthread run deploy/settings.star")]
+    Run { settings: PathBuf },
+    /// Say what a settings script comes to, or all that is wrong with it
+    #[command(after_help = "Example: wrenthread check deploy/settings.star --output json")]
+    Check {
+        settings: PathBuf,
+        #[arg(long, value_enum, default_value = "text")]
+        output: Output,
+    },
+    /// Ask a running governor who holds what: proxies, replicas, levels
+    #[command(after_help = "Example: wrenthread status --at 127.0.0.1:15011")]
+    Status {
+        /// The governor's HTTP port
+        #[arg(long, default_value = "127.0.0.1:15011")]
+        at: String,
+        #[arg(long, value_enum, default_value = "text")]
+        output: Output,
+    },
+    /// Ask a running governor for one proxy's tables
+    #[command(after_help = "Example: wrenthread tables relay-3")]
+    Tables {
+        proxy: String,
+        /// The governor's HTTP port
+        #[arg(long, default_value = "127.0.0.1:15011")]
+        at: String,
+        #[arg(long, value_enum, default_value = "text")]
+        output: Output,
+    },
+    /// Rehearse a bad day on stand-in relays and workers, and judge it by what crossed the sockets
+    #[command(after_help = "Example: wrenthread rehearse bad-day --seed 3\nDays: bad-day, short")]
+    Rehearse {
+        day: String,
+        /// Seeds; each is a day of its own
+        #[arg(long = "seed", default_value = "1")]
+        seeds: Vec<u64>,
+        /// Keep the tape, one JSON line a message, in this folder
+        #[arg(long)]
+        tape: Option<PathBuf>,
+        #[arg(long, value_enum, default_value = "text")]
+        output: Output,
+    },
+}
+
+fn logs(form: LogForm) {
+    let filter = tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into());
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match form {
+        LogForm::Text => logs.init(),
+        LogForm::Json => logs.json().init(),
+    }
+}
+
+fn print(output: Output, value: &serde_json::Value, text: impl FnOnce() -> String) {
+    match output {
+        Output::Json => println!("{value:#}"),
+        Output::Text => print!("{}", text()),
+    }
+}
+
+fn carry_out(command: Command) -> Result<ExitCode> {
+    match command {
+        Command::Run { settings } => run::run(&settings)?,
+        Command::Check { settings, output } => {
+            let settings = wrenthread_settings::load(&settings)?;
+            let text = show::settings(&settings)?;
+            print(output, &serde_json::to_value(&settings)?, || text);
+        }
+        Command::Status { at, output } => {
+            let status = show::fetch(&at, "/status")?;
+            print(output, &status, || show::status(&status));
+        }
+        Command::Tables { proxy, at, output } => {
+            let tables = show::fetch(&at, &format!("/tables/{proxy}"))?;
+            print(output, &tables, || show::tables(&tables));
+        }
+        Command::Rehearse { day, seeds, tape, output } => return rehearse(&day, &seeds, tape, output),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn rehearse(day: &str, seeds: &[u64], tape: Option<PathBuf>, output: Output) -> Result<ExitCode> {
+    let program = std::env::current_exe()?;
+    let mut passed = true;
+    for seed in seeds {
+        let verdict = wrenthread_rehearsal::rehearse(&program, day, *seed, tape.as_deref())?;
+        passed &= verdict.passed();
+        print(output, &serde_json::to_value(&verdict)?, || verdict.to_string());
+    }
+    Ok(if passed { ExitCode::SUCCESS } else { ExitCode::from(3) })
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    logs(cli.log);
+    match carry_out(cli.command) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("wrenthread: {error:#}");
+            let settings = error.downcast_ref::<wrenthread_settings::Faults>().is_some();
+            if settings { ExitCode::from(2) } else { ExitCode::FAILURE }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,224 @@
+//! `wrenthread run`: sockets, files, signals and the one task that owns all state, on one thread.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{JoinHandle, LocalSet};
+use tokio_stream::wrappers::TcpListenerStream;
+use wrenthread_core::roster::Entry;
+use wrenthread_settings::{RosterSource, Route, Settings};
+use wrenthread_xds::service::Front;
+use wrenthread_xds::{Wire, WireGroup, upstream};
+
+use crate::clock::Clock;
+use crate::host::{Chore, Host};
+use crate::http::{self, Query};
+use crate::roster_file;
+
+/// Events that may wait for the one task; streams beyond it wait on their sockets.
+const EVENTS: usize = 1024;
+/// Events taken before decisions are pulled, so that a burst is one flush.
+const AT_ONCE: usize = 256;
+/// How long streams get to hear of their end.
+const PARTING: Duration = Duration::from_millis(300);
+
+fn span(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or_default()
+}
+
+pub fn wire(settings: &Settings, epoch: u64) -> Wire {
+    let group = |group: &wrenthread_settings::Group| WireGroup {
+        name: group.name.clone(),
+        route: match &group.route {
+            Route::Prefix(prefix) => wrenthread_xds::Route::Prefix(prefix.clone()),
+            Route::Header(name, value) => wrenthread_xds::Route::Header(name.clone(), value.clone()),
+        },
+        expiry: span(group.expiry),
+    };
+    Wire {
+        epoch,
+        zones: settings.zones.clone(),
+        groups: settings.groups.iter().map(group).collect(),
+        report_every: span(settings.report_every),
+        load_metrics: settings.load.clone(),
+        answer_metric: settings.answer.clone(),
+    }
+}
+
+/// Runs until a signal to stop.
+///
+/// Errors: settings that can't be taken, sockets that can't be had.
+pub fn run(path: &Path) -> Result<()> {
+    let settings = wrenthread_settings::load(path)?;
+    let recorder = metrics_exporter_prometheus::PrometheusBuilder::new();
+    let metrics = recorder.install_recorder().context("metrics")?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context("tokio")?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, governor(path.to_path_buf(), settings, metrics))
+}
+
+fn follow_roster(
+    settings: &Settings,
+    wire: &Wire,
+    clock: Clock,
+    lists: mpsc::Sender<Vec<Entry>>,
+) -> JoinHandle<()> {
+    match &settings.roster {
+        RosterSource::File(path) => {
+            let every = span(settings.look_every);
+            tokio::task::spawn_local(roster_file::watch(
+                path.clone(),
+                every,
+                wire.zones.clone(),
+                clock,
+                lists,
+            ))
+        }
+        RosterSource::Upstream { uri, clusters } => {
+            let started = move |at| clock.at(at);
+            tokio::task::spawn_local(upstream::follow(
+                wire.clone(),
+                uri.clone(),
+                clusters.clone(),
+                started,
+                lists,
+            ))
+        }
+    }
+}
+
+async fn governor(
+    path: PathBuf,
+    mut settings: Settings,
+    metrics: metrics_exporter_prometheus::PrometheusHandle,
+) -> Result<()> {
+    let clock = Clock::start();
+    let wire = wire(&settings, clock.epoch());
+    let grpc =
+        TcpListener::bind(settings.grpc).await.with_context(|| format!("gRPC on {}", settings.grpc))?;
+    let pages =
+        TcpListener::bind(settings.http).await.with_context(|| format!("HTTP on {}", settings.http))?;
+    let (events, mut heard) = mpsc::channel(EVENTS);
+    let (queries, mut asked) = mpsc::channel(64);
+    let (lists, mut listed) = mpsc::channel(4);
+    let (chores, mut done) = mpsc::channel::<u64>(EVENTS);
+    let (stop, stopped) = oneshot::channel::<()>();
+
+    tracing::info!(
+        grpc = %grpc.local_addr()?, http = %pages.local_addr()?, epoch = format!("{:x}", wire.epoch),
+        groups = wire.groups.len(), "the governor runs"
+    );
+    let front = Front::new(events, wire.report_every);
+    let (ads, lrs, csds) = front.services();
+    let server = tonic::transport::Server::builder()
+        .http2_keepalive_interval(Some(span(settings.keepalive)))
+        .http2_keepalive_timeout(Some(span(settings.keepalive_timeout)))
+        .max_concurrent_streams(Some(1024))
+        .tcp_nodelay(true)
+        .add_service(ads)
+        .add_service(lrs)
+        .add_service(csds)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(grpc), async {
+            let _ = stopped.await;
+        });
+    let mut server = tokio::task::spawn_local(server);
+    let pages = tokio::task::spawn_local(http::serve(pages, queries));
+    let mut roster = follow_roster(&settings, &wire, clock, lists.clone());
+
+    let mut host = Host::new(settings.setup(), wire.clone(), settings.usual, clock.now());
+    let mut hangup = signal(SignalKind::hangup()).context("signals")?;
+    let mut terminate = signal(SignalKind::terminate()).context("signals")?;
+    let why = loop {
+        let due = clock.instant(host.engine.next_due(clock.now()));
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => break "asked to stop",
+            _ = tokio::signal::ctrl_c() => break "interrupted",
+            _ = hangup.recv() => {
+                if let Some(new) = reload(&path, &settings) {
+                    settings = new;
+                    host.engine.limit_reports(settings.report_lines_per_s);
+                    roster.abort();
+                    roster = follow_roster(&settings, &wire, clock, lists.clone());
+                }
+            }
+            ended = &mut server => {
+                ended.context("the gRPC server")?.context("the gRPC server")?;
+                break "the gRPC server ended";
+            }
+            Some(entries) = listed.recv() => host.roster(clock.now(), entries),
+            Some(event) = heard.recv() => {
+                host.event(clock.now(), event);
+                for _ in 0..AT_ONCE {
+                    let Ok(event) = heard.try_recv() else { break };
+                    host.event(clock.now(), event);
+                }
+            }
+            Some(stream) = done.recv() => host.roomy(stream),
+            Some(query) = asked.recv() => answer(&host, &clock, &metrics, query),
+            () = tokio::time::sleep_until(due.into()) => {}
+        }
+        let began = std::time::Instant::now();
+        host.pump(clock.now(), |chore| match chore {
+            Chore::AwaitRoom(stream, answers) => {
+                let chores = chores.clone();
+                tokio::task::spawn_local(async move {
+                    if answers.room().await {
+                        let _ = chores.send(stream).await;
+                    }
+                });
+            }
+        });
+        metrics::histogram!("wrenthread_pump_seconds").record(began.elapsed().as_secs_f64());
+    };
+    tracing::info!(why, "the governor stops; proxies keep their tables");
+    host.stop();
+    let _ = stop.send(());
+    drop(heard);
+    // Streams hear of their end before the sockets close.
+    let _ = tokio::time::timeout(PARTING, &mut server).await;
+    roster.abort();
+    pages.abort();
+    Ok(())
+}
+
+/// Reads the settings anew. What can't be taken, or can't be changed while running, is said and left as it is.
+fn reload(path: &Path, now: &Settings) -> Option<Settings> {
+    let later = match wrenthread_settings::load(path) {
+        Ok(later) => later,
+        Err(faults) => {
+            faults
+                .0
+                .iter()
+                .for_each(|fault| tracing::error!(%fault, "settings not taken; the old ones stay"));
+            return None;
+        }
+    };
+    let fixed = now.fixed_differences(&later);
+    if !fixed.is_empty() {
+        for difference in &fixed {
+            tracing::error!(%difference, "can't be changed while running; restart for it. Nothing was changed");
+        }
+        return None;
+    }
+    tracing::info!("settings reloaded");
+    Some(later)
+}
+
+fn answer(host: &Host, clock: &Clock, metrics: &metrics_exporter_prometheus::PrometheusHandle, query: Query) {
+    let now = clock.now();
+    // Who asked may be gone; that is no concern of the governor's.
+    match query {
+        Query::Ready(reply) => drop(reply.send(host.is_ready())),
+        Query::Status(reply) => drop(reply.send(host.status(now, clock.up()))),
+        Query::Tables(proxy, reply) => drop(reply.send(host.tables(&proxy))),
+        Query::Metrics(reply) => {
+            host.measure(now);
+            drop(reply.send(metrics.render()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/show.rs
@@ -0,0 +1,116 @@
+//! What operators read: plain tables for people, JSON for programs.
+
+use std::fmt::Write;
+
+use anyhow::{Context, Result, bail};
+use serde_json::Value;
+use wrenthread_settings::Settings;
+
+/// Asks a running governor's HTTP port.
+///
+/// Errors: nobody answers there, or says that there is no such thing.
+pub fn fetch(at: &str, path: &str) -> Result<Value> {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .timeout_global(Some(std::time::Duration::from_secs(5)))
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let url = format!("http://{at}{path}");
+    let mut answer = agent.get(&url).call().with_context(|| format!("no governor answers at {at}"))?;
+    let text = answer.body_mut().read_to_string().with_context(|| format!("the answer of {url}"))?;
+    let value: Value =
+        serde_json::from_str(&text).with_context(|| format!("{url} answered: {}", text.trim()))?;
+    match value.get("error").and_then(Value::as_str) {
+        Some(error) => bail!("{error}"),
+        None => Ok(value),
+    }
+}
+
+fn cell(value: &Value) -> String {
+    match value {
+        Value::Null => "-".to_string(),
+        Value::String(text) => text.clone(),
+        Value::Number(number) => match number.as_f64() {
+            Some(float) if !number.is_u64() => format!("{float:.2}"),
+            _ => number.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
+
+/// Rows under heads, each column as wide as it needs.
+pub fn columns(heads: &[&str], rows: &[Vec<String>]) -> String {
+    let width = |at: usize| rows.iter().map(|row| row[at].chars().count()).fold(heads[at].len(), usize::max);
+    let widths: Vec<usize> = (0..heads.len()).map(width).collect();
+    let heads: Vec<String> = heads.iter().map(|head| head.to_uppercase()).collect();
+    let mut text = String::new();
+    for row in std::iter::once(&heads).chain(rows) {
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+        let _ = writeln!(text, "{}", cells.collect::<Vec<_>>().join("  ").trim_end());
+    }
+    text
+}
+
+fn listed(value: &Value, heads: &[&str]) -> String {
+    let rows = value.as_array().into_iter().flatten();
+    let rows: Vec<Vec<String>> =
+        rows.map(|row| heads.iter().map(|head| cell(&row[*head])).collect()).collect();
+    columns(heads, &rows)
+}
+
+pub fn status(status: &Value) -> String {
+    let governor = &status["governor"];
+    let mut text = format!(
+        "governor {} up {} s, version {}, {} joined ({} waiting to be let in), {} lines waiting{}\n\n",
+        cell(&governor["epoch"]),
+        cell(&governor["up_s"]),
+        cell(&governor["version"]),
+        cell(&governor["joined"]),
+        cell(&governor["lobby"]),
+        cell(&governor["lines_waiting"]),
+        if governor["roster_doubted"] == true { "; THE ROSTER IS EMPTY and not believed yet" } else { "" },
+    );
+    text += &listed(&status["groups"], &["name", "level", "tries"]);
+    text.push('\n');
+    let heads = ["name", "zone", "kind", "newest", "sent", "acked", "lag_s", "nacked"];
+    text += &listed(&status["proxies"], &heads);
+    text.push('\n');
+    text += &listed(&status["replicas"], &["id", "zone", "address", "weight", "state", "up_s", "why"]);
+    text
+}
+
+pub fn tables(tables: &Value) -> String {
+    let mut text = format!(
+        "{}: {} tables, sent {}, acknowledged {}\n",
+        cell(&tables["name"]),
+        cell(&tables["kind"]),
+        cell(&tables["sent"]),
+        cell(&tables["acked"])
+    );
+    for group in tables["groups"].as_array().into_iter().flatten() {
+        let name = cell(&group["group"]);
+        if group["lines"].is_null() {
+            let _ = writeln!(
+                text,
+                "\n{name}: its standing table\n{}",
+                listed(&tables["standing"], &["replica", "weight"])
+            );
+        } else {
+            let (version, level) = (cell(&group["version"]), cell(&group["level"]));
+            let lines = listed(&group["lines"], &["replica", "address", "zone", "weight", "open"]);
+            let _ = writeln!(text, "\n{name}: version {version}, level {level}\n{lines}");
+        }
+    }
+    text
+}
+
+pub fn settings(settings: &Settings) -> Result<String> {
+    let value = serde_json::to_value(settings)?;
+    let groups = listed(
+        &value["groups"],
+        &["name", "effect", "latency_budget", "expiry", "utility", "own_zone", "route"],
+    );
+    let others = value.as_object().into_iter().flatten().filter(|(name, _)| *name != "groups");
+    let rows: Vec<Vec<String>> = others.map(|(name, value)| vec![name.clone(), cell(value)]).collect();
+    Ok(format!("{groups}\n{}", columns(&["setting", "value"], &rows)))
+}
--- /dev/null
+++ b/crates/rehearsal/src/check.rs
@@ -0,0 +1,384 @@
+//! The checkers: each reads the tape alone and says where its rule was broken.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+use wrenthread_settings::day::Day;
+
+use crate::tape::{
+    Entry, FLOWS, GROUPS, HEAD_LINES, LINES_PER_S, MESSAGES, NON_RETRIABLE, WAITING_MOST, What, capacity,
+};
+
+/// One rule, and where it was broken.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Ruled {
+    pub rule: &'static str,
+    pub broken: Vec<String>,
+}
+
+/// All rules on one tape.
+pub fn all(day: &Day, tape: &[Entry]) -> Vec<Ruled> {
+    let ruled = |rule, broken| Ruled { rule, broken };
+    vec![
+        ruled("no proxy left without a replica", bare(day, tape)),
+        ruled("no effect twice", twice(tape)),
+        ruled("drains kept", drains(day, tape)),
+        ruled("no cold replica pushed over", cold(day, tape)),
+        ruled("short queue", queue(tape)),
+        ruled("every flow has its one end, before its expiry", ends(tape)),
+        ruled("every order is answered", answers(tape)),
+    ]
+}
+
+/// Since when each relay is joined, as the tape goes on.
+#[derive(Default)]
+struct Joined(BTreeMap<usize, f64>);
+
+impl Joined {
+    fn see(&mut self, entry: &Entry) {
+        match &entry.what {
+            What::Joined { relay } => drop(self.0.insert(*relay, entry.at)),
+            What::Broken { relay } => drop(self.0.remove(relay)),
+            What::Governor { up: false } => self.0.clear(),
+            _ => {}
+        }
+    }
+}
+
+/// A joined relay whose table for a group has no line, for longer than allowed, while the list shows a worker
+/// that is ready and no longer cold.
+pub fn bare(day: &Day, tape: &[Entry]) -> Vec<String> {
+    let (mut joined, mut broken) = (Joined::default(), Vec::new());
+    let mut empty: BTreeMap<(usize, String), (f64, bool)> = BTreeMap::new();
+    let (mut ready, mut started) = (BTreeSet::new(), BTreeMap::new());
+    for entry in tape {
+        joined.see(entry);
+        match &entry.what {
+            What::Roster { listed } => {
+                ready = listed.iter().filter(|one| one.ready).map(|one| one.worker).collect();
+            }
+            What::Started { worker, cold } => drop(started.insert(*worker, cold.then_some(entry.at))),
+            What::Order { relay, tables, .. } => {
+                for (group, (lines, _)) in tables {
+                    let place = (*relay, group.clone());
+                    if lines.is_empty() {
+                        empty.entry(place).or_insert((entry.at, false));
+                    } else {
+                        empty.remove(&place);
+                    }
+                }
+            }
+            _ => {}
+        }
+        let warm = |worker: &usize| {
+            started.get(worker).copied().flatten().is_none_or(|at| entry.at - at >= day.warm_after)
+        };
+        let open = ready.iter().any(warm);
+        for ((relay, group), (since, told)) in &mut empty {
+            match joined.0.get(relay) {
+                Some(at) if open && entry.at - since.max(*at) > day.bare_for && !*told => {
+                    *told = true;
+                    broken.push(format!(
+                        "{:.2} s: relay {relay} has no line for {group} since {since:.2} s",
+                        entry.at
+                    ));
+                }
+                Some(_) if open => {}
+                // Not joined, or nobody is there: it counts from when that is over.
+                _ => *since = entry.at,
+            }
+        }
+    }
+    broken
+}
+
+/// Work of a non-retriable flow that was done more than once.
+pub fn twice(tape: &[Entry]) -> Vec<String> {
+    let mut done: BTreeMap<u64, Vec<(f64, usize)>> = BTreeMap::new();
+    for entry in tape {
+        if let What::Effect { flow, worker, group: NON_RETRIABLE } = entry.what {
+            done.entry(flow).or_default().push((entry.at, worker));
+        }
+    }
+    let twice = done.into_iter().filter(|(_, done)| done.len() > 1);
+    twice
+        .map(|(flow, done)| format!("flow {flow} of {} took effect at {done:.2?}", GROUPS[NON_RETRIABLE]))
+        .collect()
+}
+
+/// Tries of joined relays at a worker that was listed as draining, or not at all, longer ago than the grace.
+pub fn drains(day: &Day, tape: &[Entry]) -> Vec<String> {
+    let (mut joined, mut broken) = (Joined::default(), Vec::new());
+    let (mut shut, mut known): (BTreeMap<usize, f64>, BTreeSet<usize>) = Default::default();
+    for entry in tape {
+        joined.see(entry);
+        match &entry.what {
+            What::Roster { listed } => {
+                let ready: BTreeSet<usize> =
+                    listed.iter().filter(|one| one.ready).map(|one| one.worker).collect();
+                known.extend(&ready);
+                shut.retain(|worker, _| !ready.contains(worker));
+                for worker in known.difference(&ready) {
+                    shut.entry(*worker).or_insert(entry.at);
+                }
+            }
+            What::Try { flow, relay, worker } => {
+                let told = shut.get(worker).zip(joined.0.get(relay)).map(|(shut, joined)| shut.max(*joined));
+                if let Some(told) = told.filter(|told| entry.at > told + day.drain_grace) {
+                    let at = entry.at;
+                    broken.push(format!(
+                        "{at:.2} s: relay {relay} tries worker {worker} (flow {flow}), shut since {told:.2} s"
+                    ));
+                }
+            }
+            _ => {}
+        }
+    }
+    broken
+}
+
+/// A cold worker that got the stated multiple of what it could do, for the stated time.
+pub fn cold(day: &Day, tape: &[Entry]) -> Vec<String> {
+    let mut broken = Vec::new();
+    let mut started: BTreeMap<usize, f64> = BTreeMap::new();
+    let mut got: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
+    for entry in tape {
+        match entry.what {
+            What::Started { worker, cold: true } => {
+                started.insert(worker, entry.at);
+                got.remove(&worker);
+            }
+            What::Got { worker, .. } => {
+                let Some(since) = started.get(&worker) else { continue };
+                if entry.at - since > day.warm_after {
+                    continue;
+                }
+                let times = got.entry(worker).or_default();
+                times.push(entry.at);
+                times.retain(|at| entry.at - at <= day.overload_for);
+                // At its age at the end of the span it can do most: what it could do then is exceeded for sure.
+                let part = day.worker_flows_per_s * capacity(day, entry.at - since);
+                if times.len() as f64 > day.fall_multiple * part * day.overload_for {
+                    let (n, at) = (times.len(), entry.at);
+                    broken.push(format!(
+                        "{at:.2} s: worker {worker} got {n} flows in {} s; it can do {part:.1} a second",
+                        day.overload_for
+                    ));
+                    times.clear();
+                }
+            }
+            _ => {}
+        }
+    }
+    broken
+}
+
+/// More lines than a channel of the stated pace and length lets out in a span, or too many messages to a relay.
+///
+/// What waits inside the governor never crosses a socket: this sees what must follow from it.
+pub fn queue(tape: &[Entry]) -> Vec<String> {
+    let mut broken = Vec::new();
+    let mut lines: Vec<(f64, f64)> = Vec::new();
+    let mut messages: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
+    for entry in tape {
+        let at = entry.at;
+        match &entry.what {
+            What::Governor { up: true } => (lines.clear(), messages.clear()).0,
+            What::Order { relay, lines: count, .. } => {
+                lines.push((at, *count as f64 + HEAD_LINES));
+                lines.retain(|(then, _)| at - then <= 1.0);
+                let second: f64 = lines.iter().map(|(_, count)| count).sum();
+                if second > LINES_PER_S + WAITING_MOST {
+                    broken.push(format!("{at:.2} s: {second} lines within a second"));
+                    lines.clear();
+                }
+                let times = messages.entry(*relay).or_default();
+                times.push(at);
+                times.retain(|then| at - then <= MESSAGES.1);
+                if times.len() > MESSAGES.0 {
+                    broken.push(format!(
+                        "{at:.2} s: {} messages to relay {relay} within {} s",
+                        times.len(),
+                        MESSAGES.1
+                    ));
+                    times.clear();
+                }
+            }
+            _ => {}
+        }
+    }
+    broken
+}
+
+/// Flows without an end, with several, or with a late one. A tape ends some seconds after its last flow.
+pub fn ends(tape: &[Entry]) -> Vec<String> {
+    let (mut open, mut broken): (BTreeMap<u64, (f64, usize)>, _) = (BTreeMap::new(), Vec::new());
+    for entry in tape {
+        match entry.what {
+            What::Came { flow, group, .. } => drop(open.insert(flow, (entry.at, group))),
+            What::Ended { flow, .. } => match open.remove(&flow) {
+                // A timer may be a little late on a busy machine.
+                Some((came, group)) if entry.at - came > FLOWS[group].1 + 0.25 => {
+                    broken.push(format!(
+                        "flow {flow} of {} ended after {:.2} s",
+                        GROUPS[group],
+                        entry.at - came
+                    ));
+                }
+                Some(_) => {}
+                None => broken.push(format!("flow {flow} ended twice, or before it came")),
+            },
+            _ => {}
+        }
+    }
+    broken.extend(
+        open.into_iter().map(|(flow, (at, _))| format!("flow {flow}, come at {at:.2} s, has no end")),
+    );
+    broken
+}
+
+/// Orders that a relay neither took nor turned down while its stream stood.
+pub fn answers(tape: &[Entry]) -> Vec<String> {
+    let mut open: BTreeMap<usize, BTreeMap<&str, f64>> = BTreeMap::new();
+    let mut broken = Vec::new();
+    for entry in tape {
+        match &entry.what {
+            What::Order { relay, nonce, .. } => {
+                open.entry(*relay).or_default().insert(nonce, entry.at);
+            }
+            What::Answer { relay, nonce, .. } => {
+                if open.get_mut(relay).and_then(|open| open.remove(nonce.as_str())).is_none() {
+                    broken.push(format!(
+                        "{:.2} s: relay {relay} answers {nonce}, which it was not sent",
+                        entry.at
+                    ));
+                }
+            }
+            What::Broken { relay } => drop(open.remove(relay)),
+            _ => {}
+        }
+    }
+    let left = open.into_iter().flat_map(|(relay, open)| open.into_iter().map(move |one| (relay, one)));
+    broken
+        .extend(left.map(|(relay, (nonce, at))| format!("{at:.2} s: relay {relay} never answered {nonce}")));
+    broken
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::tape::{End, Listed};
+
+    fn day() -> Day {
+        wrenthread_settings::day::parse("d.star", "day(seconds = 10, halls = ['a'], bare_for = 1)").unwrap()
+    }
+
+    fn tape(entries: Vec<(f64, What)>) -> Vec<Entry> {
+        entries.into_iter().map(|(at, what)| Entry { at, what }).collect()
+    }
+
+    fn roster(ready: &[bool]) -> What {
+        let listed = ready.iter().enumerate().map(|(worker, ready)| Listed { worker, ready: *ready });
+        What::Roster { listed: listed.collect() }
+    }
+
+    fn order(relay: usize, lines: Vec<usize>) -> What {
+        let tables = BTreeMap::from([("plate-match".to_string(), (lines, 1.0))]);
+        What::Order { relay, nonce: "n".into(), lines: 1, tables }
+    }
+
+    #[test]
+    fn a_bare_relay_is_seen_while_it_is_joined_and_a_warm_worker_is_ready() {
+        let came = || What::Came { flow: 1, relay: 0, group: 0 };
+        let day = day();
+        let bare_for = |extra: What| {
+            bare(
+                &day,
+                &tape(vec![
+                    (0.0, roster(&[true])),
+                    (0.0, What::Joined { relay: 0 }),
+                    (1.0, order(0, vec![])),
+                    (1.5, extra),
+                    (3.0, came()),
+                ]),
+            )
+        };
+        assert_eq!(bare_for(came()).len(), 1);
+        assert!(bare_for(order(0, vec![0])).is_empty());
+        assert!(bare_for(What::Broken { relay: 0 }).is_empty());
+        assert!(bare_for(roster(&[false])).is_empty());
+        assert!(bare_for(What::Started { worker: 0, cold: true }).is_empty());
+    }
+
+    #[test]
+    fn an_effect_twice_is_seen_and_retriable_ones_are_none() {
+        let effect = |worker, group| What::Effect { flow: 5, worker, group };
+        assert_eq!(twice(&tape(vec![(1.0, effect(0, 2)), (2.0, effect(1, 2))])).len(), 1);
+        assert!(twice(&tape(vec![(1.0, effect(0, 0)), (2.0, effect(1, 0))])).is_empty());
+    }
+
+    #[test]
+    fn a_try_at_a_drained_worker_is_seen_after_the_grace_only() {
+        let tried = What::Try { flow: 1, relay: 0, worker: 1 };
+        let at = |at, joined| {
+            drains(
+                &day(),
+                &tape(vec![
+                    (0.0, roster(&[true, true])),
+                    (1.0, roster(&[true, false])),
+                    (joined, What::Joined { relay: 0 }),
+                    (at, tried.clone()),
+                ]),
+            )
+        };
+        assert_eq!(at(4.5, 1.2).len(), 1);
+        assert!(at(3.5, 1.2).is_empty());
+        assert!(at(4.5, 2.0).is_empty(), "joined later");
+        let back = tape(vec![
+            (0.0, roster(&[true, false])),
+            (0.0, What::Joined { relay: 0 }),
+            (5.0, roster(&[true, true])),
+            (9.0, tried.clone()),
+        ]);
+        assert!(drains(&day(), &back).is_empty());
+    }
+
+    #[test]
+    fn a_cold_worker_pushed_over_is_seen() {
+        let day = day();
+        let flows = |count: u64, cold| {
+            let mut entries = vec![(0.0, What::Started { worker: 0, cold })];
+            entries.extend(
+                (0..count).map(|flow| (1.0 + flow as f64 / count as f64, What::Got { flow, worker: 0 })),
+            );
+            super::cold(&day, &tape(entries))
+        };
+        assert!(flows(9, true).is_empty());
+        assert_eq!(flows(40, true).len() > 0, true);
+        assert!(flows(40, false).is_empty());
+    }
+
+    #[test]
+    fn a_flood_of_lines_or_messages_is_seen() {
+        let big = What::Order { relay: 0, nonce: "n".into(), lines: 9000, tables: BTreeMap::new() };
+        assert_eq!(queue(&tape(vec![(0.0, big)])).len(), 1);
+        let many = |step: f64| (0..41).map(|n| (f64::from(n) * step, order(0, vec![0]))).collect();
+        assert_eq!(queue(&tape(many(0.1))).len(), 1);
+        assert!(queue(&tape(many(0.5))).is_empty());
+    }
+
+    #[test]
+    fn flows_and_orders_without_an_end_are_seen() {
+        let came = What::Came { flow: 1, relay: 0, group: 1 };
+        let ended = What::Ended { flow: 1, end: End::Dropped };
+        assert!(ends(&tape(vec![(0.0, came.clone()), (2.5, ended.clone())])).is_empty());
+        assert_eq!(ends(&tape(vec![(0.0, came.clone()), (3.0, ended.clone())])).len(), 1);
+        assert_eq!(ends(&tape(vec![(0.0, came.clone())])).len(), 1);
+        assert_eq!(ends(&tape(vec![(0.0, came), (1.0, ended.clone()), (1.0, ended)])).len(), 1);
+        let answer = What::Answer { relay: 0, nonce: "n".into(), taken: true };
+        assert!(answers(&tape(vec![(0.0, order(0, vec![])), (0.1, answer.clone())])).is_empty());
+        assert!(answers(&tape(vec![(0.0, order(0, vec![])), (0.1, What::Broken { relay: 0 })])).is_empty());
+        assert_eq!(answers(&tape(vec![(0.0, order(0, vec![]))])).len(), 1);
+        assert_eq!(answers(&tape(vec![(0.1, answer)])).len(), 1);
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,1 +1,486 @@
+//! The rehearsal kit: a bad day, on the real program and real sockets on loopback, judged by what crossed them.
+//!
+//! Stand-in relays follow a governor, which runs as a process of its own; stand-in workers do the work, a roster
+//! file is written some seconds late, and everything is taped. Beside it, in the same minutes, a like fleet has
+//! the same day on standing tables only.
 
+pub mod check;
+pub mod relay;
+pub mod tape;
+pub mod worker;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result, bail};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use serde::Serialize;
+use serde_json::json;
+use tokio::process::{Child, Command};
+use tokio::task::LocalSet;
+use tokio::time::{sleep, timeout};
+use wrenthread_settings::day::{self, Day, Planned, Trouble};
+
+use check::Ruled;
+use relay::{Relay, name};
+use tape::{End, Entry, FLOWS, GROUPS, Listed, Tape, What};
+use worker::{Mode, Worker};
+
+const DAYS: [(&str, &str); 2] =
+    [("bad-day", include_str!("../days/bad-day.star")), ("short", include_str!("../days/short.star"))];
+/// Lines of a standing table.
+const STANDING: usize = 8;
+/// After the last flow came: time for the ends of all, and for the last orders' answers.
+const AFTER: f64 = 6.0;
+
+/// How a group fared.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Service {
+    pub flows: u64,
+    pub delivered: u64,
+    pub in_budget: u64,
+    pub blocked: u64,
+    pub dropped: u64,
+}
+
+/// What a day came to.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Verdict {
+    pub day: String,
+    pub seed: u64,
+    pub rules: Vec<Ruled>,
+    /// By group: with the governor, and on standing tables only.
+    pub service: BTreeMap<String, (Service, Service)>,
+    pub orders: usize,
+    pub reports: usize,
+    /// Relays that had the orders of the flush in which the governor was killed, of those joined.
+    pub killed_after: Option<usize>,
+}
+
+impl Verdict {
+    pub fn passed(&self) -> bool {
+        self.rules.iter().all(|ruled| ruled.broken.is_empty()) && self.orders > 0 && self.reports > 0
+    }
+
+    fn in_budget(&self, of: impl Fn(&(Service, Service)) -> &Service) -> f64 {
+        let (good, all) = self
+            .service
+            .values()
+            .map(of)
+            .fold((0, 0), |(good, all), one| (good + one.in_budget, all + one.flows));
+        good as f64 / (all as f64).max(1.0)
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(to, "{} (seed {}): {}", self.day, self.seed, if self.passed() { "PASS" } else { "FAIL" })?;
+        for Ruled { rule, broken } in &self.rules {
+            writeln!(to, "  {:8} {rule}", if broken.is_empty() { "kept" } else { "BROKEN" })?;
+            for one in broken.iter().take(5) {
+                writeln!(to, "           {one}")?;
+            }
+            if broken.len() > 5 {
+                writeln!(to, "           and {} more", broken.len() - 5)?;
+            }
+        }
+        writeln!(to, "  in latency budget          governed   standing tables only")?;
+        let share = |one: &Service| 100.0 * one.in_budget as f64 / (one.flows as f64).max(1.0);
+        for (group, (governed, standing)) in &self.service {
+            writeln!(
+                to,
+                "    {group:22} {:9.2}%  {:9.2}%   of {} flows",
+                share(governed),
+                share(standing),
+                governed.flows
+            )?;
+        }
+        let (governed, standing) = (self.in_budget(|one| &one.0), self.in_budget(|one| &one.1));
+        writeln!(to, "    {:22} {:9.2}%  {:9.2}%", "all", 100.0 * governed, 100.0 * standing)?;
+        write!(to, "  {} orders, {} reports", self.orders, self.reports)?;
+        match self.killed_after {
+            Some(relays) => {
+                writeln!(to, "; the governor was killed when {relays} orders of its flush were out")
+            }
+            None => writeln!(to),
+        }
+    }
+}
+
+/// Rehearses a day: one of the kit's by name, or a script's path. `program` is the governor to run.
+///
+/// Errors: no such day, faults in its script, or a rehearsal that can't be held (no sockets, no program).
+pub fn rehearse(program: &Path, day: &str, seed: u64, keep: Option<&Path>) -> Result<Verdict> {
+    let known = DAYS.iter().find(|(name, _)| *name == day);
+    let (file, text) = match known {
+        Some((name, text)) => (format!("{name}.star"), (*text).to_string()),
+        None => {
+            let names: Vec<&str> = DAYS.iter().map(|(name, _)| *name).collect();
+            let text = std::fs::read_to_string(day).with_context(|| {
+                format!("no day `{day}` (there are {}), and no such script", names.join(", "))
+            })?;
+            (day.to_string(), text)
+        }
+    };
+    let parsed = Rc::new(day::parse(&file, &text)?);
+    if parsed.halls.len() > parsed.workers || parsed.halls.is_empty() {
+        bail!("{file}: every hall needs a worker");
+    }
+    let folder = std::env::temp_dir().join(format!("wrenthread-rehearsal-{}-{seed}", std::process::id()));
+    std::fs::create_dir_all(&folder).with_context(|| format!("{}", folder.display()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    let held = local.block_on(&runtime, async {
+        let governed = Field::new(parsed.clone(), seed).await?;
+        let standing = Field::new(parsed.clone(), seed).await?;
+        let (one, other) =
+            tokio::join!(governed.hold(Some((program.to_path_buf(), folder.clone()))), standing.hold(None));
+        other?;
+        let killed_after = one?;
+        Ok::<_, anyhow::Error>((governed.tape.take(), standing.tape.take(), killed_after))
+    });
+    let (governed, standing, killed_after) = held?;
+    if let Some(keep) = keep {
+        std::fs::create_dir_all(keep)?;
+        let lines: Result<Vec<String>, _> = governed.iter().map(serde_json::to_string).collect();
+        let path = keep.join(format!(
+            "{}-{seed}.jsonl",
+            Path::new(&file).file_stem().map_or("day".into(), |one| one.to_string_lossy())
+        ));
+        std::fs::write(&path, lines?.join("\n")).with_context(|| format!("{}", path.display()))?;
+    }
+    let count = |wanted: fn(&What) -> bool| governed.iter().filter(|entry| wanted(&entry.what)).count();
+    let verdict = Verdict {
+        day: day.to_string(),
+        seed,
+        rules: check::all(&parsed, &governed),
+        service: service(&governed, &standing),
+        orders: count(|what| matches!(what, What::Order { .. })),
+        reports: count(|what| matches!(what, What::Report { .. })),
+        killed_after,
+    };
+    if verdict.passed() {
+        let _ = std::fs::remove_dir_all(&folder);
+    } else {
+        eprintln!("the governor's log is in {}", folder.display());
+    }
+    Ok(verdict)
+}
+
+fn service(governed: &[Entry], standing: &[Entry]) -> BTreeMap<String, (Service, Service)> {
+    let of = |tape: &[Entry]| {
+        let (mut services, mut came) = (vec![Service::default(); 3], HashMap::new());
+        for entry in tape {
+            match entry.what {
+                What::Came { flow, group, .. } => {
+                    came.insert(flow, (entry.at, group));
+                    services[group].flows += 1;
+                }
+                What::Ended { flow, end } => {
+                    let Some((at, group)) = came.remove(&flow) else { continue };
+                    let service = &mut services[group];
+                    match end {
+                        End::Delivered => {
+                            service.delivered += 1;
+                            service.in_budget += u64::from(entry.at - at <= FLOWS[group].0);
+                        }
+                        End::Blocked => service.blocked += 1,
+                        End::Dropped => service.dropped += 1,
+                    }
+                }
+                _ => {}
+            }
+        }
+        services
+    };
+    let both = of(governed).into_iter().zip(of(standing));
+    GROUPS.iter().zip(both).map(|(group, both)| ((*group).to_string(), both)).collect()
+}
+
+/// One fleet: workers, relays, a roster, and what goes wrong with them.
+struct Field {
+    day: Rc<Day>,
+    seed: u64,
+    tape: Tape,
+    workers: Rc<Vec<Rc<Worker>>>,
+    relays: Vec<Rc<Relay>>,
+    /// Workers that are listed as draining.
+    draining: RefCell<BTreeSet<usize>>,
+    /// Seconds of the calendar at the tape's beginning.
+    calendar: f64,
+}
+
+impl Field {
+    async fn new(day: Rc<Day>, seed: u64) -> Result<Rc<Field>> {
+        let tape = Tape::new();
+        let halls = day.halls.len();
+        let mut workers = Vec::new();
+        for place in 0..day.workers {
+            workers.push(Worker::start(place, day.clone(), tape.clone()).await?);
+        }
+        let by_address: HashMap<String, usize> =
+            workers.iter().map(|worker| (worker.address.clone(), worker.place)).collect();
+        let (workers, by_address) = (Rc::new(workers), Rc::new(by_address));
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let usual = day.flows_per_s / day.relays as f64;
+        let relays: Vec<Rc<Relay>> = (0..day.relays)
+            .map(|place| {
+                // A relay draws its standing table from its hall, as the list then shows it.
+                let mut drawn: Vec<usize> =
+                    (0..day.workers).filter(|worker| worker % halls == place % halls).collect();
+                while drawn.len() > STANDING {
+                    drawn.remove(rng.next_u64() as usize % drawn.len());
+                }
+                let hall = day.halls[place % halls].clone();
+                Relay::new(place, hall, usual, drawn, workers.clone(), by_address.clone(), seed, tape.clone())
+            })
+            .collect();
+        let calendar = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs_f64() - tape.now();
+        Ok(Rc::new(Field { day, seed, tape, workers, relays, draining: RefCell::default(), calendar }))
+    }
+
+    /// Holds the day; with a governor (its program, and a folder for its files) or without.
+    async fn hold(self: &Rc<Self>, governor: Option<(PathBuf, PathBuf)>) -> Result<Option<usize>> {
+        let governor = match governor {
+            Some((program, folder)) => Some(Rc::new(Governor::new(program, folder, &self.day)?)),
+            None => None,
+        };
+        let halls = self.day.halls.len();
+        self.tape.add(What::Fleet {
+            workers: (0..self.day.workers).map(|worker| worker % halls).collect(),
+            relays: self.relays.iter().map(|relay| (relay.place % halls, Vec::new())).collect(),
+        });
+        let mut tasks = Vec::new();
+        if let Some(governor) = &governor {
+            self.list(governor)?;
+            governor.start(&self.tape).await?;
+            for relay in &self.relays {
+                tasks.push(tokio::task::spawn_local(relay.clone().follow(governor.uri.clone())));
+                tasks.push(tokio::task::spawn_local(relay.clone().report(governor.uri.clone())));
+            }
+        }
+        let numbers = Rc::new(Cell::new(1));
+        let begins = self.tape.now();
+        for relay in &self.relays {
+            let (each, until) = (self.day.flows_per_s / self.day.relays as f64, begins + self.day.seconds);
+            tasks.push(tokio::task::spawn_local(relay.clone().bring(each, until, numbers.clone())));
+        }
+        for planned in self.day.troubles.clone() {
+            let (this, governor) = (self.clone(), governor.clone());
+            tasks.push(tokio::task::spawn_local(async move {
+                sleep(Duration::from_secs_f64(planned.at)).await;
+                if let Err(error) = this.go_wrong(&planned, governor).await {
+                    eprintln!("a trouble could not be made: {error:#}");
+                }
+            }));
+        }
+        sleep(Duration::from_secs_f64(self.day.seconds + AFTER)).await;
+        let killed = governor.as_ref().and_then(|governor| governor.killed_after.get());
+        if let Some(governor) = governor {
+            governor.kill();
+            // Orders on their way when the day ended are nobody's fault.
+            self.relays.iter().for_each(|relay| self.tape.add(What::Broken { relay: relay.place }));
+        }
+        tasks.iter().for_each(tokio::task::JoinHandle::abort);
+        Ok(killed)
+    }
+
+    /// Replaces the roster file by what holds now.
+    fn list(&self, governor: &Governor) -> Result<()> {
+        let draining = self.draining.borrow();
+        let entry = |worker: &Rc<Worker>| {
+            let phase = if draining.contains(&worker.place) { "draining" } else { "ready" };
+            json!({
+                "id": name(worker.place), "address": worker.address, "phase": phase, "weight": 1.0,
+                "zone": self.day.halls[worker.place % self.day.halls.len()],
+                "started": worker.started().map(|at| self.calendar + at),
+            })
+        };
+        let list = json!({"replicas": self.workers.iter().map(entry).collect::<Vec<_>>()});
+        let written = governor.folder.join("roster.new");
+        std::fs::write(&written, format!("{list:#}"))?;
+        std::fs::rename(written, governor.folder.join("roster.json"))?;
+        let listed = self
+            .workers
+            .iter()
+            .map(|worker| Listed { worker: worker.place, ready: !draining.contains(&worker.place) });
+        self.tape.add(What::Roster { listed: listed.collect() });
+        Ok(())
+    }
+
+    async fn list_late(&self, governor: Option<&Rc<Governor>>) -> Result<()> {
+        sleep(Duration::from_secs_f64(self.day.roster_late)).await;
+        governor.map_or(Ok(()), |governor| self.list(governor))
+    }
+
+    async fn go_wrong(&self, planned: &Planned, governor: Option<Rc<Governor>>) -> Result<()> {
+        let lasts = Duration::from_secs_f64(planned.lasts);
+        let halls = self.day.halls.len();
+        let some = |count: usize| {
+            // The first hall's workers, by seed: deploys are of other halls, as the days have it.
+            let workers = self.workers.iter().filter(|worker| worker.place % halls == 0);
+            let skip = self.seed as usize % (self.day.workers / halls).max(1);
+            workers.cycle().skip(skip).take(count).cloned().collect::<Vec<_>>()
+        };
+        let share = |share: f64| {
+            let count = (share * self.relays.len() as f64).round() as usize;
+            self.relays.iter().cycle().skip(self.seed as usize % self.relays.len()).take(count)
+        };
+        match &planned.trouble {
+            Trouble::Silent { count } | Trouble::QuickErrors { count } => {
+                let silent = matches!(planned.trouble, Trouble::Silent { .. });
+                let workers = some(*count);
+                let mode = if silent { Mode::Silent } else { Mode::QuickErrors };
+                workers.iter().for_each(|worker| worker.set(mode));
+                sleep(lasts).await;
+                workers.iter().for_each(|worker| worker.set(Mode::Well));
+            }
+            Trouble::Deploy { hall, step } => {
+                let workers = self.workers.iter().filter(|worker| worker.place % halls == *hall);
+                for worker in workers.take((planned.lasts / step).ceil() as usize) {
+                    self.draining.borrow_mut().insert(worker.place);
+                    self.list_late(governor.as_ref()).await?;
+                    sleep(Duration::from_secs_f64((step - 2.0 * self.day.roster_late).max(0.5))).await;
+                    worker.restart();
+                    self.draining.borrow_mut().remove(&worker.place);
+                    self.list_late(governor.as_ref()).await?;
+                }
+            }
+            Trouble::BrokenStreams { share: part } => share(*part).for_each(|relay| relay.cut()),
+            Trouble::LateReports { share: part, late } => {
+                share(*part).for_each(|relay| relay.report_late(*late));
+                sleep(lasts).await;
+                share(*part).for_each(|relay| relay.report_late(0.0));
+            }
+            Trouble::Kill { after_orders } => {
+                let Some(governor) = governor else { return Ok(()) };
+                let (after, armed, seen) = (*after_orders, Cell::new(false), Cell::new(0));
+                let killer = governor.clone();
+                self.tape.watch(move |entry| match &entry.what {
+                    What::Roster { .. } => armed.set(true),
+                    What::Order { tables, .. } if armed.get() && !tables.is_empty() => {
+                        seen.set(seen.get() + 1);
+                        if seen.get() == after {
+                            killer.kill();
+                        }
+                        killer.killed_after.set(Some(seen.get()));
+                    }
+                    _ => {}
+                });
+                let dead = async {
+                    while !governor.dead.get() {
+                        sleep(Duration::from_millis(5)).await;
+                    }
+                };
+                // Where no roster change comes in time, it is killed between two flushes.
+                let _ = timeout(lasts, dead).await;
+                governor.kill();
+                sleep(Duration::from_millis(50)).await;
+                self.tape.watch(|_| {});
+                self.tape.add(What::Governor { up: false });
+                sleep(lasts).await;
+                governor.start(&self.tape).await?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The real program, as a process of its own.
+struct Governor {
+    program: PathBuf,
+    folder: PathBuf,
+    uri: String,
+    http: String,
+    child: RefCell<Option<Child>>,
+    dead: Cell<bool>,
+    killed_after: Cell<Option<usize>>,
+}
+
+fn free_port() -> Result<u16> {
+    Ok(std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+}
+
+impl Governor {
+    fn new(program: PathBuf, folder: PathBuf, day: &Day) -> Result<Self> {
+        let (grpc, http) = (free_port()?, free_port()?);
+        let groups: String = GROUPS
+            .iter()
+            .zip(FLOWS)
+            .enumerate()
+            .map(|(place, (group, (budget, expiry, _)))| {
+                let effect = if place == tape::NON_RETRIABLE { "non-retriable" } else { "retriable" };
+                let utility = if place == 1 { 1.0 } else { 3.0 };
+                format!(
+                    "group(\"{group}\", effect = \"{effect}\", latency_budget = {budget}, expiry = {expiry}, \
+                     utility = {utility}, prefix = \"/{group}\")\n"
+                )
+            })
+            .collect();
+        let settings = format!(
+            "fleet(zones = {:?}, proxies = {}, standing_lines = {STANDING}, proxies_avoid = True)\n\
+             replicas(cold_share = {}, warm_after = {})\n\
+             channel(lines_per_s = {}, head_lines = {}, waiting_most = {}, messages_most = {}, messages_over = {})\n\
+             reports(every = 0.5, metrics = [\"waiting\"])\n\
+             roster(file = \"roster.json\", look_every = 0.05)\n\
+             listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\")\n{groups}",
+            day.halls,
+            day.relays,
+            day.cold_share,
+            day.warm_after,
+            tape::LINES_PER_S,
+            tape::HEAD_LINES,
+            tape::WAITING_MOST,
+            tape::MESSAGES.0,
+            tape::MESSAGES.1,
+        );
+        std::fs::write(folder.join("settings.star"), settings)?;
+        Ok(Governor {
+            program,
+            folder,
+            uri: format!("http://127.0.0.1:{grpc}"),
+            http: format!("127.0.0.1:{http}"),
+            child: RefCell::new(None),
+            dead: Cell::new(true),
+            killed_after: Cell::new(None),
+        })
+    }
+
+    async fn start(&self, tape: &Tape) -> Result<()> {
+        let log =
+            std::fs::File::options().create(true).append(true).open(self.folder.join("governor.log"))?;
+        let child = Command::new(&self.program)
+            .arg("run")
+            .arg(self.folder.join("settings.star"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("{}", self.program.display()))?;
+        *self.child.borrow_mut() = Some(child);
+        self.dead.set(false);
+        for _ in 0..200 {
+            if tokio::net::TcpStream::connect(&self.http).await.is_ok() {
+                tape.add(What::Governor { up: true });
+                return Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        bail!("the governor does not answer on {}; its log is in {}", self.http, self.folder.display())
+    }
+
+    /// Kills it, as by a power cut.
+    fn kill(&self) {
+        if let Some(child) = self.child.borrow_mut().as_mut() {
+            let _ = child.start_kill();
+        }
+        self.dead.set(true);
+    }
+}
--- a/crates/xds/src/session.rs
+++ b/crates/xds/src/session.rs
@@ -151,6 +151,11 @@
         self.delta
     }
 
+    /// Whether the proxy has answered all that it was sent.
+    pub fn settled(&self) -> bool {
+        self.subscriptions.values().all(|one| one.outstanding.is_empty())
+    }
+
     /// Requests that answered responses which were no longer the newest, or none that was ever given.
     pub fn stale(&self) -> u64 {
         self.stale
--- a/crates/xds/src/session/tests.rs
+++ b/crates/xds/src/session/tests.rs
@@ -61,7 +61,7 @@
         self.now += Duration::from_millis(1000);
         while let Some(step) = self.engine.step(self.now) {
             if let Step::Flush(number) = step {
-                self.engine.sent(self.now, number, 1);
+                self.engine.sent(self.now, number, 1, 1);
             }
         }
         let newest = self.engine.proxy(0).unwrap().newest();
