--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -1,8 +1,8 @@
 //! One instance of the decision module with all that it needs to act on proxies: inputs in, steps out.
 //!
 //! A host calls the inputs as things happen, then pulls [`Engine::step`] until `None`, carries out each step,
-//! and comes back at [`Engine::next_due`] at the latest. All that the module decides in one go is one flush: it
-//! shares a version and reaches each proxy concerned in one piece.
+//! and comes back at [`Engine::next_due`] at the latest. All that the module decides in one go is one flush:
+//! it shares a version and reaches each proxy concerned in one piece.
 //!
 //! ```
 //! use std::time::Duration;
@@ -211,8 +211,8 @@
     }
 
     /// A proxy's stream is up. It holds only its standing table if it says so, came with no orders, and every
-    /// line of it is one that could be drawn from the list as it is now: ready, and of its zone where three are
-    /// there. The module takes a standing table for such a draw; one that names what drains or is gone is
+    /// line of it is one that could be drawn from the list as it is now: ready, and of its zone where three
+    /// are there. The module takes a standing table for such a draw; one that names what drains or is gone is
     /// nobody knows what, and is answered by tables of its own at once.
     ///
     /// Errors: as [`Refused`]; nothing is changed by a join that is refused.
@@ -466,7 +466,8 @@
         self.refresh(now, &concerned, marked.then_some(now));
     }
 
-    /// The module numbers a proxy's two tables by twice its number; the adapter and this need only the way back.
+    /// The module numbers a proxy's two tables by twice its number; the adapter and this need only the way
+    /// back.
     fn holder(&self, table: TableId) -> Option<ProxyId> {
         let follows = |proxy: &Proxy| proxy.follows.contains(&Some(table));
         let near = [table / 2].into_iter().find(|number| self.fleet.get(*number).is_some_and(follows));
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,4 +1,5 @@
-//! Who is joined: names and numbers, streams, what each proxy holds, what it was sent and has not acknowledged.
+//! Who is joined: names and numbers, streams, what each proxy holds, what it was sent and has not
+//! acknowledged.
 //!
 //! Proxies come with names, the module knows numbers. A number stays with its name for as long as it can: the
 //! module keeps what it last laid into a number's tables, so a proxy that comes back is sent only changes. It
@@ -12,8 +13,8 @@
 
 use crate::tables::Kept;
 
-/// Numbers are 16 bits wide, and the module gives two tables to each proxy out of as many table numbers, three
-/// of which are kept for other ends: a proxy numbered from here on would never get a table of its own.
+/// Numbers are 16 bits wide, and the module gives two tables to each proxy out of as many table numbers,
+/// three of which are kept for other ends: a proxy numbered from here on would never get a table of its own.
 pub const MOST_PROXIES: usize = (u16::MAX as usize - 2) / 2;
 /// Reports and acknowledgements of the former holder are long over by then.
 pub const REUSE_AFTER: Duration = Duration::from_secs(600);
@@ -198,9 +199,9 @@
         }
     }
 
-    /// Lets a proxy in. The newest stream of a name is the true one: a proxy whose stream broke unnoticed comes
-    /// back before its old one is known to be gone. Names that are taken over again and again are refused to the
-    /// newcomer for a while, or two proxies of one name would throw each other out for ever.
+    /// Lets a proxy in. The newest stream of a name is the true one: a proxy whose stream broke unnoticed
+    /// comes back before its old one is known to be gone. Names that are taken over again and again are
+    /// refused to the newcomer for a while, or two proxies of one name would throw each other out for ever.
     pub fn join(
         &mut self,
         now: Duration,
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -1,8 +1,9 @@
 //! Which proxy may be written to next, and what waits.
 //!
-//! Nothing is queued as messages. A proxy either holds the newest state or is due to be told of it; what it is
-//! told is drawn up when its turn comes, so that states which came in between are merged. Turns go to drains
-//! first, then to who has waited longest. A proxy that does not take what it was sent costs the others nothing.
+//! Nothing is queued as messages. A proxy either holds the newest state or is due to be told of it; what it
+//! is told is drawn up when its turn comes, so that states which came in between are merged. Turns go to
+//! drains first, then to who has waited longest. A proxy that does not take what it was sent costs the others
+//! nothing.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -92,7 +93,8 @@
         line.due = Some(due);
     }
 
-    /// The next proxy that may be written to, in the order of turns. It stays due until [`Pace::sent`] or [`Pace::stalled`].
+    /// The next proxy that may be written to, in the order of turns. It stays due until [`Pace::sent`] or
+    /// [`Pace::stalled`].
     pub fn next(&mut self, now: Duration) -> Option<ProxyId> {
         self.fill(now);
         let free = |(ordinary, _, proxy): &&(bool, Duration, ProxyId)| {
@@ -121,7 +123,8 @@
         self.tokens -= self.channel.head_lines * messages.max(1) as f64 + lines as f64;
     }
 
-    /// A proxy's stream has no room: it is left out until [`Pace::roomy`], and its state goes on being merged.
+    /// A proxy's stream has no room: it is left out until [`Pace::roomy`], and its state goes on being
+    /// merged.
     pub fn stalled(&mut self, proxy: ProxyId) {
         let Some(due) = self.proxies.get_mut(&proxy).and_then(|line| line.due.as_mut()) else { return };
         due.stalled = true;
@@ -184,8 +187,8 @@
         self.channel.head_lines
     }
 
-    /// The least that must be in store for a flush. A drain may go into debt with the channel, by one burst at
-    /// most; the rest then waits the longer.
+    /// The least that must be in store for a flush. A drain may go into debt with the channel, by one burst
+    /// at most; the rest then waits the longer.
     fn least(&self, line: &Line, urgent: bool) -> f64 {
         let lines = line.due.as_ref().map_or(0, |due| due.lines) as f64;
         if urgent { -self.burst() } else { (self.channel.head_lines + lines).min(self.burst()) }
@@ -208,9 +211,9 @@
         }
     }
 
-    /// When a proxy may be written to, the channel apart. What is ordinary waits for the acknowledgement of what
-    /// went before, so that a slow proxy gets fewer and newer states; a drain waits for nothing but the limit
-    /// on messages, of which one is kept for it.
+    /// When a proxy may be written to, the channel apart. What is ordinary waits for the acknowledgement of
+    /// what went before, so that a slow proxy gets fewer and newer states; a drain waits for nothing but the
+    /// limit on messages, of which one is kept for it.
     fn free_at(&self, line: &Line, urgent: bool, now: Duration) -> Duration {
         let answered = match line.in_flight {
             Some((_, since)) if !urgent => since + STALLED_AFTER,
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -3,14 +3,14 @@
 //! Public load reports carry no number. A report counts once, or not at all, by three marks:
 //!
 //! - its stream: only the newest of a proxy counts, what an older one still brings is over;
-//! - its content: one that says the very same, to the nanosecond of its interval, as one of the last few of the
-//!   same proxy is a copy, on whichever stream it comes. An idle proxy's empty reports may be alike; they tell
-//!   nothing, so nothing is lost;
-//! - its interval: all intervals of a proxy together can't be longer than the time since it began to report. What
-//!   goes beyond that was counted before, out of order. Late reports fit, as their time has passed.
+//! - its content: one that says the very same, to the nanosecond of its interval, as one of the last few of
+//!   the same proxy is a copy, on whichever stream it comes. An idle proxy's empty reports may be alike; they
+//!   tell nothing, so nothing is lost;
+//! - its interval: all intervals of a proxy together can't be longer than the time since it began to report.
+//!   What goes beyond that was counted before, out of order. Late reports fit, as their time has passed.
 //!
-//! What was counted is gathered over a period and passed on as so many lines a second at most, those that have
-//! waited longest first; the rest goes on being summed.
+//! What was counted is gathered over a period and passed on as so many lines a second at most, those that
+//! have waited longest first; the rest goes on being summed.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -156,8 +156,8 @@
         self.last.retain(|key, _| !gone(key));
     }
 
-    /// Counts a report, but for its lines on replicas that `listed` does not know. Streams are numbered in the
-    /// order in which they were opened.
+    /// Counts a report, but for its lines on replicas that `listed` does not know. Streams are numbered in
+    /// the order in which they were opened.
     pub fn take(
         &mut self,
         now: Duration,
@@ -241,7 +241,8 @@
         if source.seen.len() > REMEMBERED {
             source.seen.pop_front();
         }
-        // An account that lags far behind would let copies of long ago in: what was never reported is given up.
+        // An account that lags far behind would let copies of long ago in: what was never reported is given
+        // up.
         let passed = now.saturating_sub(source.since);
         source.covered = source.covered.max(passed.saturating_sub(LONGEST));
         Ok(())
--- a/crates/core/src/weights.rs
+++ b/crates/core/src/weights.rs
@@ -1,7 +1,7 @@
 //! Weights as the whole numbers that public protocols carry.
 //!
-//! Two kinds of proxies read them: some pick a locality by its weight and then a line in it, others pick among
-//! all lines. Both come to the same shares, as a locality's weight is the sum of its open lines.
+//! Two kinds of proxies read them: some pick a locality by its weight and then a line in it, others pick
+//! among all lines. Both come to the same shares, as a locality's weight is the sum of its open lines.
 
 /// A line's share moves by less than this part of itself, in either direction, as long as the lightest and
 /// all lines together are less than 4 million apart; beyond that the lightest lines are raised to 1.
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -2,7 +2,8 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// The host's time begins this long before its start, so that replicas that started before it have a time too.
+/// The host's time begins this long before its start, so that replicas that started before it have a time
+/// too.
 const BEFORE: Duration = Duration::from_secs(86_400);
 
 /// Steady time since [`BEFORE`] the program's start, and what the calendar said then.
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -1,5 +1,5 @@
-//! One governor's state and what to do with each thing that happens: engine, streams and sessions, in the hands
-//! of one task. Everything here is plain calls; sockets, files and waiting are the loop's.
+//! One governor's state and what to do with each thing that happens: engine, streams and sessions, in the
+//! hands of one task. Everything here is plain calls; sockets, files and waiting are the loop's.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -71,6 +71,9 @@
         #[arg(long, value_enum, default_value = "text")]
         output: Output,
     },
+    /// Read settings within bounds, and write what they came to as JSON
+    #[command(hide = true)]
+    ReadSettings { settings: PathBuf },
     /// Rehearse a bad day on stand-in relays and workers, and judge it by what crossed the sockets
     #[command(after_help = "Example: wrenthread rehearse bad-day --seed 3\nDays: bad-day, short")]
     Rehearse {
@@ -106,10 +109,14 @@
     match command {
         Command::Run { settings } => run::run(&settings)?,
         Command::Check { settings, output } => {
-            let settings = wrenthread_settings::load(&settings)?;
+            let settings = run::load(&settings)?;
             let text = show::settings(&settings)?;
             print(output, &serde_json::to_value(&settings)?, || text);
         }
+        Command::ReadSettings { settings } => {
+            wrenthread_settings::bound_process()?;
+            println!("{}", serde_json::to_string(&wrenthread_settings::load(&settings))?);
+        }
         Command::Status { at, output } => {
             let status = show::fetch(&at, "/status")?;
             print(output, &status, || show::status(&status));
--- a/crates/daemon/src/roster_file.rs
+++ b/crates/daemon/src/roster_file.rs
@@ -1,5 +1,5 @@
-//! The roster as a watched file: JSON, replaced whole. What can't be taken is refused with its place and cause,
-//! and the last good list stays.
+//! The roster as a watched file: JSON, replaced whole. What can't be taken is refused with its place and
+//! cause, and the last good list stays.
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -27,11 +27,11 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Whole {
-    replicas: Vec<Replica>,
+    replicas: Vec<Raw>,
 }
 
 #[derive(Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "snake_case")]
+#[serde(deny_unknown_fields)]
 struct Raw {
     id: String,
     address: String,
@@ -53,41 +53,20 @@
     "ready".into()
 }
 
-/// Checked while it is read, so that an error has its place.
-#[derive(Deserialize)]
-#[serde(try_from = "Raw")]
-struct Replica {
-    raw: Raw,
-    phase: Phase,
-}
-
-impl TryFrom<Raw> for Replica {
-    type Error = String;
-
-    fn try_from(raw: Raw) -> Result<Self, String> {
-        if raw.id.is_empty() || raw.id.len() > 256 {
-            return Err("a replica's `id` has 1 to 256 bytes".into());
-        }
-        if !raw
-            .address
-            .rsplit_once(':')
-            .is_some_and(|(host, port)| !host.is_empty() && port.parse::<u16>().is_ok())
-        {
-            return Err(format!("`address` of `{}` is \"{}\"; it takes \"host:port\"", raw.id, raw.address));
-        }
-        if !(raw.weight.is_finite() && raw.weight > 0.0) {
-            return Err(format!("`weight` of `{}` is {}; it takes a number above 0", raw.id, raw.weight));
-        }
-        let phase = match raw.phase.as_str() {
-            "ready" => Phase::Ready,
-            "draining" => Phase::Draining,
-            "gone" => Phase::Gone,
-            other => {
-                let why = format!("`phase` of `{}` is \"{other}\"; it takes ready, draining or gone", raw.id);
-                return Err(why);
-            }
-        };
-        Ok(Replica { phase, raw })
+/// What is wrong with one entry, if anything is.
+fn unfit(raw: &Raw) -> Option<String> {
+    let Raw { id, address, weight, phase, .. } = raw;
+    let host_port = address.rsplit_once(':').filter(|(host, _)| !host.is_empty());
+    if id.is_empty() || id.len() > 256 {
+        Some("a replica's `id` has 1 to 256 bytes".into())
+    } else if !host_port.is_some_and(|(_, port)| port.parse::<u16>().is_ok()) {
+        Some(format!("`address` of `{id}` is \"{address}\"; it takes \"host:port\""))
+    } else if !(weight.is_finite() && *weight > 0.0) {
+        Some(format!("`weight` of `{id}` is {weight}; it takes a number above 0"))
+    } else if !["ready", "draining", "gone"].contains(&phase.as_str()) {
+        Some(format!("`phase` of `{id}` is \"{phase}\"; it takes ready, draining or gone"))
+    } else {
+        None
     }
 }
 
@@ -104,8 +83,16 @@
     };
     let mut entries: Vec<Entry> = Vec::with_capacity(whole.replicas.len());
     let (mut ids, mut addresses) = (std::collections::BTreeSet::new(), std::collections::BTreeMap::new());
-    for Replica { raw, phase } in whole.replicas {
+    for raw in whole.replicas {
         let fault = |why| placed(line_of(&raw.id), 1, why);
+        if let Some(why) = unfit(&raw) {
+            return Err(fault(why));
+        }
+        let phase = match raw.phase.as_str() {
+            "draining" => Phase::Draining,
+            "gone" => Phase::Gone,
+            _ => Phase::Ready,
+        };
         let zone = zones.iter().position(|zone| *zone == raw.zone);
         let zone = zone.or((raw.zone.is_empty() && zones.len() == 1).then_some(0)).ok_or_else(|| {
             fault(format!(
@@ -214,7 +201,8 @@
         assert!(why(&good.replace("south", "west")).contains("r.json:3:1: `zone` of `b`"));
         assert!(why(&good.replace("\"b\"", "\"a\"")).contains("`a` is listed twice"));
         assert!(why(&good.replace("0.2:80", "0.1:80")).contains("the same address"));
-        assert!(why(&good.replace("2,", "-2,")).starts_with("r.json:3:"));
+        let negative = why(&good.replace("\"weight\": 2", "\"weight\": -2"));
+        assert!(negative.starts_with("r.json:3:"), "{negative}");
         assert!(why(&good.replace("draining", "asleep")).contains("ready, draining or gone"));
         assert!(why(&good.replace("weight", "wieght")).contains("wieght"));
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -30,6 +30,14 @@
     Duration::try_from_secs_f64(seconds).unwrap_or_default()
 }
 
+/// Reads settings in a process of their own, so that no script can take the governor's memory or time.
+///
+/// Errors: all that is wrong with them.
+pub fn load(path: &Path) -> Result<Settings> {
+    let program = std::env::current_exe().context("the program's own path")?;
+    Ok(wrenthread_settings::load_apart(&program, &["read-settings"], path)?)
+}
+
 pub fn wire(settings: &Settings, epoch: u64) -> Wire {
     let group = |group: &wrenthread_settings::Group| WireGroup {
         name: group.name.clone(),
@@ -53,7 +61,7 @@
 ///
 /// Errors: settings that can't be taken, sockets that can't be had.
 pub fn run(path: &Path) -> Result<()> {
-    let settings = wrenthread_settings::load(path)?;
+    let settings = load(path)?;
     let recorder = metrics_exporter_prometheus::PrometheusBuilder::new();
     let metrics = recorder.install_recorder().context("metrics")?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context("tokio")?;
@@ -106,6 +114,7 @@
     let (queries, mut asked) = mpsc::channel(64);
     let (lists, mut listed) = mpsc::channel(4);
     let (chores, mut done) = mpsc::channel::<u64>(EVENTS);
+    let (reloads, mut reloaded) = mpsc::channel::<Result<Settings>>(4);
     let (stop, stopped) = oneshot::channel::<()>();
 
     tracing::info!(
@@ -139,7 +148,16 @@
             _ = terminate.recv() => break "asked to stop",
             _ = tokio::signal::ctrl_c() => break "interrupted",
             _ = hangup.recv() => {
-                if let Some(new) = reload(&path, &settings) {
+                // Reading may take seconds: decisions don't wait for it.
+                let (path, reloads) = (path.clone(), reloads.clone());
+                tokio::task::spawn_local(async move {
+                    if let Ok(read) = tokio::task::spawn_blocking(move || load(&path)).await {
+                        let _ = reloads.send(read).await;
+                    }
+                });
+            }
+            Some(read) = reloaded.recv() => {
+                if let Some(new) = taken(read, &settings) {
                     settings = new;
                     host.engine.limit_reports(settings.report_lines_per_s);
                     roster.abort();
@@ -186,15 +204,14 @@
     Ok(())
 }
 
-/// Reads the settings anew. What can't be taken, or can't be changed while running, is said and left as it is.
-fn reload(path: &Path, now: &Settings) -> Option<Settings> {
-    let later = match wrenthread_settings::load(path) {
+/// Settings read anew. What can't be taken, or can't be changed while running, is said and left as it is.
+fn taken(read: Result<Settings>, now: &Settings) -> Option<Settings> {
+    let later = match read {
         Ok(later) => later,
-        Err(faults) => {
-            faults
-                .0
-                .iter()
-                .for_each(|fault| tracing::error!(%fault, "settings not taken; the old ones stay"));
+        Err(error) => {
+            format!("{error:#}").lines().for_each(|fault| {
+                tracing::error!(%fault, "settings not taken; the old ones stay");
+            });
             return None;
         }
     };
--- a/crates/rehearsal/src/check.rs
+++ b/crates/rehearsal/src/check.rs
@@ -156,7 +156,8 @@
                 let times = got.entry(worker).or_default();
                 times.push(entry.at);
                 times.retain(|at| entry.at - at <= day.overload_for);
-                // At its age at the end of the span it can do most: what it could do then is exceeded for sure.
+                // At its age at the end of the span it can do most: what it could do then is exceeded for
+                // sure.
                 let part = day.worker_flows_per_s * capacity(day, entry.at - since);
                 if times.len() as f64 > day.fall_multiple * part * day.overload_for {
                     let (n, at) = (times.len(), entry.at);
@@ -173,7 +174,8 @@
     broken
 }
 
-/// More lines than a channel of the stated pace and length lets out in a span, or too many messages to a relay.
+/// More lines than a channel of the stated pace and length lets out in a span, or too many messages to a
+/// relay.
 ///
 /// What waits inside the governor never crosses a socket: this sees what must follow from it.
 pub fn queue(tape: &[Entry]) -> Vec<String> {
@@ -247,12 +249,9 @@
                 open.entry(*relay).or_default().insert(nonce, entry.at);
             }
             What::Answer { relay, nonce, .. } => {
-                if open.get_mut(relay).and_then(|open| open.remove(nonce.as_str())).is_none() {
-                    broken.push(format!(
-                        "{:.2} s: relay {relay} answers {nonce}, which it was not sent",
-                        entry.at
-                    ));
-                }
+                let sent = open.get_mut(relay).and_then(|open| open.remove(nonce.as_str()));
+                let why = format!("{:.2} s: relay {relay} answers {nonce}, which it was not sent", entry.at);
+                broken.extend(sent.is_none().then_some(why));
             }
             What::Broken { relay } => drop(open.remove(relay)),
             _ => {}
@@ -354,7 +353,7 @@
             super::cold(&day, &tape(entries))
         };
         assert!(flows(9, true).is_empty());
-        assert_eq!(flows(40, true).len() > 0, true);
+        assert!(!flows(40, true).is_empty());
         assert!(flows(40, false).is_empty());
     }
 
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,8 +1,9 @@
-//! The rehearsal kit: a bad day, on the real program and real sockets on loopback, judged by what crossed them.
+//! The rehearsal kit: a bad day, on the real program and real sockets on loopback, judged by what crossed
+//! them.
 //!
-//! Stand-in relays follow a governor, which runs as a process of its own; stand-in workers do the work, a roster
-//! file is written some seconds late, and everything is taped. Beside it, in the same minutes, a like fleet has
-//! the same day on standing tables only.
+//! Stand-in relays follow a governor, which runs as a process of its own; stand-in workers do the work, a
+//! roster file is written some seconds late, and everything is taped. Beside it, in the same minutes, a like
+//! fleet has the same day on standing tables only.
 
 pub mod check;
 pub mod relay;
--- a/crates/rehearsal/src/relay.rs
+++ b/crates/rehearsal/src/relay.rs
@@ -1,5 +1,5 @@
-//! Stand-in relays: plain proxies that follow their tables and nothing more, over the public protocol. One half
-//! speaks state of the world, the other delta.
+//! Stand-in relays: plain proxies that follow their tables and nothing more, over the public protocol. One
+//! half speaks state of the world, the other delta.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -407,12 +407,11 @@
                 Kind::Clusters | Kind::Listeners => lines += 1,
             }
         }
-        let taped = tables
-            .iter()
-            .map(|(group, (open, level)): (&String, &(Vec<(usize, f64)>, f64))| {
-                (group.clone(), (open.iter().map(|(worker, _)| *worker).collect(), *level))
-            })
-            .collect();
+        let mut taped = BTreeMap::new();
+        for (group, (open, level)) in &tables {
+            let open: &Vec<(usize, f64)> = open;
+            taped.insert(String::clone(group), (open.iter().map(|(worker, _)| *worker).collect(), *level));
+        }
         self.tape.add(What::Order { relay: self.place, nonce: nonce.into(), lines, tables: taped });
         self.state.borrow_mut().tables.extend(tables);
         Ok(())
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -20,7 +20,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use wrenthread::interface::{self, Dedupers, Effect, FurtherTries, LevelKind, LoadField};
 use wrenthread_core::engine::Setup;
@@ -33,7 +33,7 @@
 use script::Said;
 
 /// One thing that is wrong, and where. Line 0 is the file as a whole.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fault {
     pub file: String,
     pub line: usize,
@@ -50,7 +50,7 @@
 }
 
 /// All that is wrong with a script.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub struct Faults(pub Vec<Fault>);
 
 impl fmt::Display for Faults {
@@ -60,7 +60,7 @@
     }
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Group {
     pub name: String,
     pub effect: String,
@@ -73,14 +73,14 @@
     pub route: Route,
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Route {
     Prefix(String),
     Header(String, String),
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RosterSource {
     File(PathBuf),
@@ -88,7 +88,7 @@
 }
 
 /// Checked settings. Spans are in seconds.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     pub groups: Vec<Group>,
     pub zones: Vec<String>,
@@ -136,6 +136,33 @@
     Ok(settings)
 }
 
+/// Bounds this process for the reading of a script: the interpreter counts steps and looks at its memory now
+/// and then only, and a few steps can ask for all the memory there is. To be called in a process of its own,
+/// which ends where it goes beyond: [`load_apart`] does that.
+///
+/// Errors: the system does not allow it.
+pub fn bound_process() -> std::io::Result<()> {
+    let memory = 1 << 30;
+    rlimit::Resource::AS.set(memory, memory)?;
+    rlimit::Resource::CPU.set(10, 10)
+}
+
+/// Reads and checks a script as [`load`] does, in a process of its own with bounded time and memory.
+/// `program` with `arguments` and the path is to call [`bound_process`], then [`load`], and write the result
+/// as JSON.
+///
+/// Errors: as [`load`]; a script that goes beyond the bounds.
+pub fn load_apart(program: &Path, arguments: &[&str], path: &Path) -> Result<Settings, Faults> {
+    let fault = |why: String| Faults(vec![Fault { file: path.display().to_string(), line: 0, why }]);
+    let read = std::process::Command::new(program).args(arguments).arg(path).output();
+    let read = read.map_err(|error| fault(format!("can't be read apart: {error}")))?;
+    let result: Option<Result<Settings, Faults>> = serde_json::from_slice(&read.stdout).ok();
+    result.unwrap_or_else(|| {
+        let why = "the script takes more than 10 s or 1 GiB; settings are to be small and quick to make";
+        Err(fault(format!("{why} ({})", read.status)))
+    })
+}
+
 /// Checks a script's text; `file` is for the errors.
 ///
 /// Errors: all that is wrong with it.
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -1,5 +1,5 @@
-//! Runs the script and keeps what it said, each with the line on which it was said. Nothing is checked here but
-//! names; the script can read nothing and reach nothing, and its steps and memory are bounded.
+//! Runs the script and keeps what it said, each with the line on which it was said. Nothing is checked here
+//! but names; the script can read nothing and reach nothing, and its steps and memory are bounded.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/crates/xds/src/decode.rs
+++ b/crates/xds/src/decode.rs
@@ -1,4 +1,5 @@
-//! From the specification's messages to the core's words. What can't be understood is an error that says where.
+//! From the specification's messages to the core's words. What can't be understood is an error that says
+//! where.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -122,8 +123,9 @@
     })
 }
 
-/// One proxy's load statistics, a report for each interval that its clusters name. `at` finds the replica at an
-/// address; groups that the settings don't know and lines without a known address are counted and left out.
+/// One proxy's load statistics, a report for each interval that its clusters name. `at` finds the replica at
+/// an address; groups that the settings don't know and lines without a known address are counted and left
+/// out.
 pub fn reports(
     wire: &Wire,
     stats: &[ClusterStats],
--- a/crates/xds/src/encode.rs
+++ b/crates/xds/src/encode.rs
@@ -1,8 +1,8 @@
 //! From what a proxy should hold to the specification's resources.
 //!
-//! Shut lines leave the resource. They could stand as DRAINING instead, but proxies that pick a locality first
-//! scale its weight by the part of its hosts that is healthy, and so would come to other shares than those that
-//! pick among all lines.
+//! Shut lines leave the resource. They could stand as DRAINING instead, but proxies that pick a locality
+//! first scale its weight by the part of its hosts that is healthy, and so would come to other shares than
+//! those that pick among all lines.
 
 use std::collections::BTreeMap;
 
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -1,9 +1,10 @@
 //! The gRPC front, by the public specifications of xDS and LRS: nothing of ours is needed on a proxy's side.
 //!
 //! [`session::Session`] is what the protocol is about, for one stream, without I/O: subscriptions, versions,
-//! nonces, what was sent and is not acknowledged. [`encode`] and [`decode`] turn the core's words into messages
-//! and back. [`service`] carries messages between sockets and the one task that owns engine and sessions;
-//! [`upstream`] is the other way round, the governor as a client that follows another's endpoints as its roster.
+//! nonces, what was sent and is not acknowledged. [`encode`] and [`decode`] turn the core's words into
+//! messages and back. [`service`] carries messages between sockets and the one task that owns engine and
+//! sessions; [`upstream`] is the other way round, the governor as a client that follows another's endpoints
+//! as its roster.
 
 pub mod decode;
 pub mod encode;
--- a/crates/xds/src/service.rs
+++ b/crates/xds/src/service.rs
@@ -1,6 +1,6 @@
-//! The gRPC services: they carry messages between sockets and the task that owns engine and sessions, and know
-//! nothing else. Each stream's answers go through a short channel, so a proxy that does not read fills only its
-//! own, and what would be sent to it is merged meanwhile.
+//! The gRPC services: they carry messages between sockets and the task that owns engine and sessions, and
+//! know nothing else. Each stream's answers go through a short channel, so a proxy that does not read fills
+//! only its own, and what would be sent to it is merged meanwhile.
 
 use std::pin::Pin;
 use std::sync::Arc;
--- a/crates/xds/src/session.rs
+++ b/crates/xds/src/session.rs
@@ -1,12 +1,12 @@
 //! One ADS stream, without I/O: what it subscribed to, what it was sent, what it acknowledged.
 //!
-//! A session holds no tables. [`Session::flush`] compares what the proxy should hold with what this stream was
-//! sent and says the difference, so that states which came and went in between are never sent. Both variants of
-//! the protocol are served from the same marks: state of the world says changed resources (or all of a type
-//! that must be whole), delta also what is no more.
+//! A session holds no tables. [`Session::flush`] compares what the proxy should hold with what this stream
+//! was sent and says the difference, so that states which came and went in between are never sent. Both
+//! variants of the protocol are served from the same marks: state of the world says changed resources (or all
+//! of a type that must be whole), delta also what is no more.
 //!
-//! Order: clusters, endpoints, listeners, routes, so that nothing is named before it exists; but endpoints that
-//! the proxy holds already go first of all, as that is how it hears of drains.
+//! Order: clusters, endpoints, listeners, routes, so that nothing is named before it exists; but endpoints
+//! that the proxy holds already go first of all, as that is how it hears of drains.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -259,8 +259,8 @@
             return (Vec::new(), true);
         }
         let Some(place) = subscription.outstanding.iter().position(|(sent, _)| sent == nonce) else {
-            // Answered before, or given on a stream that is gone. Names beside it count if nothing newer is on
-            // its way, as when a proxy asks for more between two responses.
+            // Answered before, or given on a stream that is gone. Names beside it count if nothing newer is
+            // on its way, as when a proxy asks for more between two responses.
             let settled = subscription.outstanding.is_empty();
             self.stale += u64::from(nonce != subscription.last);
             return (Vec::new(), settled);
--- a/crates/xds/src/upstream.rs
+++ b/crates/xds/src/upstream.rs
@@ -24,7 +24,8 @@
 
 /// What a response says, put beside what was known: the new whole list, or why it is not taken.
 ///
-/// Endpoints come by cluster, and a response need not name all of them: those it leaves out stay as they were.
+/// Endpoints come by cluster, and a response need not name all of them: those it leaves out stay as they
+/// were.
 pub fn merged(
     wire: &Wire,
     known: &BTreeMap<String, Vec<Entry>>,
@@ -52,8 +53,8 @@
     Ok(merged)
 }
 
-/// Follows clusters of an upstream for ever; whole lists go to `lists`. A list with an error in it is answered
-/// by a NACK with the error's words, and the last good one stays.
+/// Follows clusters of an upstream for ever; whole lists go to `lists`. A list with an error in it is
+/// answered by a NACK with the error's words, and the last good one stays.
 pub async fn follow(
     wire: Wire,
     uri: String,
