--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -14,7 +14,8 @@
 //! let now = Duration::from_secs(100);
 //! let mut engine = Engine::new(Setup::example(1), now);
 //! engine.roster(now, vec![Entry {
-//!     id: "r1".into(), address: "10.0.0.1:80".into(), zone: 0, weight: 1.0, phase: Phase::Ready, started: None,
+//!     id: "r1".into(), address: "10.0.0.1:80".into(), zone: 0, weight: 1.0, phase: Phase::Ready,
+//!     started: None,
 //! }]);
 //! let join = Join { name: "p".into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: false };
 //! let number = engine.joined(now, 1, &join).unwrap().number;
--- a/crates/core/src/weights.rs
+++ b/crates/core/src/weights.rs
@@ -44,7 +44,8 @@
         #[test]
         fn shares_stay_and_no_line_is_lost(weights in prop::collection::vec(0.001f64..1000.0, 1..200)) {
             let whole = whole(&weights);
-            let (sum, all): (f64, u64) = (weights.iter().sum(), whole.iter().map(|one| u64::from(*one)).sum());
+            let sum: f64 = weights.iter().sum();
+            let all: u64 = whole.iter().map(|one| u64::from(*one)).sum();
             prop_assert!(all <= u64::from(u32::MAX));
             for (weight, whole) in weights.iter().zip(&whole) {
                 let (was, is) = (weight / sum, f64::from(*whole) / all as f64);
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -235,7 +235,8 @@
                     What::Withdraw(replica, out) => {
                         metrics::counter!("wrenthread_withdrawals_total").increment(u64::from(*out));
                         let why = self.engine.why_out(replica).unwrap_or("");
-                        tracing::info!(decision = if *out { "withdraw" } else { "let back" }, %replica, why, version, answers);
+                        let decision = if *out { "withdraw" } else { "let back" };
+                        tracing::info!(decision, %replica, why, version, answers);
                     }
                     What::Lines(proxy, lines) => {
                         tracing::info!(decision = "lines", %proxy, lines, version, answers);
@@ -254,7 +255,7 @@
                 tracing::warn!("the roster is empty; the last one stays until it has been so for long")
             }
             Note::Nacked { proxy, version, words } => {
-                tracing::warn!(%proxy, version, words, "a proxy would not take a version; its last good tables stand");
+                tracing::warn!(%proxy, version, words, "a version is turned down; the last good tables stand");
             }
             Note::Lobby(waiting) => tracing::info!(waiting, "proxies wait to be let in: the channel is full"),
         }
@@ -288,11 +289,12 @@
             .fleet()
             .iter()
             .map(|(number, proxy)| {
+                let nacked = |(version, words): &(u64, String)| json!({"version": version, "words": words});
                 json!({
                     "name": &*proxy.name, "zone": self.zone(proxy.zone), "kind": self.kind(number, proxy),
                     "newest": proxy.newest(), "sent": proxy.sent, "acked": proxy.acked,
                     "lag_s": proxy.lag(now).as_secs_f64(),
-                    "nacked": proxy.nacked.as_ref().map(|(version, words)| json!({"version": version, "words": words})),
+                    "nacked": proxy.nacked.as_ref().map(nacked),
                 })
             })
             .collect();
@@ -309,7 +311,8 @@
                     Phase::Ready => "open",
                 };
                 json!({
-                    "id": &**id, "zone": self.zone(known.zone), "address": &*known.address, "weight": known.weight,
+                    "id": &**id, "zone": self.zone(known.zone), "weight": known.weight,
+                    "address": &*known.address,
                     "state": state, "why": why,
                     "up_s": known.started.map(|at| now.saturating_sub(at).as_secs_f64()),
                 })
@@ -320,7 +323,9 @@
             .groups
             .iter()
             .zip(self.engine.levels())
-            .map(|(group, (level, tries))| json!({"name": group.name, "level": level, "tries": tries_word(*tries)}))
+            .map(|(group, (level, tries))| {
+                json!({"name": group.name, "level": level, "tries": tries_word(*tries)})
+            })
             .collect();
         let (discarded, counted) = self.engine.reports();
         let discarded: BTreeMap<String, u64> =
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -218,7 +218,7 @@
     let fixed = now.fixed_differences(&later);
     if !fixed.is_empty() {
         for difference in &fixed {
-            tracing::error!(%difference, "can't be changed while running; restart for it. Nothing was changed");
+            tracing::error!(%difference, "can't be changed while running; nothing was changed");
         }
         return None;
     }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -427,7 +427,8 @@
         let settings = format!(
             "fleet(zones = {:?}, proxies = {}, standing_lines = {STANDING}, proxies_avoid = True)\n\
              replicas(cold_share = {}, warm_after = {})\n\
-             channel(lines_per_s = {}, head_lines = {}, waiting_most = {}, messages_most = {}, messages_over = {})\n\
+             channel(lines_per_s = {}, head_lines = {}, waiting_most = {}, \
+             messages_most = {}, messages_over = {})\n\
              reports(every = 0.5, metrics = [\"waiting\"])\n\
              roster(file = \"roster.json\", look_every = 0.05)\n\
              listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\")\n{groups}",
--- a/crates/xds/src/encode.rs
+++ b/crates/xds/src/encode.rs
@@ -365,18 +365,17 @@
         fn both_kinds_of_proxies_come_to_the_same_shares(
             lines in prop::collection::vec((0usize..2, 0.01f64..50.0), 1..40),
         ) {
-            let table = Table {
-                lines: lines.iter().enumerate().map(|(n, (zone, weight))| line(&"x".repeat(n + 1), *zone, *weight, true)).collect(),
-                level: 1.0,
-            };
+            let make = |(n, (zone, weight)): (usize, &(usize, f64))| line(&"x".repeat(n + 1), *zone, *weight, true);
+            let table = Table { lines: lines.iter().enumerate().map(make).collect(), level: 1.0 };
             let said = assignment(&wire(), "match", &table);
             let weight = |one: &LbEndpoint| f64::from(one.load_balancing_weight.unwrap().value);
             let all: f64 = said.endpoints.iter().flat_map(|zone| &zone.lb_endpoints).map(weight).sum();
-            let zones: f64 = said.endpoints.iter().map(|zone| f64::from(zone.load_balancing_weight.unwrap().value)).sum();
+            let of = |zone: &LocalityLbEndpoints| f64::from(zone.load_balancing_weight.unwrap().value);
+            let zones: f64 = said.endpoints.iter().map(of).sum();
             for zone in &said.endpoints {
                 let here: f64 = zone.lb_endpoints.iter().map(weight).sum();
                 for one in &zone.lb_endpoints {
-                    let by_zone = f64::from(zone.load_balancing_weight.unwrap().value) / zones * weight(one) / here;
+                    let by_zone = of(zone) / zones * weight(one) / here;
                     prop_assert!((by_zone - weight(one) / all).abs() < 1e-12);
                 }
             }
--- a/crates/xds/src/session/tests.rs
+++ b/crates/xds/src/session/tests.rs
@@ -269,7 +269,9 @@
     /// Whatever comes, in whatever order: no panic, and no more is acknowledged than was sent.
     #[test]
     fn any_sequence_of_requests_is_borne(
-        steps in proptest::collection::vec((0usize..4, 0usize..4, 0u64..12, proptest::bool::ANY, 0usize..3), 1..60),
+        steps in proptest::collection::vec(
+            (0usize..4, 0usize..4, 0u64..12, proptest::bool::ANY, 0usize..3), 1..60,
+        ),
         deltas in proptest::bool::ANY,
     ) {
         let names = [&["match"][..], &["charge", "match"], &["nobody", "*"], &[]];
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,10 +5,10 @@
 //!
 //! A host makes one [`crate::rules::Governor`] for each governor, follows the list of replicas for it, and
 //!
-//! 1. tells it what has happened: [`listed`](crate::rules::Governor::listed) first, with the whole list as
-//! last known, then `joined`, `left`, `met`, `came`, `probed`, `acked` and `beat` as they come; 2. pulls
-//! [`decide`](crate::rules::Governor::decide) until it gives `None`, and carries out each decision in the
-//! order given. All that is pulled in one go reaches each proxy concerned as one message.
+//! 1. tells it what has happened: [`listed`](crate::rules::Governor::listed) first, with the whole list as last
+//!    known, then `joined`, `left`, `met`, `came`, `probed`, `acked` and `beat` as they come;
+//! 2. pulls [`decide`](crate::rules::Governor::decide) until it gives `None`, and carries out each decision in
+//!    the order given. All that is pulled in one go reaches each proxy concerned as one message.
 //!
 //! A governor that restarts is made anew; proxies that join it again are told of as not `fresh`.
 //!
