--- /dev/null
+++ b/crates/daemon/benches/scale.rs
@@ -0,0 +1,310 @@
+//! How the governor grows with its fleet: scripted relays on loopback against the real program.
+//!
+//! `cargo bench -p wrenthread-daemon --bench scale [-- RELAYS ...]`; figures of one run are to be compared with
+//! each other only.
+
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::ReceiverStream;
+use wrenthread::interface::Phase;
+use wrenthread_core::engine::{Engine, Setup, Step};
+use wrenthread_core::fleet::Join;
+use wrenthread_core::roster::Entry;
+use wrenthread_xds::clients::ads::AggregatedDiscoveryServiceClient;
+use wrenthread_xds::clients::lrs::LoadReportingServiceClient;
+use wrenthread_xds::encode::{self, Kind};
+use wrenthread_xds::pb::envoy::config::core::v3::{Locality, Node};
+use wrenthread_xds::pb::envoy::config::endpoint::v3::{
+    ClusterStats, UpstreamEndpointStats, UpstreamLocalityStats,
+};
+use wrenthread_xds::pb::envoy::service::discovery::v3::DeltaDiscoveryRequest;
+use wrenthread_xds::pb::envoy::service::load_stats::v3::LoadStatsRequest;
+
+const ZONES: [&str; 3] = ["north", "south", "east"];
+const GROUPS: [&str; 3] = ["match", "count", "charge"];
+const REPLICAS: usize = 24;
+const DRAINS: usize = 12;
+
+struct Governor {
+    child: Child,
+    folder: std::path::PathBuf,
+    uri: String,
+}
+
+impl Drop for Governor {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn roster(folder: &Path, draining: Option<usize>) {
+    let one = |n: usize| {
+        let phase = if draining == Some(n) { "draining" } else { "ready" };
+        let zone = ZONES[n % 3];
+        format!(r#"{{"id": "r{n:02}", "address": "10.0.0.{n}:80", "zone": "{zone}", "phase": "{phase}"}}"#)
+    };
+    let list: Vec<String> = (0..REPLICAS).map(one).collect();
+    std::fs::write(folder.join("new"), format!("{{\"replicas\": [{}]}}", list.join(",\n"))).unwrap();
+    std::fs::rename(folder.join("new"), folder.join("roster.json")).unwrap();
+}
+
+impl Governor {
+    async fn start(relays: usize) -> Governor {
+        let folder = std::env::temp_dir().join(format!("wrenthread-bench-{}-{relays}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let port = || std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+        let (grpc, http) = (port(), port());
+        let script = format!(
+            "fleet(zones = {ZONES:?}, proxies = {relays})\nroster(file = \"roster.json\", look_every = 0.02)\n\
+             listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\")\n\
+             channel(lines_per_s = 200000, waiting_most = 400000)\nreplicas(warm_after = 0.5)\n\
+             for name in {GROUPS:?}:\n    group(name, latency_budget = 1, expiry = 3, prefix = \"/\" + name)\n"
+        );
+        std::fs::write(folder.join("settings.star"), script).unwrap();
+        roster(&folder, None);
+        let child = Command::new(env!("CARGO_BIN_EXE_wrenthread"))
+            .arg("run")
+            .arg(folder.join("settings.star"))
+            .env("RUST_LOG", "warn")
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        while tokio::net::TcpStream::connect(("127.0.0.1", grpc)).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        Governor { child, folder, uri: format!("http://127.0.0.1:{grpc}") }
+    }
+
+    /// Processor seconds used so far, and resident mebibytes.
+    fn used(&self) -> (f64, f64) {
+        let read = |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id())).unwrap();
+        let stat = read("stat");
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap().split(' ').collect();
+        // Fields 14 and 15 of the whole, in ticks of a hundredth of a second.
+        let ticks: f64 = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
+        let status = read("status");
+        let resident = status.lines().find(|line| line.starts_with("VmRSS")).unwrap();
+        let kib: f64 = resident.split_whitespace().nth(1).unwrap().parse().unwrap();
+        (ticks / 100.0, kib / 1024.0)
+    }
+}
+
+/// What a relay tells: it was given so many tables, at a time.
+type Given = mpsc::UnboundedSender<(usize, usize, Instant)>;
+
+fn node(place: usize) -> Node {
+    Node {
+        id: format!("relay-{place}"),
+        locality: Some(Locality { zone: ZONES[place % 3].into(), ..Locality::default() }),
+        ..Node::default()
+    }
+}
+
+async fn relay(place: usize, channel: tonic::transport::Channel, given: Given) {
+    let mut client = AggregatedDiscoveryServiceClient::new(channel);
+    let (requests, stream) = mpsc::channel(8);
+    let first = DeltaDiscoveryRequest {
+        node: Some(node(place)),
+        type_url: Kind::Endpoints.url(),
+        resource_names_subscribe: GROUPS.map(String::from).to_vec(),
+        ..DeltaDiscoveryRequest::default()
+    };
+    requests.send(first).await.unwrap();
+    let answers = client.delta_aggregated_resources(ReceiverStream::new(stream)).await;
+    let mut answers = answers.unwrap().into_inner();
+    while let Some(Ok(answer)) = answers.next().await {
+        let (nonce, type_url) = (answer.nonce, answer.type_url);
+        let ack =
+            DeltaDiscoveryRequest { response_nonce: nonce, type_url, ..DeltaDiscoveryRequest::default() };
+        if requests.send(ack).await.is_err()
+            || given.send((place, answer.resources.len(), Instant::now())).is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn ms(times: &Histogram<u64>, quantile: f64) -> f64 {
+    times.value_at_quantile(quantile) as f64 / 1000.0
+}
+
+async fn measure(relays: usize) {
+    let governor = Governor::start(relays).await;
+    let endpoint = tonic::transport::Endpoint::from_shared(governor.uri.clone()).unwrap();
+    // As many connections as relays would have, within what one process may open.
+    let mut channels = Vec::new();
+    for _ in 0..relays.min(200) {
+        channels.push(endpoint.connect().await.unwrap());
+    }
+    let (given, mut told) = mpsc::unbounded_channel();
+    let (idle_cpu, idle_rss) = governor.used();
+    let began = Instant::now();
+    for place in 0..relays {
+        tokio::task::spawn_local(relay(place, channels[place % channels.len()].clone(), given.clone()));
+    }
+    let mut joins: Histogram<u64> = Histogram::new(3).unwrap();
+    let mut have = vec![0; relays];
+    while have.iter().any(|tables| *tables < 3) {
+        let (place, tables, at) = told.recv().await.unwrap();
+        have[place] += tables;
+        if have[place] >= 3 {
+            joins.record((at - began).as_micros() as u64).unwrap();
+        }
+    }
+    let (join_cpu, join_rss) = governor.used();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    while told.try_recv().is_ok() {}
+
+    let (settled_cpu, _) = governor.used();
+    let (mut first, mut last): (Histogram<u64>, Histogram<u64>) =
+        (Histogram::new(3).unwrap(), Histogram::new(3).unwrap());
+    for drain in 0..DRAINS {
+        let began = Instant::now();
+        roster(&governor.folder, Some(drain));
+        // Every relay of the zone holds the replica; others may.
+        let holds = (0..relays).filter(|place| place % 3 == drain % 3).count();
+        let mut heard = std::collections::BTreeSet::new();
+        let mut newest = began;
+        while heard.len() < holds {
+            let (place, _, at) = told.recv().await.unwrap();
+            if place % 3 == drain % 3 && heard.insert(place) {
+                first.record((at - began).as_micros() as u64).unwrap();
+                newest = at;
+            }
+        }
+        last.record((newest - began).as_micros() as u64).unwrap();
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        roster(&governor.folder, None);
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        while told.try_recv().is_ok() {}
+    }
+    let (drained_cpu, rss) = governor.used();
+
+    // Reports: as fast as the governor takes them, for three seconds.
+    let mut client = LoadReportingServiceClient::new(channels[0].clone());
+    let (requests, stream) = mpsc::channel(64);
+    requests.send(LoadStatsRequest { node: Some(node(0)), cluster_stats: vec![] }).await.unwrap();
+    let _answers = client.stream_load_stats(ReceiverStream::new(stream)).await.unwrap();
+    let (before, began) = (governor.used().0, Instant::now());
+    let mut reports = 0u64;
+    while began.elapsed() < Duration::from_secs(3) {
+        let endpoint = |n: usize| UpstreamEndpointStats {
+            address: Some(encode::address(&format!("10.0.0.{n}:80"))),
+            total_successful_requests: reports % 100,
+            total_issued_requests: 100,
+            ..UpstreamEndpointStats::default()
+        };
+        let stats = ClusterStats {
+            cluster_name: GROUPS[0].into(),
+            upstream_locality_stats: vec![UpstreamLocalityStats {
+                upstream_endpoint_stats: (0..8).map(endpoint).collect(),
+                ..UpstreamLocalityStats::default()
+            }],
+            load_report_interval: Some(wrenthread_xds::pb::google::protobuf::Duration {
+                seconds: 0,
+                nanos: 1000 + reports as i32 % 1000,
+            }),
+            ..ClusterStats::default()
+        };
+        requests.send(LoadStatsRequest { node: None, cluster_stats: vec![stats] }).await.unwrap();
+        reports += 1;
+    }
+    let took = began.elapsed().as_secs_f64();
+    let report_cpu = governor.used().0 - before;
+    let engine = engine_drain(relays);
+    let drain_cpu = (drained_cpu - settled_cpu) / DRAINS as f64;
+    println!(
+        "| {relays} | {:.0} / {:.0} | {:.0} / {:.0} / {:.0} | {:.2} | {:.2} | {:.1} | {:.0} | {:.0} | {:.0} / {:.0} |",
+        ms(&joins, 0.5),
+        ms(&joins, 1.0),
+        ms(&first, 0.5),
+        ms(&first, 0.99),
+        ms(&last, 1.0),
+        (join_cpu - idle_cpu) * 1000.0 / relays as f64,
+        (rss.max(join_rss) - idle_rss) * 1024.0 / relays as f64,
+        rss,
+        reports as f64 / took,
+        report_cpu * 1e6 / reports as f64,
+        engine * 1000.0,
+        drain_cpu * 1000.0,
+    );
+}
+
+/// Seconds that the engine alone takes for a drain and the return of the replica, with all their beats between.
+fn engine_drain(relays: usize) -> f64 {
+    let mut now = Duration::from_secs(1000);
+    let mut setup = Setup::example(3);
+    (setup.module.lines_per_s, setup.module.waiting_most) = (200_000.0, 400_000.0);
+    (setup.module.proxies, setup.proxies) = (relays as u64, relays);
+    let mut engine = Engine::new(setup, now);
+    let list = |draining: Option<usize>| -> Vec<Entry> {
+        let entry = |n: usize| Entry {
+            id: format!("r{n:02}").into(),
+            address: format!("10.0.0.{n}:80").into(),
+            zone: n % 3,
+            weight: 1.0,
+            phase: if draining == Some(n) { Phase::Draining } else { Phase::Ready },
+            started: None,
+        };
+        (0..REPLICAS).map(entry).collect()
+    };
+    let pass = |engine: &mut Engine, now: Duration| {
+        while let Some(step) = engine.step(now) {
+            if let Step::Flush(number) = step {
+                engine.sent(now, number, 12, 1);
+                let proxy = engine.proxy(number).unwrap();
+                let (stream, newest) = (proxy.stream, proxy.newest());
+                engine.acked(now, stream, newest);
+            }
+        }
+    };
+    engine.roster(now, list(None));
+    for place in 0..relays {
+        let join = Join {
+            name: format!("relay-{place}").into(),
+            zone: place % 3,
+            usual: 1.0,
+            standing: vec![],
+            holds_orders: false,
+        };
+        engine.joined(now, place as u64, &join).unwrap();
+    }
+    for _ in 0..40 {
+        now += Duration::from_millis(100);
+        pass(&mut engine, now);
+    }
+    let began = Instant::now();
+    for drain in 0..DRAINS {
+        engine.roster(now, list(Some(drain)));
+        for beat in 0..8 {
+            now += Duration::from_millis(250);
+            pass(&mut engine, now);
+            if beat == 2 {
+                engine.roster(now, list(None));
+            }
+        }
+    }
+    began.elapsed().as_secs_f64() / DRAINS as f64
+}
+
+fn main() {
+    let asked: Vec<usize> = std::env::args().filter_map(|one| one.parse().ok()).collect();
+    let asked = if asked.is_empty() { vec![24, 200, 1000] } else { asked };
+    println!(
+        "| relays | join p50 / all, ms | drain heard p50 / p99 / last, ms | join cpu, ms a relay | memory, KiB a relay | resident, MiB | reports a second | cpu a report, us | engine / whole cpu a drain and return, ms |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    for relays in asked {
+        LocalSet::new().block_on(&runtime, measure(relays));
+    }
+}
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -255,7 +255,7 @@
                 tracing::warn!("the roster is empty; the last one stays until it has been so for long")
             }
             Note::Nacked { proxy, version, words } => {
-                tracing::warn!(%proxy, version, words, "a version is turned down; the last good tables stand");
+                tracing::warn!(%proxy, version, words, "turned down; the last good tables stand");
             }
             Note::Lobby(waiting) => tracing::info!(waiting, "proxies wait to be let in: the channel is full"),
         }
--- a/crates/daemon/src/roster_file.rs
+++ b/crates/daemon/src/roster_file.rs
@@ -59,7 +59,7 @@
     let host_port = address.rsplit_once(':').filter(|(host, _)| !host.is_empty());
     if id.is_empty() || id.len() > 256 {
         Some("a replica's `id` has 1 to 256 bytes".into())
-    } else if !host_port.is_some_and(|(_, port)| port.parse::<u16>().is_ok()) {
+    } else if host_port.is_none_or(|(_, port)| port.parse::<u16>().is_err()) {
         Some(format!("`address` of `{id}` is \"{address}\"; it takes \"host:port\""))
     } else if !(weight.is_finite() && *weight > 0.0) {
         Some(format!("`weight` of `{id}` is {weight}; it takes a number above 0"))
--- a/crates/daemon/tests/governor.rs
+++ b/crates/daemon/tests/governor.rs
@@ -11,13 +11,13 @@
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Code, Status, Streaming};
+use wrenthread_xds::clients::ads::AggregatedDiscoveryServiceClient;
+use wrenthread_xds::clients::csds::ClientStatusDiscoveryServiceClient;
 use wrenthread_xds::encode::Kind;
 use wrenthread_xds::pb::envoy::config::core::v3::{Locality, Node};
 use wrenthread_xds::pb::envoy::config::endpoint::v3::ClusterLoadAssignment;
-use wrenthread_xds::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
 use wrenthread_xds::pb::envoy::service::discovery::v3::{DiscoveryRequest, DiscoveryResponse};
 use wrenthread_xds::pb::envoy::service::status::v3::ClientStatusRequest;
-use wrenthread_xds::pb::envoy::service::status::v3::client_status_discovery_service_client::ClientStatusDiscoveryServiceClient;
 
 struct Governor {
     child: Child,
--- a/crates/rehearsal/src/relay.rs
+++ b/crates/rehearsal/src/relay.rs
@@ -17,6 +17,8 @@
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::Endpoint;
+use wrenthread_xds::clients::ads::AggregatedDiscoveryServiceClient;
+use wrenthread_xds::clients::lrs::LoadReportingServiceClient;
 use wrenthread_xds::decode::{METADATA, host_port};
 use wrenthread_xds::encode::{self, Kind};
 use wrenthread_xds::pb::envoy::config::core::v3::{Locality, Node};
@@ -26,12 +28,10 @@
     UpstreamLocalityStats,
 };
 use wrenthread_xds::pb::envoy::config::route::v3::{RouteConfiguration, route};
-use wrenthread_xds::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
 use wrenthread_xds::pb::envoy::service::discovery::v3::{
     DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse,
 };
 use wrenthread_xds::pb::envoy::service::load_stats::v3::LoadStatsRequest;
-use wrenthread_xds::pb::envoy::service::load_stats::v3::load_reporting_service_client::LoadReportingServiceClient;
 use wrenthread_xds::pb::google::protobuf::{Any, ListValue, Struct, Value, value};
 
 use crate::tape::{End, FLOWS, GROUPS, Tape, What};
--- a/crates/xds/src/encode.rs
+++ b/crates/xds/src/encode.rs
@@ -365,7 +365,8 @@
         fn both_kinds_of_proxies_come_to_the_same_shares(
             lines in prop::collection::vec((0usize..2, 0.01f64..50.0), 1..40),
         ) {
-            let make = |(n, (zone, weight)): (usize, &(usize, f64))| line(&"x".repeat(n + 1), *zone, *weight, true);
+            let name = |n| "x".repeat(n + 1);
+            let make = |(n, (zone, weight)): (usize, &(usize, f64))| line(&name(n), *zone, *weight, true);
             let table = Table { lines: lines.iter().enumerate().map(make).collect(), level: 1.0 };
             let said = assignment(&wire(), "match", &table);
             let weight = |one: &LbEndpoint| f64::from(one.load_balancing_weight.unwrap().value);
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -15,6 +15,14 @@
 /// The messages of the specifications, for those who stand on the other side of a socket.
 pub use envoy_types::pb;
 
+/// The services' clients, by the services' short names.
+pub mod clients {
+    use crate::pb::envoy::service;
+    pub use service::discovery::v3::aggregated_discovery_service_client as ads;
+    pub use service::load_stats::v3::load_reporting_service_client as lrs;
+    pub use service::status::v3::client_status_discovery_service_client as csds;
+}
+
 /// What the front needs to know of the settings to name things on the wire.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Wire {
--- a/crates/xds/src/upstream.rs
+++ b/crates/xds/src/upstream.rs
@@ -11,11 +11,11 @@
 use wrenthread_core::roster::Entry;
 
 use crate::Wire;
+use crate::clients::ads::AggregatedDiscoveryServiceClient;
 use crate::decode;
 use crate::encode::Kind;
 use crate::pb::envoy::config::core::v3::Node;
 use crate::pb::envoy::config::endpoint::v3::ClusterLoadAssignment;
-use crate::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
 use crate::pb::envoy::service::discovery::v3::{DiscoveryRequest, DiscoveryResponse};
 use crate::pb::google::rpc::Status;
 
