Core: versions with digests, deltas checked before they take effect, holds that step back

Need: operators must be able to step back, and a second front needs deltas; both over what was really told.

Change: versions (whole states, digests, deltas), history (the last versions within a bound on lines), holds (an earlier table less what the module would not have now). A hold never decides: see docs/design/versions.md.

Measured: property tests over random histories end on the governor's version or ask for the whole.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -43,10 +43,13 @@
 use wrenthread::rules::Governor;
 
 use crate::fleet::{Fleet, Join, Joined, Proxy, Refused, StreamId};
+use crate::history::{History, Version};
+use crate::holds::{self, Hold, LeftOut, Over};
 use crate::pace::{Channel, Pace};
 use crate::reports::{Discarded, Report, Reports, Told};
 use crate::roster::{Entry, Known, Roster, Taken};
-use crate::tables::{Kept, Tables};
+use crate::tables::{Kept, Table, Tables};
+use crate::versions::{Said, Whole};
 
 /// What an engine is told at its start.
 #[derive(Debug, Clone)]
@@ -58,6 +61,8 @@
     pub reports_per_s: f64,
     /// How long an empty roster must stand before it is believed.
     pub empty_after: Duration,
+    /// Versions of a proxy's tables that are kept, and lines in all of them.
+    pub history: (usize, usize),
 }
 
 impl Setup {
@@ -96,6 +101,7 @@
             proxies: 1000,
             reports_per_s: 1000.0,
             empty_after: Duration::from_secs(30),
+            history: (16, 1_000_000),
         }
     }
 }
@@ -136,6 +142,39 @@
     Nacked { proxy: Arc<str>, version: u64, words: String },
     /// So many proxies wait to be let in, as the channel is full.
     Lobby(usize),
+    /// A hold has ended.
+    HoldOver { proxy: Arc<str>, group: usize, over: Over },
+}
+
+/// Whose tables an operator means.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Scope {
+    Proxy(Arc<str>),
+    Group(usize),
+    All,
+}
+
+/// What a step back came to.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Rolled {
+    /// Tables that are held now.
+    pub held: usize,
+    /// Proxies of which so old a version is not kept, or which were on their standing tables then.
+    pub without: Vec<Arc<str>>,
+    /// What is not told of the held tables, by proxy and group.
+    pub left_out: Vec<(Arc<str>, usize, ReplicaId, LeftOut)>,
+    /// Tables that can't be held, as nothing of them is left.
+    pub bare: usize,
+}
+
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum NoStepBack {
+    #[error("no proxy `{0}` is joined")]
+    NoProxy(Arc<str>),
+    #[error("version {0} is not given out yet; the newest is {1}")]
+    NotYet(u64, u64),
+    #[error("of version {0} nothing is kept for anyone concerned")]
+    NotKept(u64),
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -154,6 +193,8 @@
     tables: Tables,
     pace: Pace,
     reports: Reports,
+    history: History,
+    holds: BTreeMap<(ProxyId, usize), Hold>,
     groups: usize,
     /// Lines that a proxy costs which is given all of its tables.
     join_cost: f64,
@@ -171,7 +212,7 @@
 
 impl Engine {
     pub fn new(setup: Setup, now: Duration) -> Self {
-        let Setup { module, proxies, reports_per_s, empty_after } = setup;
+        let Setup { module, proxies, reports_per_s, empty_after, history } = setup;
         let groups = module.groups.len().min(64);
         let channel = Channel {
             lines_per_s: module.lines_per_s.max(1.0),
@@ -186,6 +227,8 @@
             tables: Tables::new(groups, module.usual_tries),
             pace: Pace::new(channel, now),
             reports: Reports::new(module.sums_every, reports_per_s),
+            history: History::new(history.0, history.1),
+            holds: BTreeMap::new(),
             groups,
             join_cost,
             lobby: VecDeque::new(),
@@ -224,10 +267,20 @@
                 && *weight > 0.0
         };
         let fresh = !join.holds_orders && !join.standing.is_empty() && join.standing.iter().all(drawn);
-        let tries = (self.version, self.tables.tries());
+        // A join has a version of its own: what the number's tables were before is another state.
+        let tries = (self.version + 1, self.tables.tries());
         let joined = self.fleet.join(now, stream, join, fresh, self.groups, tries)?;
+        self.version += 1;
         if joined.reused {
             self.reports.forget(joined.number);
+            self.history.forget(joined.number);
+            let former = self.holds.extract_if(.., |(number, _), _| *number == joined.number);
+            let over = former.map(|((_, group), _)| Note::HoldOver {
+                proxy: join.name.clone(),
+                group,
+                over: Over::Reused,
+            });
+            self.out.extend(over.map(Step::Note));
         }
         self.pace.forget(joined.number);
         self.lobby.retain(|(waiting, _)| *waiting != joined.number);
@@ -237,6 +290,7 @@
         self.out.extend(joined.replaced.map(Step::Close));
         // What is withdrawn holds for it from now on, whatever it stands on; levels likewise.
         self.refresh(now, &[joined.number], None);
+        self.remember(now, joined.number);
         self.lobby.push_back((joined.number, join.usual));
         self.causes.insert(Cause::Joined);
         Ok(joined)
@@ -335,6 +389,111 @@
         self.causes.insert(Cause::Probed);
     }
 
+    /// Steps back: these proxies are told, from now on and until `until`, what they were told as of a version,
+    /// less what the rules forbid now. The module goes on deciding; what it decides for them waits.
+    ///
+    /// Errors: nothing is changed by a step back that comes to nothing.
+    pub fn rollback(
+        &mut self,
+        now: Duration,
+        scope: &Scope,
+        version: u64,
+        why: &str,
+        until: Duration,
+    ) -> Result<Rolled, NoStepBack> {
+        if version > self.version {
+            return Err(NoStepBack::NotYet(version, self.version));
+        }
+        let (numbers, groups) = self.scoped(scope)?;
+        let why: Arc<str> = why.chars().take(500).collect::<String>().into();
+        let mut rolled = Rolled::default();
+        let mut touched = Vec::new();
+        for number in numbers {
+            let Some(name) = self.fleet.get(number).map(|proxy| proxy.name.clone()) else { continue };
+            let then = self.history.as_of(number, version).cloned();
+            let mut any = false;
+            for group in groups.clone() {
+                let said = then.as_ref().and_then(|then| then.whole.groups.get(group)?.clone());
+                let (Some(then), Some(said)) = (&then, said) else { continue };
+                any = true;
+                let told_at = then.at;
+                let hold = Hold { version: then.version, told_at, said, since: now, until, why: why.clone() };
+                let present = self.present(number, group);
+                let (told, left_out) =
+                    holds::told(&hold, &present, &self.roster, |id| self.tables.is_withdrawn(id));
+                if told.is_none() {
+                    rolled.bare += 1;
+                    continue;
+                }
+                let named = |(id, why)| (name.clone(), group, id, why);
+                rolled.left_out.extend(left_out.into_iter().map(named));
+                rolled.held += 1;
+                if let Some(before) = self.holds.insert((number, group), hold) {
+                    let over = Over::Replaced(before.why);
+                    let over = Note::HoldOver { proxy: name.clone(), group, over };
+                    self.out.push_back(Step::Note(over));
+                }
+            }
+            match any {
+                true => touched.push(number),
+                false => rolled.without.push(name),
+            }
+        }
+        if touched.is_empty() {
+            return Err(NoStepBack::NotKept(version));
+        }
+        self.refresh(now, &touched, None);
+        Ok(rolled)
+    }
+
+    /// Ends holds: the module's present tables are told again. How many there were.
+    ///
+    /// Errors: no such proxy.
+    pub fn release(&mut self, now: Duration, scope: &Scope) -> Result<usize, NoStepBack> {
+        let (numbers, groups) = self.scoped(scope)?;
+        let (numbers, groups): (BTreeSet<_>, BTreeSet<_>) = (numbers.into_iter().collect(), groups.collect());
+        let meant = |(number, group): &(ProxyId, usize)| numbers.contains(number) && groups.contains(group);
+        Ok(self.end_holds(now, Over::Released, |key, _| meant(key)))
+    }
+
+    fn end_holds(
+        &mut self,
+        now: Duration,
+        over: Over,
+        meant: impl Fn(&(ProxyId, usize), &Hold) -> bool,
+    ) -> usize {
+        let ended: Vec<(ProxyId, usize)> =
+            self.holds.extract_if(.., |key, hold| meant(key, hold)).map(|(key, _)| key).collect();
+        for (number, group) in &ended {
+            let over =
+                Note::HoldOver { proxy: self.name_of(Some(*number)), group: *group, over: over.clone() };
+            self.out.push_back(Step::Note(over));
+        }
+        let numbers: BTreeSet<ProxyId> = ended.iter().map(|(number, _)| *number).collect();
+        self.refresh(now, &numbers.into_iter().collect::<Vec<_>>(), None);
+        ended.len()
+    }
+
+    fn scoped(&self, scope: &Scope) -> Result<(Vec<ProxyId>, std::ops::Range<usize>), NoStepBack> {
+        Ok(match scope {
+            Scope::All => (self.fleet.numbers(), 0..self.groups),
+            Scope::Group(group) => (self.fleet.numbers(), *group..(group + 1).min(self.groups)),
+            Scope::Proxy(name) => {
+                let named = self.fleet.named(name);
+                let (number, _) = named.ok_or_else(|| NoStepBack::NoProxy(name.clone()))?;
+                (vec![number], 0..self.groups)
+            }
+        })
+    }
+
+    /// The module's present table for a proxy's group, held or not.
+    fn present(&self, number: ProxyId, group: usize) -> Table {
+        let present = self.fleet.get(number).and_then(|proxy| {
+            self.tables.wanted(&self.roster, group, proxy.follows[group], &proxy.standing, true)
+        });
+        present.unwrap_or(Table { lines: Vec::new(), level: 1.0 })
+    }
+
     /// A changed limit on lines of reports.
     pub fn limit_reports(&mut self, lines_per_s: f64) {
         self.reports.limit(lines_per_s);
@@ -359,7 +518,8 @@
 
     /// When to pull [`Engine::step`] again, if nothing else happens.
     pub fn next_due(&self, now: Duration) -> Duration {
-        let dues = [self.roster.next_due(), self.reports.next_due(), self.pace.next_due(now)];
+        let holds = self.holds.values().map(|hold| hold.until).min();
+        let dues = [self.roster.next_due(), self.reports.next_due(), self.pace.next_due(now), holds];
         dues.into_iter().flatten().fold(self.beat_at, Duration::min)
     }
 
@@ -367,6 +527,9 @@
         if let Some(listed) = self.roster.due(now) {
             self.listed(now, &listed);
         }
+        if self.holds.values().any(|hold| hold.until <= now) {
+            self.end_holds(now, Over::Time, |_, hold| hold.until <= now);
+        }
         for told in self.reports.due(now) {
             self.causes.insert(Cause::Reports);
             match told {
@@ -482,7 +645,7 @@
     /// Brings what these proxies should hold up to date; what changed is due to them.
     fn refresh(&mut self, now: Duration, numbers: &[ProxyId], marked: Option<Duration>) {
         let version = self.version + 1;
-        let mut changed = false;
+        let mut changed = Vec::new();
         let tries = self.tables.tries();
         for number in numbers {
             let Some(proxy) = self.fleet.get_mut(*number) else { continue };
@@ -491,7 +654,19 @@
                 let kept = proxy.tables[group].take();
                 let follows = proxy.follows[group];
                 let told = kept.is_some();
-                let wanted = self.tables.wanted(&self.roster, group, follows, &proxy.standing, told);
+                let mut wanted = self.tables.wanted(&self.roster, group, follows, &proxy.standing, told);
+                if let Some(hold) = self.holds.get(&(*number, group)) {
+                    let nothing = Table { lines: Vec::new(), level: 1.0 };
+                    let present = wanted.as_ref().unwrap_or(&nothing);
+                    let withdrawn = |id: &ReplicaId| self.tables.is_withdrawn(id);
+                    if let (Some(held), _) = holds::told(hold, present, &self.roster, withdrawn) {
+                        wanted = Some(held);
+                    } else {
+                        self.holds.remove(&(*number, group));
+                        let (proxy, over) = (proxy.name.clone(), Over::Bare);
+                        self.out.push_back(Step::Note(Note::HoldOver { proxy, group, over }));
+                    }
+                }
                 proxy.tables[group] = match (wanted, kept) {
                     (None, kept) => kept,
                     (Some(wanted), Some(kept)) if *kept.table == wanted => Some(kept),
@@ -517,14 +692,29 @@
                 lines += self.groups;
             }
             if lines > 0 {
-                changed = true;
+                changed.push(*number);
                 if let Some(at) = marked {
                     proxy.mark(version, at);
                 }
                 self.pace.want(now, *number, lines, urgent);
             }
         }
-        self.version += u64::from(changed);
+        self.version += u64::from(!changed.is_empty());
+        for number in changed {
+            self.remember(now, number);
+        }
+    }
+
+    /// Keeps what a proxy is told by now as a version of it.
+    fn remember(&mut self, now: Duration, number: ProxyId) {
+        let Some(proxy) = self.fleet.get(number) else { return };
+        let said = |(kept, tries): (&Option<Kept>, &FurtherTries)| {
+            kept.as_ref().map(|kept| Said::of(&kept.table, *tries))
+        };
+        let whole = Whole { groups: proxy.tables.iter().zip(&proxy.tries.1).map(said).collect() };
+        let version =
+            Version { version: proxy.newest(), at: now, digest: whole.digest(), whole: Arc::new(whole) };
+        self.history.push(number, version);
     }
 
     // ---- what fronts and operators read
@@ -572,6 +762,18 @@
         self.reports.tally()
     }
 
+    /// Versions of what each proxy was told.
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
+    /// Holds in force, by proxy and group.
+    pub fn holds(&self) -> impl Iterator<Item = (&Arc<str>, usize, &Hold)> {
+        self.holds
+            .iter()
+            .filter_map(|((number, group), hold)| Some((&self.fleet.get(*number)?.name, *group, hold)))
+    }
+
     pub fn figures(&self, now: Duration) -> Figures {
         Figures {
             version: self.version,
@@ -581,6 +783,8 @@
             lines_waiting: self.pace.waiting(now),
             lines_waited_most: self.pace.most_waited(),
             reports_waiting: self.reports.waiting(),
+            history_lines: self.history.lines(),
+            holds: self.holds.len(),
             roster_doubted: self.roster.doubted(),
         }
     }
@@ -596,6 +800,8 @@
     pub lines_waiting: usize,
     pub lines_waited_most: usize,
     pub reports_waiting: usize,
+    pub history_lines: usize,
+    pub holds: usize,
     pub roster_doubted: bool,
 }
 
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -230,3 +230,112 @@
     assert!(first.len() > 20);
     assert_eq!(first, steps());
 }
+
+/// An engine with one proxy on its own tables, and the version at which it held them all.
+fn settled(names: &[&str]) -> (Engine, u64) {
+    let mut engine = engine(names);
+    engine.joined(ms(1), 1, &join("p", &[])).unwrap();
+    run(&mut engine, ms(600));
+    let newest = engine.proxy(0).unwrap().newest();
+    engine.acked(ms(650), 1, newest);
+    (engine, newest)
+}
+
+fn pass(engine: &mut Engine, now: Duration) -> Vec<Note> {
+    let (_, notes) = run(engine, now);
+    engine.acked(now, 1, engine.proxy(0).unwrap().newest());
+    notes
+}
+
+#[test]
+fn a_step_back_holds_old_tables_less_what_drained_until_it_is_released() {
+    let (mut engine, before) = settled(&["a", "b", "c"]);
+    engine.roster(ms(1000), ready(&["a", "b", "c", "d", "e"]));
+    pass(&mut engine, ms(2000));
+    assert_eq!(open(&engine, 0).len(), 5);
+    // One replica of the old table drains, and is done with it, before the step back.
+    engine.roster(ms(3000), ready(&["b", "c", "d", "e"]));
+    pass(&mut engine, ms(4000));
+    let rolled = engine.rollback(ms(5000), &Scope::All, before, "too wide", ms(60_000)).unwrap();
+    assert_eq!((rolled.held, rolled.bare, rolled.left_out.len()), (2, 0, 2));
+    assert_eq!(rolled.left_out[0].3, LeftOut::Gone);
+    pass(&mut engine, ms(5100));
+    assert_eq!(open(&engine, 0), ["b", "c"]);
+    // While it is held the module's news waits, and drains go through.
+    let mut list = ready(&["b", "c", "d", "e", "f"]);
+    list[0].phase = Phase::Draining;
+    engine.roster(ms(6000), list);
+    pass(&mut engine, ms(7000));
+    assert_eq!(open(&engine, 0), ["c"]);
+    assert_eq!(engine.release(ms(8000), &Scope::Proxy("p".into())), Ok(2));
+    let notes = pass(&mut engine, ms(8100));
+    assert!(matches!(notes[0], Note::HoldOver { over: Over::Released, .. }));
+    assert_eq!(open(&engine, 0), ["c", "d", "e", "f"]);
+}
+
+#[test]
+fn a_hold_ends_by_its_time_or_where_it_would_leave_a_proxy_bare() {
+    let (mut engine, before) = settled(&["a", "b"]);
+    engine.roster(ms(1000), ready(&["a", "b", "c"]));
+    pass(&mut engine, ms(2000));
+    engine.rollback(ms(3000), &Scope::Group(1), before, "", ms(9000)).unwrap();
+    assert_eq!(engine.holds().count(), 1);
+    pass(&mut engine, ms(8990));
+    assert_eq!(engine.next_due(ms(8990)).min(ms(9000)), engine.next_due(ms(8990)));
+    let notes = pass(&mut engine, ms(9000));
+    assert!(notes.iter().any(|note| matches!(note, Note::HoldOver { group: 1, over: Over::Time, .. })));
+    engine.rollback(ms(10_000), &Scope::All, before, "", ms(90_000)).unwrap();
+    pass(&mut engine, ms(10_100));
+    engine.roster(ms(11_000), ready(&["c"]));
+    let notes = pass(&mut engine, ms(12_000));
+    assert!(notes.iter().any(|note| matches!(note, Note::HoldOver { over: Over::Bare, .. })));
+    assert_eq!(open(&engine, 0), ["c"], "the module's own table");
+}
+
+#[test]
+fn two_operators_at_once_the_later_counts_and_the_earlier_is_named() {
+    let (mut engine, before) = settled(&["a", "b", "c"]);
+    engine.roster(ms(1000), ready(&["a", "b"]));
+    pass(&mut engine, ms(2000));
+    engine.rollback(ms(3000), &Scope::All, before, "first", ms(60_000)).unwrap();
+    engine.rollback(ms(3001), &Scope::All, before, "second", ms(60_000)).unwrap();
+    let notes = pass(&mut engine, ms(3100));
+    assert!(notes.iter().any(|note| matches!(note,
+        Note::HoldOver { over: Over::Replaced(why), .. } if &**why == "first")));
+    assert!(engine.holds().all(|(_, _, hold)| &*hold.why == "second"));
+}
+
+#[test]
+fn steps_back_to_what_is_not_kept_or_not_there_change_nothing() {
+    let (mut engine, before) = settled(&["a", "b", "c"]);
+    let later = engine.figures(ms(0)).version + 1;
+    let back = |engine: &mut Engine, scope, version| engine.rollback(ms(1000), &scope, version, "", ms(9000));
+    assert!(matches!(back(&mut engine, Scope::All, later), Err(NoStepBack::NotYet(..))));
+    assert_eq!(back(&mut engine, Scope::All, 0), Err(NoStepBack::NotKept(0)));
+    let nobody = Scope::Proxy("nobody".into());
+    assert_eq!(back(&mut engine, nobody.clone(), before), Err(NoStepBack::NoProxy("nobody".into())));
+    assert!(engine.release(ms(1000), &nobody).is_err());
+    assert_eq!(engine.holds().count(), 0);
+}
+
+#[test]
+fn a_restart_under_an_old_name_gets_no_more_of_a_held_table_than_the_module_gives_it() {
+    let (mut engine, before) = settled(&["a", "b", "c"]);
+    let mut list = ready(&["a", "b", "c"]);
+    list[2].started = Some(ms(1000));
+    engine.roster(ms(1000), list);
+    pass(&mut engine, ms(1600));
+    let share = |engine: &Engine| {
+        let lines = &engine.proxy(0).unwrap().tables[0].as_ref().unwrap().table.lines;
+        let all: f64 = lines.iter().filter(|line| line.open).map(|line| line.weight).sum();
+        lines.iter().filter(|line| line.open && &*line.replica == "c").map(|line| line.weight).sum::<f64>()
+            / all
+    };
+    let present = engine.present(0, 0);
+    let all: f64 = present.lines.iter().map(|line| line.weight).sum();
+    let cap =
+        present.lines.iter().filter(|line| &*line.replica == "c").map(|line| line.weight / all).sum::<f64>();
+    assert!(cap < 0.2, "the module spares it: {cap}");
+    engine.rollback(ms(2000), &Scope::All, before, "", ms(60_000)).unwrap();
+    assert!(share(&engine) <= cap + 1e-9, "{} {cap}", share(&engine));
+}
--- /dev/null
+++ b/crates/core/src/history.rs
@@ -0,0 +1,170 @@
+//! The last versions of what each proxy was told, within a bound on memory, to step back to and to make deltas
+//! from.
+//!
+//! What is bounded is lines: each costs about as much as its names. Where the bound is met the oldest version of
+//! all proxies goes first, so that a proxy that changes all the time does not push out the one version of others
+//! before its own older ones; the newest of each joined proxy is never dropped, as it is what the proxy holds.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use wrenthread::interface::ProxyId;
+
+use crate::versions::{Digest, Whole};
+
+/// One version of one proxy.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Version {
+    pub version: u64,
+    pub at: Duration,
+    pub digest: Digest,
+    pub whole: Arc<Whole>,
+}
+
+#[derive(Debug)]
+pub struct History {
+    kept: BTreeMap<ProxyId, VecDeque<Version>>,
+    /// All but the newest of each proxy, oldest first.
+    order: BTreeSet<(u64, ProxyId)>,
+    each: usize,
+    lines_most: usize,
+    lines: usize,
+}
+
+/// What a version costs besides its lines, in lines.
+const HEAD: usize = 2;
+
+fn cost(version: &Version) -> usize {
+    HEAD + version.whole.lines()
+}
+
+impl History {
+    /// The last `each` versions of a proxy, and `lines_most` lines in all.
+    pub fn new(each: usize, lines_most: usize) -> Self {
+        History { kept: BTreeMap::new(), order: BTreeSet::new(), each: each.max(1), lines_most, lines: 0 }
+    }
+
+    /// A proxy is told something new. Versions grow.
+    pub fn push(&mut self, proxy: ProxyId, version: Version) {
+        let kept = self.kept.entry(proxy).or_default();
+        if let Some(last) = kept.back() {
+            if version.version <= last.version {
+                return;
+            }
+            self.order.insert((last.version, proxy));
+        }
+        self.lines += cost(&version);
+        kept.push_back(version);
+        if kept.len() > self.each {
+            self.drop_oldest_of(proxy);
+        }
+        while self.lines > self.lines_most {
+            let Some((_, oldest)) = self.order.first().copied() else { break };
+            self.drop_oldest_of(oldest);
+        }
+    }
+
+    fn drop_oldest_of(&mut self, proxy: ProxyId) {
+        let Some(dropped) = self.kept.get_mut(&proxy).and_then(VecDeque::pop_front) else { return };
+        self.lines -= cost(&dropped);
+        self.order.remove(&(dropped.version, proxy));
+    }
+
+    /// The newest version of a proxy.
+    pub fn newest(&self, proxy: ProxyId) -> Option<&Version> {
+        self.kept.get(&proxy)?.back()
+    }
+
+    /// A version that a proxy says it holds, if it is kept and its content is what the proxy says.
+    pub fn held(&self, proxy: ProxyId, version: u64, digest: &Digest) -> Option<&Version> {
+        let kept = self.kept.get(&proxy)?;
+        kept.iter().rev().find(|one| one.version == version && one.digest == *digest)
+    }
+
+    /// What a proxy was told as of a version: the newest one up to it.
+    pub fn as_of(&self, proxy: ProxyId, version: u64) -> Option<&Version> {
+        self.kept.get(&proxy)?.iter().rev().find(|one| one.version <= version)
+    }
+
+    /// Oldest first.
+    pub fn of(&self, proxy: ProxyId) -> impl Iterator<Item = &Version> {
+        self.kept.get(&proxy).into_iter().flatten()
+    }
+
+    pub fn forget(&mut self, proxy: ProxyId) {
+        for version in self.kept.remove(&proxy).into_iter().flatten() {
+            self.lines -= cost(&version);
+            self.order.remove(&(version.version, proxy));
+        }
+    }
+
+    /// Lines kept in all.
+    pub fn lines(&self) -> usize {
+        self.lines
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::versions::{MILLION, Said, SaidLine};
+    use wrenthread::interface::FurtherTries;
+
+    fn version(version: u64, lines: usize) -> Version {
+        let line = |n: usize| {
+            (
+                format!("r{n}").as_str().into(),
+                SaidLine { address: "a".into(), zone: 0, weight: version as u32 },
+            )
+        };
+        let said = Said { lines: (0..lines).map(line).collect(), level: MILLION, tries: FurtherTries::Never };
+        let whole = Whole { groups: vec![Some(said)] };
+        Version { version, at: Duration::ZERO, digest: whole.digest(), whole: Arc::new(whole) }
+    }
+
+    fn versions(history: &History, proxy: ProxyId) -> Vec<u64> {
+        history.of(proxy).map(|one| one.version).collect()
+    }
+
+    #[test]
+    fn the_last_versions_are_kept_within_both_bounds() {
+        let mut history = History::new(3, 1000);
+        (1..6).for_each(|n| history.push(0, version(n, 8)));
+        assert_eq!(versions(&history, 0), [3, 4, 5]);
+        assert_eq!(history.lines(), 30);
+        let mut tight = History::new(9, 35);
+        (1..4).for_each(|n| tight.push(0, version(n, 8)));
+        tight.push(1, version(4, 8));
+        assert_eq!((versions(&tight, 0), versions(&tight, 1)), (vec![2, 3], vec![4]));
+        tight.push(1, version(5, 30));
+        assert_eq!(
+            (versions(&tight, 0), versions(&tight, 1)),
+            (vec![3], vec![5]),
+            "the newest of each stays"
+        );
+        tight.forget(1);
+        assert_eq!(tight.lines(), 10);
+    }
+
+    #[test]
+    fn a_version_is_held_only_with_its_content() {
+        let mut history = History::new(3, 1000);
+        (1..4).for_each(|n| history.push(0, version(n * 10, 2)));
+        let digest = version(20, 2).digest;
+        assert!(history.held(0, 20, &digest).is_some());
+        assert!(history.held(0, 20, &[0; 32]).is_none() && history.held(0, 21, &digest).is_none());
+        assert_eq!(history.as_of(0, 29).map(|one| one.version), Some(20));
+        assert_eq!(history.as_of(0, 9), None);
+        history.push(0, version(30, 2));
+        assert_eq!(versions(&history, 0), [10, 20, 30], "no version is given twice");
+    }
+
+    #[test]
+    fn version_numbers_near_their_end_are_no_harm() {
+        let mut history = History::new(3, 1000);
+        history.push(0, version(u64::MAX - 1, 1));
+        history.push(0, version(u64::MAX, 1));
+        assert_eq!(versions(&history, 0), [u64::MAX - 1, u64::MAX]);
+    }
+}
--- /dev/null
+++ b/crates/core/src/holds.rs
@@ -0,0 +1,202 @@
+//! Holds: tables that operators stepped back to, and what of them may still be told.
+//!
+//! A hold never decides: it takes the lines of an earlier version, which the module decided then, and leaves out
+//! what the module would not have now. See `docs/design/versions.md` for how the two live together.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wrenthread::interface::{Phase, ReplicaId};
+
+use crate::roster::Roster;
+use crate::tables::{Line, Table};
+use crate::versions::Said;
+
+/// An earlier table of a proxy's group, in force until released.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Hold {
+    /// The version that was stepped back to, and when it was told.
+    pub version: u64,
+    pub told_at: Duration,
+    pub said: Said,
+    pub since: Duration,
+    pub until: Duration,
+    pub why: Arc<str>,
+}
+
+/// Why a line of a held table is not told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum LeftOut {
+    #[error("gone or draining")]
+    Gone,
+    #[error("withdrawn by the module")]
+    Withdrawn,
+    #[error("started since, and not in the module's present table")]
+    Cold,
+}
+
+/// Why a hold is over.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum Over {
+    #[error("released")]
+    Released,
+    #[error("its time is over")]
+    Time,
+    #[error("nothing of it is left, and the proxy would be bare")]
+    Bare,
+    #[error("another step back took its place: {0}")]
+    Replaced(Arc<str>),
+    #[error("the proxy's number went to another")]
+    Reused,
+}
+
+/// What a hold comes to now, beside the module's present table for the same proxy and group.
+///
+/// A replica that started after the version was told is another process than the one that the table meant: how
+/// much of it can be borne is the module's to say. It gets the share of the table that the module gives it now,
+/// at most its held one, or is left out where the module gives it none. `withdrawn` is the module's word too.
+///
+/// None where no line is left: the hold is over then.
+pub fn told(
+    hold: &Hold,
+    present: &Table,
+    roster: &Roster,
+    withdrawn: impl Fn(&ReplicaId) -> bool,
+) -> (Option<Table>, BTreeMap<ReplicaId, LeftOut>) {
+    let mut left_out = BTreeMap::new();
+    let open = |line: &&Line| line.open;
+    let all: f64 = present.lines.iter().filter(open).map(|line| line.weight).sum();
+    let held: f64 = hold.said.lines.values().map(|line| f64::from(line.weight)).sum();
+    let mut lines = Vec::new();
+    let mut capped = Vec::new();
+    for (id, line) in &hold.said.lines {
+        let known = roster.get(id).filter(|known| known.phase == Phase::Ready);
+        let Some(known) = known else {
+            left_out.insert(id.clone(), LeftOut::Gone);
+            continue;
+        };
+        if withdrawn(id) {
+            left_out.insert(id.clone(), LeftOut::Withdrawn);
+            continue;
+        }
+        let share = f64::from(line.weight) / held;
+        let made = |weight| Line {
+            replica: id.clone(),
+            address: known.address.clone(),
+            zone: known.zone,
+            weight,
+            open: true,
+        };
+        if known.started.is_none_or(|at| at <= hold.told_at) {
+            lines.push(made(share));
+            continue;
+        }
+        match present.lines.iter().filter(open).find(|present| present.replica == *id) {
+            Some(now) => capped.push((made(share), now.weight / all)),
+            None => drop(left_out.insert(id.clone(), LeftOut::Cold)),
+        }
+    }
+    if lines.is_empty() {
+        // With nothing but what started since, the module's own table is the only one that is known to be borne.
+        return (None, left_out);
+    }
+    // Shares are of the table as it comes out: what is left out must not raise a capped one's beyond its cap.
+    let firm: f64 = lines.iter().map(|line| line.weight).sum();
+    let caps: f64 = capped.iter().map(|(_, cap)| cap).sum::<f64>().min(0.95);
+    let whole = firm / (1.0 - caps);
+    for (mut line, cap) in capped {
+        line.weight = line.weight.min(cap * whole);
+        lines.push(line);
+    }
+    lines.sort_by(|one, other| one.replica.cmp(&other.replica));
+    // The level is not held: it says what the fleet bears now.
+    (Some(Table { lines, level: present.level }), left_out)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::roster::Entry;
+    use crate::versions::{MILLION, SaidLine};
+    use wrenthread::interface::FurtherTries;
+
+    const fn s(seconds: u64) -> Duration {
+        Duration::from_secs(seconds)
+    }
+
+    fn hold(names: &[&str]) -> Hold {
+        let line = |name: &&str| ((**name).into(), SaidLine { address: "x".into(), zone: 0, weight: 1000 });
+        let lines = names.iter().map(line).collect();
+        Hold {
+            version: 3,
+            told_at: s(10),
+            said: Said { lines, level: MILLION, tries: FurtherTries::Never },
+            since: s(50),
+            until: s(100),
+            why: "".into(),
+        }
+    }
+
+    fn roster(entries: &[(&str, Phase, Option<u64>)]) -> Roster {
+        let mut roster = Roster::new(Duration::ZERO);
+        let entry = |(name, phase, started): &(&str, Phase, Option<u64>)| Entry {
+            id: (*name).into(),
+            address: format!("{name}:1").into(),
+            zone: 0,
+            weight: 1.0,
+            phase: *phase,
+            started: started.map(s),
+        };
+        roster.take(s(60), entries.iter().map(entry).collect());
+        roster
+    }
+
+    fn present(lines: &[(&str, f64)]) -> Table {
+        let line = |(name, weight): &(&str, f64)| Line {
+            replica: (*name).into(),
+            address: "x".into(),
+            zone: 0,
+            weight: *weight,
+            open: true,
+        };
+        Table { lines: lines.iter().map(line).collect(), level: 0.5 }
+    }
+
+    #[test]
+    fn what_has_drained_is_gone_or_withdrawn_never_comes_back() {
+        use Phase::{Draining, Gone, Ready};
+        let roster =
+            roster(&[("a", Ready, None), ("b", Draining, None), ("c", Gone, None), ("d", Ready, None)]);
+        let (table, left_out) =
+            told(&hold(&["a", "b", "c", "d", "e"]), &present(&[("a", 1.0)]), &roster, |id| &**id == "d");
+        let table = table.unwrap();
+        assert_eq!(table.lines.iter().map(|line| &*line.replica).collect::<Vec<_>>(), ["a"]);
+        assert_eq!(&*table.lines[0].address, "a:1", "where it is now");
+        assert_eq!(table.level, 0.5);
+        let why: Vec<LeftOut> = left_out.into_values().collect();
+        assert_eq!(why, [LeftOut::Gone, LeftOut::Gone, LeftOut::Withdrawn, LeftOut::Gone]);
+    }
+
+    #[test]
+    fn what_started_since_gets_no_more_than_the_module_gives_it() {
+        let roster = roster(&[
+            ("a", Phase::Ready, None),
+            ("b", Phase::Ready, Some(40)),
+            ("c", Phase::Ready, Some(40)),
+        ]);
+        let now = present(&[("a", 0.9), ("b", 0.1)]);
+        let (table, left_out) = told(&hold(&["a", "b", "c"]), &now, &roster, |_| false);
+        let lines = table.unwrap().lines;
+        let all: f64 = lines.iter().map(|line| line.weight).sum();
+        assert!((lines[1].weight / all - 0.1).abs() < 1e-9, "{lines:?}");
+        assert_eq!(left_out[&ReplicaId::from("c")], LeftOut::Cold);
+    }
+
+    #[test]
+    fn a_deploy_that_replaced_all_that_a_table_names_ends_its_hold() {
+        let roster = roster(&[("a", Phase::Ready, Some(40)), ("b", Phase::Ready, Some(40))]);
+        let now = present(&[("a", 0.5), ("b", 0.5)]);
+        assert_eq!(told(&hold(&["a", "b"]), &now, &roster, |_| false).0, None);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,8 +16,11 @@
 
 pub mod engine;
 pub mod fleet;
+pub mod history;
+pub mod holds;
 pub mod pace;
 pub mod reports;
 pub mod roster;
 pub mod tables;
+pub mod versions;
 pub mod weights;
--- /dev/null
+++ b/crates/core/src/versions.rs
@@ -0,0 +1,298 @@
+//! What proxies are told, in versions: whole states, their digests, and deltas between them.
+//!
+//! A delta names the version that it starts from and the digest that it must come to. Who applies it checks both
+//! before anything takes effect; what does not come out is answered by asking for the whole, never by guessing.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use wrenthread::interface::{FurtherTries, ReplicaId};
+
+use crate::tables::Table;
+use crate::weights;
+
+/// Levels are said in parts of a million.
+pub const MILLION: u32 = 1_000_000;
+
+/// One open line, as proxies hear it: weights are whole, so that everybody's digest is over the same numbers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SaidLine {
+    pub address: Arc<str>,
+    pub zone: usize,
+    pub weight: u32,
+}
+
+/// A group's table as a proxy is told it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Said {
+    pub lines: BTreeMap<ReplicaId, SaidLine>,
+    /// Flows let in, in parts of a million.
+    pub level: u32,
+    pub tries: FurtherTries,
+}
+
+/// All that a proxy is told, by group. None: it stays on its standing table.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Whole {
+    pub groups: Vec<Option<Said>>,
+}
+
+pub type Digest = [u8; 32];
+
+impl Said {
+    pub fn of(table: &Table, tries: FurtherTries) -> Said {
+        let open: Vec<_> = table.lines.iter().filter(|line| line.open).collect();
+        let weights = weights::whole(&open.iter().map(|line| line.weight).collect::<Vec<_>>());
+        let lines = open.into_iter().zip(weights).map(|(line, weight)| {
+            (line.replica.clone(), SaidLine { address: line.address.clone(), zone: line.zone, weight })
+        });
+        let level = (table.level.clamp(0.0, 1.0) * f64::from(MILLION)).round() as u32;
+        Said { lines: lines.collect(), level, tries }
+    }
+}
+
+impl Whole {
+    /// Over all content, each part with its length, so that no two states are spelled alike.
+    pub fn digest(&self) -> Digest {
+        let mut hasher = blake3::Hasher::new();
+        let text = |hasher: &mut blake3::Hasher, text: &str| {
+            hasher.update(&(text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        };
+        hasher.update(&(self.groups.len() as u64).to_le_bytes());
+        for said in &self.groups {
+            let Some(said) = said else {
+                hasher.update(&[0]);
+                continue;
+            };
+            hasher.update(&[1 + said.tries as u8]);
+            hasher.update(&said.level.to_le_bytes());
+            hasher.update(&(said.lines.len() as u64).to_le_bytes());
+            for (replica, line) in &said.lines {
+                text(&mut hasher, replica);
+                text(&mut hasher, &line.address);
+                hasher.update(&(line.zone as u64).to_le_bytes());
+                hasher.update(&line.weight.to_le_bytes());
+            }
+        }
+        hasher.finalize().into()
+    }
+
+    /// Lines in all groups.
+    pub fn lines(&self) -> usize {
+        self.groups.iter().flatten().map(|said| said.lines.len()).sum()
+    }
+}
+
+/// A line that changed: what a proxy does not know of the replica yet, or what is different, is said.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChangedLine {
+    pub replica: ReplicaId,
+    pub weight: u32,
+    /// None: as in the base.
+    pub at: Option<(Arc<str>, usize)>,
+}
+
+/// What changes in a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// The proxy stays on its standing table from here on.
+    Gone,
+    Lines {
+        changed: Vec<ChangedLine>,
+        removed: Vec<ReplicaId>,
+        level: u32,
+        tries: FurtherTries,
+    },
+}
+
+/// From one state to another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Delta {
+    pub base: Digest,
+    pub digest: Digest,
+    /// By group's place.
+    pub changes: BTreeMap<usize, Change>,
+}
+
+/// Why a delta can't take effect. The answer to each is to ask for the whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Mismatch {
+    #[error("it starts from a state that is not held")]
+    Base,
+    #[error("it names a replica whose address is not known")]
+    Unknown,
+    #[error("it names a group that is not known")]
+    Group,
+    #[error("what it comes to has another digest than it says")]
+    Digest,
+}
+
+/// The delta from one state to another. `base` and `digest` are theirs.
+pub fn delta(from: &Whole, base: Digest, to: &Whole, digest: Digest) -> Delta {
+    let mut changes = BTreeMap::new();
+    for (place, new) in to.groups.iter().enumerate() {
+        let old = from.groups.get(place).and_then(Option::as_ref);
+        let Some(new) = new else {
+            if old.is_some() {
+                changes.insert(place, Change::Gone);
+            }
+            continue;
+        };
+        if old == Some(new) {
+            continue;
+        }
+        let held = |id: &ReplicaId| old.and_then(|old| old.lines.get(id));
+        let changed = new.lines.iter().filter(|(id, line)| held(id) != Some(line)).map(|(id, line)| {
+            let same = held(id).is_some_and(|held| held.address == line.address && held.zone == line.zone);
+            let at = (!same).then(|| (line.address.clone(), line.zone));
+            ChangedLine { replica: id.clone(), weight: line.weight, at }
+        });
+        let removed = old.into_iter().flat_map(|old| old.lines.keys());
+        let removed = removed.filter(|id| !new.lines.contains_key(*id)).cloned().collect();
+        let lines = Change::Lines { changed: changed.collect(), removed, level: new.level, tries: new.tries };
+        changes.insert(place, lines);
+    }
+    Delta { base, digest, changes }
+}
+
+/// What a delta comes to from a state that is held.
+///
+/// Errors: as [`Mismatch`]; the state held stays as it is.
+pub fn apply(held: &Whole, held_digest: Digest, delta: &Delta) -> Result<Whole, Mismatch> {
+    if delta.base != held_digest {
+        return Err(Mismatch::Base);
+    }
+    let mut whole = held.clone();
+    for (place, change) in &delta.changes {
+        let group = whole.groups.get_mut(*place).ok_or(Mismatch::Group)?;
+        let Change::Lines { changed, removed, level, tries } = change else {
+            *group = None;
+            continue;
+        };
+        let said = group.get_or_insert_with(|| Said {
+            lines: BTreeMap::new(),
+            level: MILLION,
+            tries: FurtherTries::Never,
+        });
+        (said.level, said.tries) = (*level, *tries);
+        for id in removed {
+            said.lines.remove(id);
+        }
+        for ChangedLine { replica, weight, at } in changed {
+            let line = match (at, said.lines.get(replica)) {
+                (Some((address, zone)), _) => {
+                    SaidLine { address: address.clone(), zone: *zone, weight: *weight }
+                }
+                (None, Some(held)) => SaidLine { weight: *weight, ..held.clone() },
+                (None, None) => return Err(Mismatch::Unknown),
+            };
+            said.lines.insert(replica.clone(), line);
+        }
+    }
+    if whole.digest() != delta.digest {
+        return Err(Mismatch::Digest);
+    }
+    Ok(whole)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn states() -> impl Strategy<Value = Whole> {
+        let line = (0usize..8, 0usize..2, 1u32..5000);
+        let said = prop::option::of((prop::collection::vec(line, 0..6), 0u32..=MILLION, 0usize..3));
+        let group = said.prop_map(|said| {
+            said.map(|(lines, level, tries)| Said {
+                lines: lines
+                    .into_iter()
+                    .map(|(id, zone, weight)| {
+                        let address = format!("10.0.{zone}.{id}:80").as_str().into();
+                        (format!("r{id}").as_str().into(), SaidLine { address, zone, weight })
+                    })
+                    .collect(),
+                level,
+                tries: [FurtherTries::Never, FurtherTries::IfNeverRan, FurtherTries::Once][tries],
+            })
+        });
+        prop::collection::vec(group, 3).prop_map(|groups| Whole { groups })
+    }
+
+    proptest! {
+        #[test]
+        fn a_delta_comes_to_its_end_from_its_base_and_from_nothing_else(one in states(), two in states()) {
+            let change = delta(&one, one.digest(), &two, two.digest());
+            prop_assert_eq!(apply(&one, one.digest(), &change).unwrap(), two.clone());
+            if one != two {
+                prop_assert_eq!(apply(&two, two.digest(), &change), Err(Mismatch::Base));
+                prop_assert_ne!(one.digest(), two.digest());
+            }
+        }
+
+        /// Relays skip, repeat and reorder deltas, and restart; whoever asks for the whole whenever one does not
+        /// fit ends on the governor's version.
+        #[test]
+        fn any_history_ends_on_the_governors_version(
+            history in prop::collection::vec(states(), 2..10),
+            deliveries in prop::collection::vec((0usize..10, 0usize..10), 0..40),
+        ) {
+            let mut held = Whole::default();
+            for (from, to) in deliveries {
+                let (from, to) = (&history[from % history.len()], &history[to % history.len()]);
+                let change = delta(from, from.digest(), to, to.digest());
+                let before = held.clone();
+                match apply(&held, held.digest(), &change) {
+                    Ok(after) => {
+                        prop_assert_eq!(after.digest(), to.digest());
+                        held = after;
+                    }
+                    Err(_) => {
+                        prop_assert_eq!(&held, &before);
+                        held = to.clone(); // the whole, as asked for
+                    }
+                }
+            }
+            let last = history.last().unwrap();
+            let change = delta(&held, held.digest(), last, last.digest());
+            prop_assert_eq!(apply(&held, held.digest(), &change).unwrap_or_else(|_| last.clone()), last.clone());
+        }
+    }
+
+    fn said(weight: u32) -> Whole {
+        let line = SaidLine { address: "a:1".into(), zone: 0, weight };
+        let said =
+            Said { lines: BTreeMap::from([("a".into(), line)]), level: MILLION, tries: FurtherTries::Never };
+        Whole { groups: vec![Some(said)] }
+    }
+
+    #[test]
+    fn what_does_not_come_out_is_refused_before_it_takes_effect() {
+        let (one, two) = (said(1), said(2));
+        let good = delta(&one, one.digest(), &two, two.digest());
+        // As a wrong hasher on one side would have it.
+        let wrong = Delta { digest: [7; 32], ..good.clone() };
+        assert_eq!(apply(&one, one.digest(), &wrong), Err(Mismatch::Digest));
+        let collides = Delta { base: two.digest(), ..good.clone() };
+        assert_eq!(apply(&two, two.digest(), &collides), Ok(two.clone()), "the same weight again");
+        let stranger = ChangedLine { replica: "b".into(), weight: 1, at: None };
+        let lines =
+            Change::Lines { changed: vec![stranger], removed: vec![], level: 0, tries: FurtherTries::Never };
+        let unknown = Delta { changes: BTreeMap::from([(0, lines.clone())]), ..good.clone() };
+        assert_eq!(apply(&one, one.digest(), &unknown), Err(Mismatch::Unknown));
+        let beyond = Delta { changes: BTreeMap::from([(5, lines)]), ..good };
+        assert_eq!(apply(&one, one.digest(), &beyond), Err(Mismatch::Group));
+    }
+
+    #[test]
+    fn only_what_a_proxy_does_not_know_is_said_of_a_line() {
+        let (one, two) = (said(1), said(2));
+        let change = delta(&one, one.digest(), &two, two.digest());
+        let Change::Lines { changed, .. } = &change.changes[&0] else { panic!() };
+        assert_eq!(changed[0].at, None);
+        let first = delta(&Whole { groups: vec![None] }, [0; 32], &two, two.digest());
+        let Change::Lines { changed, .. } = &first.changes[&0] else { panic!() };
+        assert_eq!(changed[0].at, Some(("a:1".into(), 0)));
+    }
+}
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -257,6 +257,10 @@
             Note::Nacked { proxy, version, words } => {
                 tracing::warn!(%proxy, version, words, "turned down; the last good tables stand");
             }
+            Note::HoldOver { proxy, group, over } => {
+                let group = self.wire.groups.get(*group).map_or("?", |group| &group.name);
+                tracing::warn!(%proxy, group, %over, "a hold is over; the module's tables are told again");
+            }
             Note::Lobby(waiting) => tracing::info!(waiting, "proxies wait to be let in: the channel is full"),
         }
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -116,6 +116,8 @@
     pub roster: RosterSource,
     pub look_every: f64,
     pub empty_after: f64,
+    pub history_versions: u64,
+    pub history_lines: u64,
     pub grpc: SocketAddr,
     pub http: SocketAddr,
     pub keepalive: f64,
@@ -254,6 +256,8 @@
         roster: roster_source,
         look_every: roster.number("look_every"),
         empty_after: roster.number("empty_after"),
+        history_versions: channel.whole("history_versions"),
+        history_lines: channel.whole("history_lines"),
         grpc,
         http,
         keepalive: listen.number("keepalive"),
@@ -480,6 +484,7 @@
             proxies: self.joined_most as usize,
             reports_per_s: self.report_lines_per_s,
             empty_after: span(self.empty_after),
+            history: (self.history_versions as usize, self.history_lines as usize),
         }
     }
 
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -147,6 +147,18 @@
                 "messages to one proxy within `messages_over`",
             ),
             field("messages_over", Takes::Seconds(0.1, 3600.0), Number(10.0), "the span for that"),
+            field(
+                "history_versions",
+                Takes::Whole(1, 1000),
+                Number(16.0),
+                "versions of a proxy's tables that are kept",
+            ),
+            field(
+                "history_lines",
+                Takes::Whole(1000, 1_000_000_000),
+                Number(1_000_000.0),
+                "lines in all of them, about 150 bytes each",
+            ),
             field(
                 "crossing_cost",
                 Takes::Number(0.0, 1.0),
