--- /dev/null
+++ b/crates/client/src/grpc.rs
@@ -0,0 +1,342 @@
+//! Following a governor by the public protocol, in either variant of ADS, and reporting by LRS.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use prost::Message;
+use tokio::sync::mpsc;
+use tokio_stream::StreamExt;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
+use tonic::transport::{Channel, Endpoint};
+use wrenthread::interface::FurtherTries;
+use wrenthread_xds::clients::ads::AggregatedDiscoveryServiceClient;
+use wrenthread_xds::clients::lrs::LoadReportingServiceClient;
+use wrenthread_xds::decode::{METADATA, host_port};
+use wrenthread_xds::encode::{self, Kind};
+use wrenthread_xds::pb::envoy::config::core::v3::{Locality, Node};
+use wrenthread_xds::pb::envoy::config::endpoint::v3::lb_endpoint::HostIdentifier;
+use wrenthread_xds::pb::envoy::config::endpoint::v3::{
+    ClusterLoadAssignment, ClusterStats, EndpointLoadMetricStats, UpstreamEndpointStats,
+    UpstreamLocalityStats,
+};
+use wrenthread_xds::pb::envoy::config::route::v3::{RouteConfiguration, route};
+use wrenthread_xds::pb::envoy::service::discovery::v3::{
+    DeltaDiscoveryRequest, DeltaDiscoveryResponse, DiscoveryRequest, DiscoveryResponse,
+};
+use wrenthread_xds::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
+use wrenthread_xds::pb::google::protobuf::{Any, ListValue, Struct, Value, value};
+use wrenthread_xds::pb::google::rpc::Status;
+
+use crate::keeper::{Keeper, Stats};
+use crate::{Error, Ordered, Watch, Who};
+
+/// What a proxy holds, by type and name: marks of content, or versions of whole types. It outlives streams.
+#[derive(Debug, Clone, Default)]
+pub struct Versions(BTreeMap<(Kind, String), String>);
+
+fn unclear(error: impl ToString) -> Error {
+    Error::Unclear(error.to_string())
+}
+
+fn status(uri: &str) -> impl Fn(tonic::Status) -> Error + '_ {
+    move |status| Error::Reach(uri.to_string(), status.message().to_string())
+}
+
+async fn connect(uri: &str) -> Result<Channel, Error> {
+    let reach = |error: tonic::transport::Error| Error::Reach(uri.to_string(), error.to_string());
+    let endpoint = Endpoint::from_shared(uri.to_string()).map_err(reach)?;
+    endpoint.connect_timeout(Duration::from_secs(1)).tcp_nodelay(true).connect().await.map_err(reach)
+}
+
+fn node(who: &Who, keeper: &Keeper) -> Node {
+    let text = |text: &str| Value { kind: Some(value::Kind::StringValue(text.into())) };
+    let number = |number: f64| Value { kind: Some(value::Kind::NumberValue(number)) };
+    let structure = |fields: Vec<(&str, Value)>| {
+        let fields = fields.into_iter().map(|(name, value)| (name.to_string(), value)).collect();
+        Value { kind: Some(value::Kind::StructValue(Struct { fields })) }
+    };
+    let lines = keeper.standing().iter();
+    let lines =
+        lines.map(|line| structure(vec![("replica", text(&line.replica)), ("weight", number(line.weight))]));
+    let standing = Value { kind: Some(value::Kind::ListValue(ListValue { values: lines.collect() })) };
+    let said = structure(vec![("usual", number(who.usual)), ("standing", standing)]);
+    Node {
+        id: who.name.clone(),
+        locality: Some(Locality { zone: who.zone.clone(), ..Locality::default() }),
+        metadata: Some(Struct { fields: [(METADATA.to_string(), said)].into() }),
+        ..Node::default()
+    }
+}
+
+/// Endpoints first: who holds orders says so in the first request.
+fn subscriptions(keeper: &Keeper) -> [(Kind, Vec<String>); 3] {
+    let routes = vec![encode::ROUTES.to_string()];
+    [(Kind::Endpoints, keeper.groups().to_vec()), (Kind::Clusters, vec![]), (Kind::Routes, routes)]
+}
+
+/// Follows over one stream until it ends. What is held stays as it is then; come back with the same `versions`.
+///
+/// Errors: why the stream ended.
+pub async fn follow(
+    uri: &str,
+    who: &Who,
+    delta: bool,
+    keeper: &Rc<RefCell<Keeper>>,
+    versions: &Rc<RefCell<Versions>>,
+    watch: &impl Watch,
+) -> Result<(), Error> {
+    let mut client = AggregatedDiscoveryServiceClient::new(connect(uri).await?);
+    match delta {
+        true => by_delta(&mut client, uri, who, keeper, versions, watch).await,
+        false => by_state(&mut client, uri, who, keeper, versions, watch).await,
+    }
+}
+
+async fn by_state(
+    client: &mut AggregatedDiscoveryServiceClient<Channel>,
+    uri: &str,
+    who: &Who,
+    keeper: &Rc<RefCell<Keeper>>,
+    versions: &Rc<RefCell<Versions>>,
+    watch: &impl Watch,
+) -> Result<(), Error> {
+    let (requests, stream) = mpsc::channel(16);
+    let kinds = subscriptions(&keeper.borrow());
+    let names: BTreeMap<Kind, Vec<String>> = kinds.clone().into();
+    let ask = |kind: Kind, nonce: &str, error: Option<String>, node: Option<Node>| DiscoveryRequest {
+        version_info: versions.borrow().0.get(&(kind, String::new())).cloned().unwrap_or_default(),
+        node,
+        resource_names: names[&kind].clone(),
+        type_url: kind.url(),
+        response_nonce: nonce.into(),
+        error_detail: error.map(|message| Status { code: 3, message, ..Status::default() }),
+        ..DiscoveryRequest::default()
+    };
+    for (place, (kind, _)) in kinds.into_iter().enumerate() {
+        let node = (place == 0).then(|| node(who, &keeper.borrow()));
+        requests.send(ask(kind, "", None, node)).await.map_err(unclear)?;
+    }
+    watch.joined();
+    let responses = client.stream_aggregated_resources(ReceiverStream::new(stream)).await;
+    let mut responses = responses.map_err(status(uri))?.into_inner();
+    while let Some(response) = responses.next().await {
+        let DiscoveryResponse { version_info, resources, type_url, nonce, .. } =
+            response.map_err(status(uri))?;
+        let Some(kind) = Kind::of(&type_url) else { continue };
+        let error = match take(kind, &nonce, &resources, keeper, watch) {
+            Ok(()) => {
+                versions.borrow_mut().0.insert((kind, String::new()), version_info);
+                None
+            }
+            Err(error) => Some(error.to_string()),
+        };
+        let taken = error.is_none();
+        requests.send(ask(kind, &nonce, error, None)).await.map_err(|_| Error::Ended)?;
+        watch.answered(&nonce, taken);
+    }
+    Err(Error::Ended)
+}
+
+async fn by_delta(
+    client: &mut AggregatedDiscoveryServiceClient<Channel>,
+    uri: &str,
+    who: &Who,
+    keeper: &Rc<RefCell<Keeper>>,
+    versions: &Rc<RefCell<Versions>>,
+    watch: &impl Watch,
+) -> Result<(), Error> {
+    let (requests, stream) = mpsc::channel(16);
+    let mut first = Some(node(who, &keeper.borrow()));
+    let kinds = subscriptions(&keeper.borrow());
+    for (kind, names) in kinds {
+        let held = versions.borrow().0.clone();
+        let held = held.into_iter().filter(|((of, name), _)| *of == kind && !name.is_empty());
+        let request = DeltaDiscoveryRequest {
+            node: first.take(),
+            type_url: kind.url(),
+            resource_names_subscribe: if names.is_empty() { vec!["*".into()] } else { names },
+            initial_resource_versions: held.map(|((_, name), mark)| (name, mark)).collect(),
+            ..DeltaDiscoveryRequest::default()
+        };
+        requests.send(request).await.map_err(unclear)?;
+    }
+    watch.joined();
+    let responses = client.delta_aggregated_resources(ReceiverStream::new(stream)).await;
+    let mut responses = responses.map_err(status(uri))?.into_inner();
+    while let Some(response) = responses.next().await {
+        let response = response.map_err(status(uri))?;
+        let DeltaDiscoveryResponse { resources, type_url, removed_resources, nonce, .. } = response;
+        let Some(kind) = Kind::of(&type_url) else { continue };
+        let whole: Vec<Any> = resources.iter().filter_map(|one| one.resource.clone()).collect();
+        let error = take(kind, &nonce, &whole, keeper, watch).err().map(|error| error.to_string());
+        let taken = error.is_none();
+        if taken {
+            let held = &mut versions.borrow_mut().0;
+            held.extend(resources.into_iter().map(|one| ((kind, one.name), one.version)));
+            for name in removed_resources {
+                if kind == Kind::Endpoints {
+                    keeper.borrow_mut().untell(&name);
+                }
+                held.remove(&(kind, name));
+            }
+        }
+        let answer = DeltaDiscoveryRequest {
+            type_url,
+            response_nonce: nonce.clone(),
+            error_detail: error.map(|message| Status { code: 3, message, ..Status::default() }),
+            ..DeltaDiscoveryRequest::default()
+        };
+        requests.send(answer).await.map_err(|_| Error::Ended)?;
+        watch.answered(&nonce, taken);
+    }
+    Err(Error::Ended)
+}
+
+/// Takes a response in: all of it, or, where some of it can't be understood, none.
+fn take(
+    kind: Kind,
+    nonce: &str,
+    resources: &[Any],
+    keeper: &Rc<RefCell<Keeper>>,
+    watch: &impl Watch,
+) -> Result<(), Error> {
+    let (mut tables, mut tries, mut lines) = (Ordered::new(), Vec::new(), 0);
+    let mut read = || {
+        for resource in resources {
+            match kind {
+                Kind::Endpoints => {
+                    let table = ClusterLoadAssignment::decode(resource.value.as_slice()).map_err(unclear)?;
+                    let (name, open, level) = table_of(&table)?;
+                    lines += open.len().max(1);
+                    tables.insert(name, (open, level));
+                }
+                Kind::Routes => {
+                    let routes = RouteConfiguration::decode(resource.value.as_slice()).map_err(unclear)?;
+                    for one in routes.virtual_hosts.iter().flat_map(|host| &host.routes) {
+                        let Some(route::Action::Route(action)) = &one.action else { continue };
+                        let on = action.retry_policy.as_ref().map(|policy| policy.retry_on.as_str());
+                        let allowed = match on {
+                            None => FurtherTries::Never,
+                            Some(on) if on.contains("5xx") => FurtherTries::Once,
+                            Some(_) => FurtherTries::IfNeverRan,
+                        };
+                        tries.push((one.name.clone(), allowed));
+                        lines += 1;
+                    }
+                }
+                Kind::Clusters | Kind::Listeners => lines += 1,
+            }
+        }
+        Ok(())
+    };
+    let read: Result<(), Error> = read();
+    watch.ordered(nonce, lines, &tables);
+    read?;
+    let mut keeper = keeper.borrow_mut();
+    for (group, (lines, level)) in tables {
+        keeper.tell(&group, lines, level);
+    }
+    for (group, allowed) in tries {
+        keeper.tell_tries(&group, allowed);
+    }
+    Ok(())
+}
+
+type Lines = Vec<(Arc<str>, f64)>;
+
+fn table_of(table: &ClusterLoadAssignment) -> Result<(String, Lines, f64), Error> {
+    let overloads = table.policy.as_ref().and_then(|policy| policy.drop_overloads.first());
+    let blocked = overloads.and_then(|one| one.drop_percentage).map_or(0, |part| part.numerator);
+    let mut open = Vec::new();
+    for endpoint in table.endpoints.iter().flat_map(|zone| &zone.lb_endpoints) {
+        let Some(HostIdentifier::Endpoint(host)) = &endpoint.host_identifier else { continue };
+        let at = host_port(host.address.as_ref()).ok_or_else(|| unclear("an endpoint without an address"))?;
+        let weight = endpoint.load_balancing_weight.map_or(1, |weight| weight.value);
+        open.push((at.as_str().into(), f64::from(weight)));
+    }
+    Ok((table.cluster_name.clone(), open, 1.0 - f64::from(blocked) / 1e6))
+}
+
+/// A stream of load reports.
+pub struct Reports {
+    /// How often the governor wants them.
+    pub every: Duration,
+    requests: mpsc::Sender<LoadStatsRequest>,
+    answers: Streaming<LoadStatsResponse>,
+}
+
+impl Reports {
+    /// Opens a stream, and hears how often to report.
+    ///
+    /// Errors: no governor there, or it wants no reports.
+    pub async fn open(uri: &str, who: &Who, keeper: &Rc<RefCell<Keeper>>) -> Result<Reports, Error> {
+        let mut client = LoadReportingServiceClient::new(connect(uri).await?);
+        let (requests, stream) = mpsc::channel(16);
+        let first = LoadStatsRequest { node: Some(node(who, &keeper.borrow())), cluster_stats: vec![] };
+        requests.send(first).await.map_err(unclear)?;
+        let answers = client.stream_load_stats(ReceiverStream::new(stream)).await;
+        let mut answers = answers.map_err(status(uri))?.into_inner();
+        let asked = answers.next().await.ok_or(Error::Ended)?.map_err(status(uri))?;
+        let every = asked.load_reporting_interval.ok_or_else(|| unclear("no interval"))?;
+        let every = Duration::new(every.seconds.max(0) as u64, every.nanos.clamp(0, 999_999_999) as u32);
+        Ok(Reports { every, requests, answers })
+    }
+
+    /// Waits until the next report is due.
+    ///
+    /// Errors: the stream is over.
+    pub async fn wait(&mut self) -> Result<(), Error> {
+        tokio::select! {
+            () = tokio::time::sleep(self.every) => Ok(()),
+            _ = self.answers.next() => Err(Error::Ended),
+        }
+    }
+
+    /// Where reports go, for those who send some later.
+    pub fn sender(&self) -> mpsc::Sender<LoadStatsRequest> {
+        self.requests.clone()
+    }
+}
+
+/// A report as the specification spells it. `metrics`: the names of the load metrics, in order.
+pub fn request(groups: &[String], interval: Duration, stats: &Stats, metrics: &[&str]) -> LoadStatsRequest {
+    let metric = |name: &str, count: u64, total: f64| EndpointLoadMetricStats {
+        metric_name: name.into(),
+        num_requests_finished_with_metric: count,
+        total_metric_value: total,
+    };
+    let group = |(place, name): (usize, &String)| {
+        let here = stats.met.iter().filter(|((group, _), _)| *group == place);
+        let endpoints = here.map(|((_, at), met)| UpstreamEndpointStats {
+            address: Some(encode::address(at)),
+            total_successful_requests: met.delivered,
+            total_error_requests: met.dropped,
+            total_issued_requests: met.issued,
+            load_metric_stats: metrics
+                .iter()
+                .zip(&met.load)
+                .map(|(name, total)| metric(name, met.delivered, *total))
+                .chain([metric("answer_ms", met.delivered, met.answer.as_secs_f64() * 1000.0)])
+                .collect(),
+            ..UpstreamEndpointStats::default()
+        });
+        ClusterStats {
+            cluster_name: name.clone(),
+            upstream_locality_stats: vec![UpstreamLocalityStats {
+                upstream_endpoint_stats: endpoints.collect(),
+                ..UpstreamLocalityStats::default()
+            }],
+            total_dropped_requests: stats.blocked.get(place).copied().unwrap_or(0),
+            load_report_interval: Some(wrenthread_xds::pb::google::protobuf::Duration {
+                seconds: interval.as_secs() as i64,
+                nanos: interval.subsec_nanos() as i32,
+            }),
+            ..ClusterStats::default()
+        }
+    };
+    LoadStatsRequest { node: None, cluster_stats: groups.iter().enumerate().map(group).collect() }
+}
--- /dev/null
+++ b/crates/client/src/lib.rs
@@ -0,0 +1,69 @@
+//! For proxies in Rust: follow a governor by either front, keep the table over broken streams, pick by weight, heed
+//! levels and further tries, report.
+//!
+//! [`keeper::Keeper`] is the proxy's state, without I/O; [`grpc`] and [`poll`] keep it up to date and report for
+//! it. All of it lives on one thread (a tokio `LocalSet`), so nothing is locked.
+//!
+//! ```
+//! use std::time::Duration;
+//! use wrenthread_client::keeper::{Keeper, Outcome, Standing};
+//!
+//! let standing = vec![Standing { replica: "r1".into(), address: "10.0.0.1:80".into(), weight: 1.0 }];
+//! let mut keeper = Keeper::new(vec!["match".into()], standing, None);
+//! // Two numbers from 0 up to 1, from the proxy's own source of chance.
+//! let address = keeper.pick(Duration::ZERO, 0, (0.2, 0.7), None).unwrap();
+//! assert_eq!(&*address, "10.0.0.1:80");
+//! keeper.began(0, &address);
+//! let outcome = Outcome::Delivered { took: Duration::from_millis(20), load: &[] };
+//! keeper.ended(Duration::from_millis(20), 0, &address, outcome);
+//! ```
+
+pub mod grpc;
+pub mod keeper;
+pub mod poll;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Who a proxy is.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Who {
+    /// Its name; no other proxy's.
+    pub name: String,
+    pub zone: String,
+    /// Flows a second that it ordinarily receives.
+    pub usual: f64,
+}
+
+/// Open lines (address and weight) and level of each group that an order speaks of.
+pub type Ordered = BTreeMap<String, (Vec<(Arc<str>, f64)>, f64)>;
+
+/// What happens on the way, for those who want to see it.
+pub trait Watch {
+    /// A first message went out on a new stream, or a session was opened.
+    fn joined(&self) {}
+    /// The stream or session is over.
+    fn broken(&self) {}
+    /// Something came from the governor: its mark, how many lines, and what it says.
+    fn ordered(&self, _mark: &str, _lines: usize, _tables: &Ordered) {}
+    /// The proxy took it, or would not.
+    fn answered(&self, _mark: &str, _taken: bool) {}
+}
+
+/// Sees nothing.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Unwatched;
+
+impl Watch for Unwatched {}
+
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("the governor at {0}: {1}")]
+    Reach(String, String),
+    #[error("the governor turned the proxy away: {0}")]
+    Refused(String),
+    #[error("what came can't be understood: {0}")]
+    Unclear(String),
+    #[error("the stream ended")]
+    Ended,
+}
--- /dev/null
+++ b/crates/client/src/poll.rs
@@ -0,0 +1,155 @@
+//! Following a governor by long-poll HTTP, and reporting there.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use reqwest::{Client, RequestBuilder, StatusCode};
+use wrenthread_poll::forms::{
+    JoinAsked, JoinTold, MetTold, ReportAsked, ReportTold, StandingLine, TablesTold, Terms, hex,
+};
+use wrenthread_poll::service::CBOR;
+
+use crate::keeper::{Keeper, Stats};
+use crate::{Error, Ordered, Watch, Who};
+
+/// How long a question may wait, and how much longer its answer may take.
+const WAIT: Duration = Duration::from_secs(20);
+const MARGIN: Duration = Duration::from_secs(5);
+
+/// A session with a governor.
+#[derive(Debug, Clone)]
+pub struct Session {
+    client: Client,
+    base: String,
+    session: u64,
+    pub terms: Terms,
+}
+
+fn reach(base: &str) -> impl Fn(reqwest::Error) -> Error + '_ {
+    move |error| Error::Reach(base.to_string(), error.to_string())
+}
+
+async fn answered(base: &str, request: RequestBuilder) -> Result<(StatusCode, Vec<u8>), Error> {
+    let response = request.header("accept", CBOR).send().await.map_err(reach(base))?;
+    let status = response.status();
+    let body = response.bytes().await.map_err(reach(base))?;
+    match status.is_success() || status == StatusCode::NOT_MODIFIED {
+        true => Ok((status, body.to_vec())),
+        false => Err(Error::Refused(format!("{status}: {}", String::from_utf8_lossy(&body)))),
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    ciborium::from_reader(body).map_err(|error| Error::Unclear(error.to_string()))
+}
+
+fn written<T: serde::Serialize>(request: RequestBuilder, value: &T) -> Result<RequestBuilder, Error> {
+    let mut body = Vec::new();
+    ciborium::into_writer(value, &mut body).map_err(|error| Error::Unclear(error.to_string()))?;
+    Ok(request.header("content-type", CBOR).body(body))
+}
+
+impl Session {
+    /// Joins at `http://host:port`.
+    ///
+    /// Errors: no governor there, or it turns the proxy away, with its words.
+    pub async fn join(at: &str, who: &Who, keeper: &Rc<RefCell<Keeper>>) -> Result<Session, Error> {
+        let client = Client::builder().connect_timeout(Duration::from_secs(1)).build();
+        let client = client.map_err(reach(at))?;
+        let base = format!("{at}/v1/proxies/{}", who.name);
+        let asked = {
+            let keeper = keeper.borrow();
+            let line = |line: &crate::keeper::Standing| StandingLine {
+                replica: line.replica.clone(),
+                weight: line.weight,
+            };
+            JoinAsked {
+                zone: who.zone.clone(),
+                usual: Some(who.usual),
+                standing: keeper.standing().iter().map(line).collect(),
+                holds_orders: keeper.held().is_some(),
+            }
+        };
+        let request = written(client.post(&base).timeout(MARGIN), &asked)?;
+        let told: JoinTold = read(&answered(&base, request).await?.1)?;
+        Ok(Session { client, base, session: told.session, terms: told.terms })
+    }
+
+    /// One question, and what it brings.
+    ///
+    /// Errors: the session is over, or what came is not to be understood; join again.
+    pub async fn ask(&self, keeper: &Rc<RefCell<Keeper>>, watch: &impl Watch) -> Result<(), Error> {
+        let mut url = format!("{}/tables?session={}&wait={}", self.base, self.session, WAIT.as_secs());
+        if let Some((version, digest)) = keeper.borrow().held() {
+            url += &format!("&version={version}&digest={}", hex(digest));
+        }
+        let request = self.client.get(url).timeout(WAIT + MARGIN);
+        let (status, body) = answered(&self.base, request).await?;
+        if status == StatusCode::NOT_MODIFIED {
+            return Ok(());
+        }
+        let told: TablesTold = read(&body)?;
+        let understood = self.terms.read(&told).map_err(|error| Error::Unclear(error.to_string()))?;
+        let lines: usize =
+            told.groups.values().map(|group| 1 + group.lines.len() + group.removed.len()).sum();
+        let taken = match understood {
+            Ok(whole) => {
+                keeper.borrow_mut().tell_whole(told.version.clone(), whole);
+                true
+            }
+            Err(delta) => keeper.borrow_mut().tell_delta(told.version.clone(), &delta).is_ok(),
+        };
+        let tables = if taken { keeper.borrow().ordered() } else { Ordered::new() };
+        watch.ordered(&told.version, lines, &tables);
+        watch.answered(&told.version, taken);
+        Ok(())
+    }
+
+    /// Reports; again under the same number if the answer got lost.
+    ///
+    /// Errors: as [`Session::ask`].
+    pub async fn report(&self, number: u64, report: &ReportAsked) -> Result<bool, Error> {
+        let url = format!("{}/reports/{number}?session={}", self.base, self.session);
+        let request = written(self.client.post(url).timeout(MARGIN), report)?;
+        let told: ReportTold = read(&answered(&self.base, request).await?.1)?;
+        Ok(told.counted)
+    }
+}
+
+/// Follows one session until it ends. What is held stays as it is then.
+///
+/// Errors: why it ended.
+pub async fn follow(
+    session: &Session,
+    keeper: &Rc<RefCell<Keeper>>,
+    watch: &impl Watch,
+) -> Result<(), Error> {
+    loop {
+        session.ask(keeper, watch).await?;
+    }
+}
+
+/// A report as this front spells it. Replicas are named by those that the tables told; an address that is in no
+/// table any more is left out.
+pub fn report(keeper: &Keeper, interval: Duration, stats: &Stats) -> ReportAsked {
+    let groups = keeper.groups();
+    let met = stats.met.iter().filter_map(|((group, at), met)| {
+        let delivered = met.delivered.max(1) as f64;
+        Some(MetTold {
+            group: groups.get(*group)?.clone(),
+            replica: keeper.replica_at(at)?,
+            issued: met.issued,
+            delivered: met.delivered,
+            dropped: met.dropped,
+            answer_ms: met.answer.as_secs_f64() * 1000.0,
+            load: met.load.iter().map(|sum| sum / delivered).collect(),
+        })
+    });
+    let blocked = groups.iter().zip(&stats.blocked).map(|(group, flows)| (group.clone(), *flows));
+    ReportAsked {
+        interval_ms: interval.as_secs_f64() * 1000.0,
+        met: met.collect(),
+        blocked: blocked.collect(),
+    }
+}
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -8,9 +8,13 @@
 use serde_json::{Value, json};
 use tonic::Status;
 use wrenthread::interface::{FurtherTries, Phase, ProxyId};
-use wrenthread_core::engine::{Engine, Note, Setup, Step, What};
+use wrenthread_core::engine::{Engine, NoStepBack, Note, Scope, Setup, Step, What};
 use wrenthread_core::fleet::{Kind, Proxy, Refused};
 use wrenthread_core::roster::Entry;
+use wrenthread_core::versions;
+use wrenthread_poll::forms::{JoinTold, ReportTold, Terms, unhex};
+use wrenthread_poll::polls::{Due, Polls, Told};
+use wrenthread_poll::service as poll;
 use wrenthread_xds::pb::envoy::admin::v3::ClientResourceStatus;
 use wrenthread_xds::pb::envoy::config::core::v3::{Locality, Node};
 use wrenthread_xds::pb::envoy::service::status::v3::client_config::GenericXdsConfig;
@@ -22,6 +26,9 @@
 use wrenthread_xds::session::{Heard, Request, Session, Standing};
 use wrenthread_xds::{Wire, decode, encode};
 
+/// The longest that a long-poll question waits.
+pub const WAIT_MOST: Duration = Duration::from_secs(60);
+
 /// An ADS stream.
 struct Stream {
     answers: Answers,
@@ -42,13 +49,25 @@
     streams: BTreeMap<u64, Stream>,
     /// Load report streams, by the name that their node gave.
     reporters: BTreeMap<u64, Arc<str>>,
+    polls: Polls<poll::Reply<poll::Answer>>,
+    terms: Terms,
     listed: bool,
 }
 
 impl Host {
     pub fn new(setup: Setup, wire: Wire, usual: f64, now: Duration) -> Self {
+        let terms = Terms {
+            epoch: format!("{:x}", wire.epoch),
+            zones: wire.zones.clone(),
+            groups: wire.groups.iter().map(|group| group.name.clone()).collect(),
+            report_every_s: wire.report_every.as_secs_f64().to_string(),
+            load: wire.load_metrics.clone(),
+            wait_most_s: WAIT_MOST.as_secs(),
+        };
         Host {
             engine: Engine::new(setup, now),
+            polls: Polls::default(),
+            terms,
             wire,
             usual,
             streams: BTreeMap::new(),
@@ -166,6 +185,147 @@
         }
     }
 
+    /// A question on the long-poll front. `stream`: a number for a new session, in the order of all streams.
+    pub fn poll(&mut self, now: Duration, event: poll::Event, stream: impl FnOnce() -> u64) {
+        // Whoever asked may be gone by the time of the answer; nothing hangs on that.
+        match event {
+            poll::Event::Join { proxy, asked, reply } => {
+                let session = stream();
+                let told = self.poll_join(now, session, &proxy, asked);
+                if let Err(refusal) = &told {
+                    tracing::warn!(proxy, ?refusal, "a proxy is turned away");
+                    metrics::counter!("wrenthread_joins_refused_total").increment(1);
+                }
+                let _ = reply.send(told);
+            }
+            poll::Event::Poll { session, held, wait, reply } => {
+                self.question(now, session, held, wait, reply)
+            }
+            poll::Event::Report { session, number, report, reply } => {
+                let _ = reply.send(self.poll_report(now, session, number, &report));
+            }
+            poll::Event::Leave { session, reply } => {
+                let known = self.polls.name(session).is_some();
+                self.end_session(now, session, Told::Over);
+                let _ = reply.send(if known { Ok(()) } else { Err(poll::Refusal::NoSession) });
+            }
+        }
+    }
+
+    fn poll_join(
+        &mut self,
+        now: Duration,
+        session: u64,
+        proxy: &str,
+        asked: wrenthread_poll::forms::JoinAsked,
+    ) -> Result<JoinTold, poll::Refusal> {
+        let unclear = |error: wrenthread_poll::forms::Unclear| poll::Refusal::Unclear(error.to_string());
+        let join = self.terms.join(proxy, asked, self.usual).map_err(unclear)?;
+        let joined = self.engine.joined(now, session, &join).map_err(|refused| match refused {
+            Refused::Full { .. } => poll::Refusal::Full(refused.to_string()),
+            Refused::Contested { .. } => poll::Refusal::Conflict(refused.to_string()),
+            Refused::Nameless => poll::Refusal::Unclear(refused.to_string()),
+        })?;
+        let fresh = self.engine.proxy(joined.number).is_some_and(|proxy| proxy.fresh);
+        tracing::info!(proxy, zone = join.zone, fresh, session, "a proxy joined by long-poll");
+        self.polls.opened(now, session, join.name);
+        Ok(JoinTold { session, terms: self.terms.clone() })
+    }
+
+    fn question(
+        &mut self,
+        now: Duration,
+        session: u64,
+        held: Option<(String, String)>,
+        wait: Duration,
+        reply: poll::Reply<poll::Answer>,
+    ) {
+        // A version of another life is none of this one's, but its content may be the same.
+        let held = held.map(|(version, digest)| {
+            Ok::<_, wrenthread_poll::forms::Unclear>((
+                self.terms.number(&version)?.unwrap_or(0),
+                unhex(&digest)?,
+            ))
+        });
+        let held = match held.transpose() {
+            Ok(held) => held,
+            Err(unclear) => return drop(reply.send(Err(poll::Refusal::Unclear(unclear.to_string())))),
+        };
+        let Some(number) = self.engine.number_of(session) else {
+            return drop(reply.send(Err(poll::Refusal::NoSession)));
+        };
+        match self.polls.asked(now, session, number, held, wait, self.engine.history(), reply) {
+            Err((_, reply)) => drop(reply.send(Err(poll::Refusal::NoSession))),
+            Ok(asked) => {
+                if let Some(old) = asked.superseded {
+                    self.reply(old, Told::Superseded);
+                }
+                if let Some(version) = asked.acked {
+                    self.engine.acked(now, session, version);
+                    self.engine.settled(session);
+                }
+                let newest = self.engine.history().newest(number).map(|newest| newest.version);
+                if asked.acked != newest {
+                    self.engine.settled(session);
+                    self.engine.wants(now, session, 1);
+                }
+                self.engine.roomy(session);
+            }
+        }
+    }
+
+    fn poll_report(
+        &mut self,
+        now: Duration,
+        session: u64,
+        number: u64,
+        report: &wrenthread_poll::forms::ReportAsked,
+    ) -> Result<ReportTold, poll::Refusal> {
+        let read = self.terms.report(report).map_err(|error| poll::Refusal::Unclear(error.to_string()))?;
+        let name = self.polls.name(session).cloned().ok_or(poll::Refusal::NoSession)?;
+        let not = |why: String| Ok(ReportTold { counted: false, why: Some(why) });
+        if !self.polls.reported(session, number).map_err(|_| poll::Refusal::NoSession)? {
+            return not("this number was taken before".into());
+        }
+        metrics::counter!("wrenthread_reports_total").increment(1);
+        match self.engine.report(now, &name, session, &read) {
+            Ok(()) => Ok(ReportTold { counted: true, why: None }),
+            Err(why) => {
+                metrics::counter!("wrenthread_reports_discarded_total", "why" => why.to_string())
+                    .increment(1);
+                not(why.to_string())
+            }
+        }
+    }
+
+    fn end_session(&mut self, now: Duration, session: u64, told: Told) {
+        if let Some(name) = self.polls.name(session) {
+            tracing::info!(proxy = %name, session, "a proxy's session is over");
+        }
+        if let Some(reply) = self.polls.close(session) {
+            self.reply(reply, told);
+        }
+        self.engine.left(now, session);
+    }
+
+    fn reply(&self, reply: poll::Reply<poll::Answer>, told: Told) {
+        let _ = reply.send(match told {
+            Told::Whole(version) => {
+                let told = self.terms.whole(version.version, &version.digest, &version.whole);
+                Ok(poll::Answer::Tables(told))
+            }
+            Told::Delta(version, delta) => Ok(poll::Answer::Tables(self.terms.delta(version, &delta))),
+            Told::Unchanged(..) => Ok(poll::Answer::Unchanged),
+            Told::Superseded => Err(poll::Refusal::Conflict("a later question took its place".into())),
+            Told::Over => Err(poll::Refusal::NoSession),
+        });
+    }
+
+    /// When [`Host::pump`] is to be called at the latest.
+    pub fn next_due(&self, now: Duration) -> Duration {
+        self.engine.next_due(now).min(self.polls.next_due().unwrap_or(Duration::MAX))
+    }
+
     /// A stream has room again.
     pub fn roomy(&mut self, stream: u64) {
         self.engine.roomy(stream);
@@ -173,9 +333,21 @@
 
     /// Carries out all that there is to do now. What takes waiting is handed to the loop.
     pub fn pump(&mut self, now: Duration, mut chore: impl FnMut(Chore)) {
+        while let Some(due) = self.polls.due(now) {
+            match due {
+                Due::Waited(reply, told) => self.reply(reply, told),
+                Due::Lost(session) => self.end_session(now, session, Told::Over),
+            }
+        }
         while let Some(step) = self.engine.step(now) {
             match step {
                 Step::Flush(number) => chore_of(self.flush(now, number), &mut chore),
+                Step::Close(session) if self.polls.name(session).is_some() => {
+                    if let Some(reply) = self.polls.close(session) {
+                        let why = "a later stream or session of this name took over";
+                        let _ = reply.send(Err(poll::Refusal::Conflict(why.into())));
+                    }
+                }
                 Step::Close(stream) => {
                     if let Some(old) = self.streams.remove(&stream) {
                         let why = "a later stream of this node id took over";
@@ -190,6 +362,10 @@
 
     fn flush(&mut self, now: Duration, number: ProxyId) -> Option<Chore> {
         let stream = self.engine.proxy(number).map(|proxy| proxy.stream);
+        if let Some(session) = stream.filter(|session| self.polls.name(*session).is_some()) {
+            self.flush_poll(now, number, session);
+            return None;
+        }
         let open = stream.and_then(|stream| self.streams.get_mut(&stream));
         let (Some(stream), Some(open)) = (stream, open) else {
             self.engine.sent(now, number, 0, 0);
@@ -222,6 +398,25 @@
         None
     }
 
+    fn flush_poll(&mut self, now: Duration, number: ProxyId, session: u64) {
+        match self.polls.flush(now, session, number, self.engine.history()) {
+            Some((reply, told, lines)) => {
+                metrics::counter!("wrenthread_lines_sent_total").increment(lines as u64);
+                metrics::counter!("wrenthread_responses_total").increment(1);
+                self.reply(reply, told);
+                self.engine.sent(now, number, lines, 1);
+            }
+            // It holds that already.
+            None if self.polls.waits(session) => {
+                self.engine.sent(now, number, 0, 0);
+                let newest = self.engine.history().newest(number).map_or(0, |newest| newest.version);
+                self.engine.acked(now, session, newest);
+            }
+            // It is told when it asks next.
+            None => self.engine.stalled(number),
+        }
+    }
+
     fn groups(&self, set: u64) -> String {
         let named = self.wire.groups.iter().enumerate().filter(|(place, _)| set >> place & 1 == 1);
         named.map(|(_, group)| group.name.as_str()).collect::<Vec<_>>().join(",")
@@ -270,6 +465,9 @@
         for stream in std::mem::take(&mut self.streams).into_values() {
             stream.answers.end(Status::unavailable("the governor stops; keep your tables and come back"));
         }
+        for reply in self.polls.stop() {
+            let _ = reply.send(Err(poll::Refusal::Stopping));
+        }
     }
 
     // ---- what operators see
@@ -331,6 +529,17 @@
                 json!({"name": group.name, "level": level, "tries": tries_word(*tries)})
             })
             .collect();
+        let holds: Vec<Value> = self
+            .engine
+            .holds()
+            .map(|(proxy, group, hold)| {
+                json!({
+                    "proxy": &**proxy, "group": self.wire.groups.get(group).map(|group| &group.name),
+                    "version": hold.version, "left_s": hold.until.saturating_sub(now).as_secs_f64(),
+                    "why": &*hold.why,
+                })
+            })
+            .collect();
         let (discarded, counted) = self.engine.reports();
         let discarded: BTreeMap<String, u64> =
             discarded.iter().map(|(why, times)| (why.to_string(), *times)).collect();
@@ -342,7 +551,7 @@
                 "roster_doubted": figures.roster_doubted,
                 "reports": {"counted": counted, "waiting": figures.reports_waiting, "discarded": discarded},
             },
-            "groups": groups, "proxies": proxies, "replicas": replicas,
+            "groups": groups, "proxies": proxies, "replicas": replicas, "holds": holds,
         })
     }
 
@@ -370,11 +579,93 @@
         }))
     }
 
+    /// The kept versions of a proxy's tables; none if it is not joined.
+    pub fn history(&self, now: Duration, name: &str) -> Option<Value> {
+        let (number, proxy) = self.engine.fleet().named(name)?;
+        let versions: Vec<Value> = self
+            .engine
+            .history()
+            .of(number)
+            .map(|one| {
+                json!({
+                    "version": one.version, "age_s": now.saturating_sub(one.at).as_secs_f64(),
+                    "lines": one.whole.lines(), "digest": wrenthread_poll::forms::hex(&one.digest)[..16],
+                    "acked": one.version <= proxy.acked,
+                })
+            })
+            .collect();
+        Some(json!({"name": name, "versions": versions}))
+    }
+
+    /// What differs between two kept versions of a proxy's tables.
+    pub fn diff(&self, name: &str, one: u64, other: u64) -> Result<Value, String> {
+        let named = self.engine.fleet().named(name);
+        let (number, _) = named.ok_or_else(|| format!("no proxy `{name}` is joined"))?;
+        let of = |version| {
+            let of = self.engine.history().as_of(number, version);
+            of.ok_or_else(|| format!("of `{name}` nothing as old as version {version} is kept"))
+        };
+        let (from, to) = (of(one)?, of(other)?);
+        let delta = versions::delta(&from.whole, from.digest, &to.whole, to.digest);
+        let told = self.terms.delta(to.version, &delta);
+        let groups = serde_json::to_value(&told.groups).map_err(|error| error.to_string())?;
+        Ok(json!({"name": name, "from": from.version, "to": to.version, "groups": groups}))
+    }
+
+    fn scope(&self, asked: &Value) -> Result<Scope, String> {
+        match (asked["proxy"].as_str(), asked["group"].as_str(), asked["all"].as_bool()) {
+            (Some(proxy), None, None) => Ok(Scope::Proxy(proxy.into())),
+            (None, Some(group), None) => {
+                let place = self.wire.groups.iter().position(|known| known.name == group);
+                place.map(Scope::Group).ok_or_else(|| format!("no group `{group}` in the settings"))
+            }
+            (None, None, Some(true)) => Ok(Scope::All),
+            _ => Err("say one of `proxy`, `group` and `all`".into()),
+        }
+    }
+
+    /// Steps back, as an operator asks.
+    pub fn rollback(&mut self, now: Duration, asked: &Value) -> Result<Value, String> {
+        let scope = self.scope(asked)?;
+        let version = asked["version"].as_u64().ok_or("`version` is a number")?;
+        let lasts = asked["for_s"].as_f64().and_then(|lasts| Duration::try_from_secs_f64(lasts).ok());
+        let lasts = lasts.filter(|lasts| !lasts.is_zero()).ok_or("`for_s` is a number of seconds above 0")?;
+        let why = asked["why"].as_str().filter(|why| !why.is_empty()).ok_or("`why` is needed")?;
+        let until = now.saturating_add(lasts);
+        let rolled = self.engine.rollback(now, &scope, version, why, until).map_err(|no| no.to_string())?;
+        tracing::warn!(
+            ?scope,
+            version,
+            why,
+            held = rolled.held,
+            bare = rolled.bare,
+            "an operator steps back"
+        );
+        let left_out = rolled.left_out.iter().map(|(proxy, group, replica, why)| {
+            let group = self.wire.groups.get(*group).map(|group| &group.name);
+            json!({"proxy": &**proxy, "group": group, "replica": &**replica, "why": why.to_string()})
+        });
+        let without: Vec<&str> = rolled.without.iter().map(|name| &**name).collect();
+        Ok(json!({
+            "held": rolled.held, "bare": rolled.bare, "without": without,
+            "left_out": left_out.collect::<Vec<_>>(),
+        }))
+    }
+
+    /// Ends holds, as an operator asks.
+    pub fn release(&mut self, now: Duration, asked: &Value) -> Result<Value, String> {
+        let scope = self.scope(asked)?;
+        let released = self.engine.release(now, &scope).map_err(|no: NoStepBack| no.to_string())?;
+        Ok(json!({"released": released}))
+    }
+
     pub fn measure(&self, now: Duration) {
         let figures = self.engine.figures(now);
         metrics::gauge!("wrenthread_proxies_joined").set(figures.joined as f64);
         metrics::gauge!("wrenthread_proxies_in_lobby").set(figures.lobby as f64);
         metrics::gauge!("wrenthread_lines_waiting").set(figures.lines_waiting as f64);
+        metrics::gauge!("wrenthread_history_lines").set(figures.history_lines as f64);
+        metrics::gauge!("wrenthread_holds").set(figures.holds as f64);
         metrics::gauge!("wrenthread_version").set(figures.version as f64);
         metrics::gauge!("wrenthread_report_lines_waiting").set(figures.reports_waiting as f64);
         for (group, (level, _)) in self.wire.groups.iter().zip(self.engine.levels()) {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -120,6 +120,7 @@
     pub history_lines: u64,
     pub grpc: SocketAddr,
     pub http: SocketAddr,
+    pub poll: Option<SocketAddr>,
     pub keepalive: f64,
     pub keepalive_timeout: f64,
 }
@@ -209,7 +210,7 @@
             None
         }
     };
-    let mut socket = |field: &str| {
+    let mut socket = |field: &str| -> Option<SocketAddr> {
         let text = listen.text(field).unwrap_or_default();
         let parsed = text.parse::<SocketAddr>().ok();
         if parsed.is_none() {
@@ -218,6 +219,7 @@
         parsed
     };
     let (grpc, http) = (socket("grpc"), socket("http"));
+    let poll = listen.text("poll").and_then(|_| socket("poll"));
     let waiting_most = channel.number("waiting_most");
     let least = fleet.number("standing_lines") * groups.len() as f64 + channel.number("head_lines");
     if waiting_most < least && check.faults.is_empty() {
@@ -260,6 +262,7 @@
         history_lines: channel.whole("history_lines"),
         grpc,
         http,
+        poll,
         keepalive: listen.number("keepalive"),
         keepalive_timeout: listen.number("keepalive_timeout"),
     })
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -207,6 +207,7 @@
         fields: &[
             field("grpc", Takes::Text, Text("127.0.0.1:15010"), "proxies (ADS, LRS, CSDS)"),
             field("http", Takes::Text, Text("127.0.0.1:15011"), "health, metrics, status"),
+            field("poll", Takes::Text, Open, "proxies (long-poll); none without it"),
             field(
                 "keepalive",
                 Takes::Seconds(0.1, 3600.0),
