--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -4,7 +4,7 @@
 use axum::extract::{Path, State};
 use axum::http::StatusCode;
 use axum::response::{IntoResponse, Json, Response};
-use axum::routing::get;
+use axum::routing::{get, post};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -16,6 +16,10 @@
     Status(oneshot::Sender<Value>),
     Tables(String, oneshot::Sender<Option<Value>>),
     Metrics(oneshot::Sender<String>),
+    History(String, oneshot::Sender<Option<Value>>),
+    Diff(String, u64, u64, oneshot::Sender<Result<Value, String>>),
+    Rollback(Value, oneshot::Sender<Result<Value, String>>),
+    Release(Value, oneshot::Sender<Result<Value, String>>),
 }
 
 type Asked = mpsc::Sender<Query>;
@@ -27,6 +31,10 @@
         .route("/metrics", get(metrics))
         .route("/status", get(status))
         .route("/tables/{proxy}", get(tables))
+        .route("/tables/{proxy}/history", get(history))
+        .route("/tables/{proxy}/diff/{one}/{other}", get(diff))
+        .route("/rollback", post(rollback))
+        .route("/release", post(release))
         .with_state(queries);
     if let Err(error) = axum::serve(listener, router).await {
         tracing::error!(%error, "the HTTP port is closed");
@@ -56,13 +64,36 @@
     ask(&asked, Query::Status).await.map_or_else(|response| response, |status| Json(status).into_response())
 }
 
-async fn tables(State(asked): State<Asked>, Path(proxy): Path<String>) -> Response {
-    match ask(&asked, |reply| Query::Tables(proxy.clone(), reply)).await {
-        Ok(Some(tables)) => Json(tables).into_response(),
-        Ok(None) => {
-            let why = json!({"error": format!("no proxy `{proxy}` is joined")});
-            (StatusCode::NOT_FOUND, Json(why)).into_response()
-        }
-        Err(response) => response,
+fn of_proxy(proxy: &str, answer: Result<Option<Value>, Response>) -> Response {
+    answer.map_or_else(
+        |response| response,
+        |found| plain(found.ok_or_else(|| format!("no proxy `{proxy}` is joined"))),
+    )
+}
+
+fn plain(answer: Result<Value, String>) -> Response {
+    match answer {
+        Ok(value) => Json(value).into_response(),
+        Err(error) => (StatusCode::NOT_FOUND, Json(json!({"error": error}))).into_response(),
     }
 }
+
+async fn tables(State(asked): State<Asked>, Path(proxy): Path<String>) -> Response {
+    of_proxy(&proxy, ask(&asked, |reply| Query::Tables(proxy.clone(), reply)).await)
+}
+
+async fn history(State(asked): State<Asked>, Path(proxy): Path<String>) -> Response {
+    of_proxy(&proxy, ask(&asked, |reply| Query::History(proxy.clone(), reply)).await)
+}
+
+async fn diff(State(asked): State<Asked>, Path((proxy, one, other)): Path<(String, u64, u64)>) -> Response {
+    ask(&asked, |reply| Query::Diff(proxy, one, other, reply)).await.map_or_else(|response| response, plain)
+}
+
+async fn rollback(State(asked): State<Asked>, Json(body): Json<Value>) -> Response {
+    ask(&asked, |reply| Query::Rollback(body, reply)).await.map_or_else(|response| response, plain)
+}
+
+async fn release(State(asked): State<Asked>, Json(body): Json<Value>) -> Response {
+    ask(&asked, |reply| Query::Release(body, reply)).await.map_or_else(|response| response, plain)
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -40,6 +40,31 @@
     Json,
 }
 
+#[derive(Subcommand)]
+enum Versions {
+    /// The versions that are kept
+    History,
+    /// What differs between two of them
+    Diff { one: u64, other: u64 },
+}
+
+#[derive(clap::Args)]
+#[group(required = true, multiple = false)]
+struct Scope {
+    #[arg(long)]
+    proxy: Option<String>,
+    #[arg(long)]
+    group: Option<String>,
+    #[arg(long)]
+    all: bool,
+}
+
+impl Scope {
+    fn said(self) -> serde_json::Value {
+        serde_json::json!({"proxy": self.proxy, "group": self.group, "all": self.all.then_some(true)})
+    }
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Run a governor: SIGHUP reloads its settings, SIGTERM stops it
@@ -61,16 +86,45 @@
         #[arg(long, value_enum, default_value = "text")]
         output: Output,
     },
-    /// Ask a running governor for one proxy's tables
-    #[command(after_help = "Example: wrenthread tables relay-3")]
+    /// Ask a running governor for one proxy's tables, their versions, and what differs between two
+    #[command(after_help = "Examples:\n  wrenthread tables relay-3\n  wrenthread tables relay-3 history\n  \
+        wrenthread tables relay-3 diff 41 57")]
     Tables {
         proxy: String,
+        #[command(subcommand)]
+        what: Option<Versions>,
+        /// The governor's HTTP port
+        #[arg(long, global = true, default_value = "127.0.0.1:15011")]
+        at: String,
+        #[arg(long, global = true, value_enum, default_value = "text")]
+        output: Output,
+    },
+    /// Step back: have proxies told what they were told as of a version, less what the rules forbid now
+    #[command(after_help = "Example: wrenthread rollback 41 --all --why 'hall north is overrun' --for 900")]
+    Rollback {
+        version: u64,
+        #[command(flatten)]
+        scope: Scope,
+        #[arg(long)]
+        why: String,
+        /// How long, in seconds
+        #[arg(long = "for", default_value = "900")]
+        lasts: f64,
         /// The governor's HTTP port
         #[arg(long, default_value = "127.0.0.1:15011")]
         at: String,
         #[arg(long, value_enum, default_value = "text")]
         output: Output,
     },
+    /// End holds: the governor's present tables are told again
+    #[command(after_help = "Example: wrenthread release --proxy relay-3")]
+    Release {
+        #[command(flatten)]
+        scope: Scope,
+        /// The governor's HTTP port
+        #[arg(long, default_value = "127.0.0.1:15011")]
+        at: String,
+    },
     /// Read settings within bounds, and write what they came to as JSON
     #[command(hide = true)]
     ReadSettings { settings: PathBuf },
@@ -118,12 +172,35 @@
             println!("{}", serde_json::to_string(&wrenthread_settings::load(&settings))?);
         }
         Command::Status { at, output } => {
-            let status = show::fetch(&at, "/status")?;
+            let status = show::fetch(&at, "/status", None)?;
             print(output, &status, || show::status(&status));
         }
-        Command::Tables { proxy, at, output } => {
-            let tables = show::fetch(&at, &format!("/tables/{proxy}"))?;
-            print(output, &tables, || show::tables(&tables));
+        Command::Tables { proxy, what, at, output } => {
+            let fetch = |more: &str| show::fetch(&at, &format!("/tables/{proxy}{more}"), None);
+            match what {
+                None => {
+                    let tables = fetch("")?;
+                    print(output, &tables, || show::tables(&tables));
+                }
+                Some(Versions::History) => {
+                    let history = fetch("/history")?;
+                    print(output, &history, || show::history(&history));
+                }
+                Some(Versions::Diff { one, other }) => {
+                    let diff = fetch(&format!("/diff/{one}/{other}"))?;
+                    print(output, &diff, || show::diff(&diff));
+                }
+            }
+        }
+        Command::Rollback { version, scope, why, lasts, at, output } => {
+            let mut asked = scope.said();
+            (asked["version"], asked["why"], asked["for_s"]) = (version.into(), why.into(), lasts.into());
+            let rolled = show::fetch(&at, "/rollback", Some(&asked))?;
+            print(output, &rolled, || show::rolled(&rolled));
+        }
+        Command::Release { scope, at } => {
+            let released = show::fetch(&at, "/release", Some(&scope.said()))?;
+            println!("{} tables are released", released["released"]);
         }
         Command::Rehearse { day, seeds, tape, output } => return rehearse(&day, &seeds, tape, output),
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -15,7 +15,7 @@
 use wrenthread_xds::{Wire, WireGroup, upstream};
 
 use crate::clock::Clock;
-use crate::host::{Chore, Host};
+use crate::host::{Chore, Host, WAIT_MOST};
 use crate::http::{self, Query};
 use crate::roster_file;
 
@@ -111,6 +111,7 @@
     let pages =
         TcpListener::bind(settings.http).await.with_context(|| format!("HTTP on {}", settings.http))?;
     let (events, mut heard) = mpsc::channel(EVENTS);
+    let (questions, mut polled) = mpsc::channel(EVENTS);
     let (queries, mut asked) = mpsc::channel(64);
     let (lists, mut listed) = mpsc::channel(4);
     let (chores, mut done) = mpsc::channel::<u64>(EVENTS);
@@ -121,7 +122,16 @@
         grpc = %grpc.local_addr()?, http = %pages.local_addr()?, epoch = format!("{:x}", wire.epoch),
         groups = wire.groups.len(), "the governor runs"
     );
+    let polling = match settings.poll {
+        None => None,
+        Some(at) => {
+            let listener = TcpListener::bind(at).await.with_context(|| format!("long-poll on {at}"))?;
+            let router = wrenthread_poll::service::router(questions, WAIT_MOST);
+            Some(tokio::task::spawn_local(async move { axum::serve(listener, router).await }))
+        }
+    };
     let front = Front::new(events, wire.report_every);
+    let numbers = front.clone();
     let (ads, lrs, csds) = front.services();
     let server = tonic::transport::Server::builder()
         .http2_keepalive_interval(Some(span(settings.keepalive)))
@@ -142,7 +152,7 @@
     let mut hangup = signal(SignalKind::hangup()).context("signals")?;
     let mut terminate = signal(SignalKind::terminate()).context("signals")?;
     let why = loop {
-        let due = clock.instant(host.engine.next_due(clock.now()));
+        let due = clock.instant(host.next_due(clock.now()));
         tokio::select! {
             biased;
             _ = terminate.recv() => break "asked to stop",
@@ -176,8 +186,15 @@
                     host.event(clock.now(), event);
                 }
             }
+            Some(event) = polled.recv() => {
+                host.poll(clock.now(), event, || numbers.number());
+                for _ in 0..AT_ONCE {
+                    let Ok(event) = polled.try_recv() else { break };
+                    host.poll(clock.now(), event, || numbers.number());
+                }
+            }
             Some(stream) = done.recv() => host.roomy(stream),
-            Some(query) = asked.recv() => answer(&host, &clock, &metrics, query),
+            Some(query) = asked.recv() => answer(&mut host, &clock, &metrics, query),
             () = tokio::time::sleep_until(due.into()) => {}
         }
         let began = std::time::Instant::now();
@@ -200,6 +217,9 @@
     // Streams hear of their end before the sockets close.
     let _ = tokio::time::timeout(PARTING, &mut server).await;
     roster.abort();
+    if let Some(polling) = polling {
+        polling.abort();
+    }
     pages.abort();
     Ok(())
 }
@@ -226,13 +246,22 @@
     Some(later)
 }
 
-fn answer(host: &Host, clock: &Clock, metrics: &metrics_exporter_prometheus::PrometheusHandle, query: Query) {
+fn answer(
+    host: &mut Host,
+    clock: &Clock,
+    metrics: &metrics_exporter_prometheus::PrometheusHandle,
+    query: Query,
+) {
     let now = clock.now();
     // Who asked may be gone; that is no concern of the governor's.
     match query {
         Query::Ready(reply) => drop(reply.send(host.is_ready())),
         Query::Status(reply) => drop(reply.send(host.status(now, clock.up()))),
         Query::Tables(proxy, reply) => drop(reply.send(host.tables(&proxy))),
+        Query::History(proxy, reply) => drop(reply.send(host.history(now, &proxy))),
+        Query::Diff(proxy, one, other, reply) => drop(reply.send(host.diff(&proxy, one, other))),
+        Query::Rollback(asked, reply) => drop(reply.send(host.rollback(now, &asked))),
+        Query::Release(asked, reply) => drop(reply.send(host.release(now, &asked))),
         Query::Metrics(reply) => {
             host.measure(now);
             drop(reply.send(metrics.render()));
--- a/crates/daemon/src/show.rs
+++ b/crates/daemon/src/show.rs
@@ -9,14 +9,18 @@
 /// Asks a running governor's HTTP port.
 ///
 /// Errors: nobody answers there, or says that there is no such thing.
-pub fn fetch(at: &str, path: &str) -> Result<Value> {
+pub fn fetch(at: &str, path: &str, body: Option<&Value>) -> Result<Value> {
     let agent: ureq::Agent = ureq::Agent::config_builder()
         .timeout_global(Some(std::time::Duration::from_secs(5)))
         .http_status_as_error(false)
         .build()
         .into();
     let url = format!("http://{at}{path}");
-    let mut answer = agent.get(&url).call().with_context(|| format!("no governor answers at {at}"))?;
+    let answer = match body {
+        None => agent.get(&url).call(),
+        Some(body) => agent.post(&url).header("content-type", "application/json").send(body.to_string()),
+    };
+    let mut answer = answer.with_context(|| format!("no governor answers at {at}"))?;
     let text = answer.body_mut().read_to_string().with_context(|| format!("the answer of {url}"))?;
     let value: Value =
         serde_json::from_str(&text).with_context(|| format!("{url} answered: {}", text.trim()))?;
@@ -75,6 +79,11 @@
     let heads = ["name", "zone", "kind", "newest", "sent", "acked", "lag_s", "nacked"];
     text += &listed(&status["proxies"], &heads);
     text.push('\n');
+    if status["holds"].as_array().is_some_and(|holds| !holds.is_empty()) {
+        text += "held by operators:\n";
+        text += &listed(&status["holds"], &["proxy", "group", "version", "left_s", "why"]);
+        text.push('\n');
+    }
     text += &listed(&status["replicas"], &["id", "zone", "address", "weight", "state", "up_s", "why"]);
     text
 }
@@ -114,3 +123,44 @@
     let rows: Vec<Vec<String>> = others.map(|(name, value)| vec![name.clone(), cell(value)]).collect();
     Ok(format!("{groups}\n{}", columns(&["setting", "value"], &rows)))
 }
+
+pub fn history(history: &Value) -> String {
+    listed(&history["versions"], &["version", "age_s", "lines", "digest", "acked"])
+}
+
+pub fn diff(diff: &Value) -> String {
+    let mut text =
+        format!("{}: from {} to {}\n", cell(&diff["name"]), cell(&diff["from"]), cell(&diff["to"]));
+    for (group, change) in diff["groups"].as_object().into_iter().flatten() {
+        let _ =
+            writeln!(text, "\n{group}: level {}, tries {}", cell(&change["level"]), cell(&change["tries"]));
+        if change["standing"] == true {
+            let _ = writeln!(text, "  back on its standing table");
+        }
+        for line in change["lines"].as_array().into_iter().flatten() {
+            let _ = writeln!(text, "  + {} {}", cell(&line["replica"]), cell(&line["weight"]));
+        }
+        for replica in change["removed"].as_array().into_iter().flatten() {
+            let _ = writeln!(text, "  - {}", cell(replica));
+        }
+    }
+    text
+}
+
+pub fn rolled(rolled: &Value) -> String {
+    let mut text = format!("{} tables are held", cell(&rolled["held"]));
+    if rolled["bare"] != 0 {
+        let _ = write!(text, "; of {} nothing would be left, they are not", cell(&rolled["bare"]));
+    }
+    text.push('\n');
+    let without = rolled["without"].as_array().map_or(0, Vec::len);
+    if without > 0 {
+        let _ = writeln!(text, "{without} proxies have no table of so old a version: {}", rolled["without"]);
+    }
+    let left_out = &rolled["left_out"];
+    if left_out.as_array().is_some_and(|all| !all.is_empty()) {
+        text += "left out:\n";
+        text += &listed(left_out, &["proxy", "group", "replica", "why"]);
+    }
+    text
+}
