--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -40,6 +40,13 @@
     Json,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum Fronts {
+    Grpc,
+    Poll,
+    Mixed,
+}
+
 #[derive(Subcommand)]
 enum Versions {
     /// The versions that are kept
@@ -135,6 +142,9 @@
         /// Seeds; each is a day of its own
         #[arg(long = "seed", default_value = "1")]
         seeds: Vec<u64>,
+        /// By which fronts the relays follow
+        #[arg(long, value_enum, default_value = "grpc")]
+        front: Fronts,
         /// Keep the tape, one JSON line a message, in this folder
         #[arg(long)]
         tape: Option<PathBuf>,
@@ -202,16 +212,29 @@
             let released = show::fetch(&at, "/release", Some(&scope.said()))?;
             println!("{} tables are released", released["released"]);
         }
-        Command::Rehearse { day, seeds, tape, output } => return rehearse(&day, &seeds, tape, output),
+        Command::Rehearse { day, seeds, front, tape, output } => {
+            return rehearse(&day, &seeds, front, tape, output);
+        }
     }
     Ok(ExitCode::SUCCESS)
 }
 
-fn rehearse(day: &str, seeds: &[u64], tape: Option<PathBuf>, output: Output) -> Result<ExitCode> {
+fn rehearse(
+    day: &str,
+    seeds: &[u64],
+    front: Fronts,
+    tape: Option<PathBuf>,
+    output: Output,
+) -> Result<ExitCode> {
     let program = std::env::current_exe()?;
+    let fronts = match front {
+        Fronts::Grpc => wrenthread_rehearsal::Fronts::Grpc,
+        Fronts::Poll => wrenthread_rehearsal::Fronts::Poll,
+        Fronts::Mixed => wrenthread_rehearsal::Fronts::Mixed,
+    };
     let mut passed = true;
     for seed in seeds {
-        let verdict = wrenthread_rehearsal::rehearse(&program, day, *seed, tape.as_deref())?;
+        let verdict = wrenthread_rehearsal::rehearse(&program, day, *seed, fronts, tape.as_deref())?;
         passed &= verdict.passed();
         print(output, &serde_json::to_value(&verdict)?, || verdict.to_string());
     }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -29,9 +29,10 @@
 use wrenthread_settings::day::{self, Day, Planned, Trouble};
 
 use check::Ruled;
-use relay::{Relay, name};
+use relay::{Front, Relay, name};
 use tape::{End, Entry, FLOWS, GROUPS, Listed, Tape, What};
 use worker::{Mode, Worker};
+use wrenthread_client::Who;
 
 const DAYS: [(&str, &str); 2] =
     [("bad-day", include_str!("../days/bad-day.star")), ("short", include_str!("../days/short.star"))];
@@ -40,6 +41,30 @@
 /// After the last flow came: time for the ends of all, and for the last orders' answers.
 const AFTER: f64 = 6.0;
 
+/// By which fronts the relays follow their governor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fronts {
+    Grpc,
+    Poll,
+    Mixed,
+}
+
+impl Fronts {
+    /// The front of a relay; within a hall all of a mix are met.
+    fn of(self, relay: usize, halls: usize) -> Front {
+        let place = relay / halls + relay % halls;
+        match self {
+            Fronts::Grpc if place.is_multiple_of(2) => Front::StateOfTheWorld,
+            Fronts::Grpc => Front::Delta,
+            Fronts::Poll => Front::LongPoll,
+            Fronts::Mixed if place.is_multiple_of(2) => Front::LongPoll,
+            Fronts::Mixed if place % 4 == 1 => Front::StateOfTheWorld,
+            Fronts::Mixed => Front::Delta,
+        }
+    }
+}
+
 /// How a group fared.
 #[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Service {
@@ -55,6 +80,7 @@
 pub struct Verdict {
     pub day: String,
     pub seed: u64,
+    pub fronts: Fronts,
     pub rules: Vec<Ruled>,
     /// By group: with the governor, and on standing tables only.
     pub service: BTreeMap<String, (Service, Service)>,
@@ -81,7 +107,8 @@
 
 impl fmt::Display for Verdict {
     fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(to, "{} (seed {}): {}", self.day, self.seed, if self.passed() { "PASS" } else { "FAIL" })?;
+        write!(to, "{} (seed {}, {:?}): ", self.day, self.seed, self.fronts)?;
+        writeln!(to, "{}", if self.passed() { "PASS" } else { "FAIL" })?;
         for Ruled { rule, broken } in &self.rules {
             writeln!(to, "  {:8} {rule}", if broken.is_empty() { "kept" } else { "BROKEN" })?;
             for one in broken.iter().take(5) {
@@ -117,7 +144,13 @@
 /// Rehearses a day: one of the kit's by name, or a script's path. `program` is the governor to run.
 ///
 /// Errors: no such day, faults in its script, or a rehearsal that can't be held (no sockets, no program).
-pub fn rehearse(program: &Path, day: &str, seed: u64, keep: Option<&Path>) -> Result<Verdict> {
+pub fn rehearse(
+    program: &Path,
+    day: &str,
+    seed: u64,
+    fronts: Fronts,
+    keep: Option<&Path>,
+) -> Result<Verdict> {
     let known = DAYS.iter().find(|(name, _)| *name == day);
     let (file, text) = match known {
         Some((name, text)) => (format!("{name}.star"), (*text).to_string()),
@@ -138,8 +171,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
     let held = local.block_on(&runtime, async {
-        let governed = Field::new(parsed.clone(), seed).await?;
-        let standing = Field::new(parsed.clone(), seed).await?;
+        let governed = Field::new(parsed.clone(), seed, fronts).await?;
+        let standing = Field::new(parsed.clone(), seed, fronts).await?;
         let (one, other) =
             tokio::join!(governed.hold(Some((program.to_path_buf(), folder.clone()))), standing.hold(None));
         other?;
@@ -160,6 +193,7 @@
     let verdict = Verdict {
         day: day.to_string(),
         seed,
+        fronts,
         rules: check::all(&parsed, &governed),
         service: service(&governed, &standing),
         orders: count(|what| matches!(what, What::Order { .. })),
@@ -218,15 +252,15 @@
 }
 
 impl Field {
-    async fn new(day: Rc<Day>, seed: u64) -> Result<Rc<Field>> {
+    async fn new(day: Rc<Day>, seed: u64, fronts: Fronts) -> Result<Rc<Field>> {
         let tape = Tape::new();
         let halls = day.halls.len();
         let mut workers = Vec::new();
         for place in 0..day.workers {
             workers.push(Worker::start(place, day.clone(), tape.clone()).await?);
         }
-        let by_address: HashMap<String, usize> =
-            workers.iter().map(|worker| (worker.address.clone(), worker.place)).collect();
+        let by_address: HashMap<String, Rc<Worker>> =
+            workers.iter().map(|worker| (worker.address.clone(), worker.clone())).collect();
         let (workers, by_address) = (Rc::new(workers), Rc::new(by_address));
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let usual = day.flows_per_s / day.relays as f64;
@@ -238,8 +272,11 @@
                 while drawn.len() > STANDING {
                     drawn.remove(rng.next_u64() as usize % drawn.len());
                 }
-                let hall = day.halls[place % halls].clone();
-                Relay::new(place, hall, usual, drawn, workers.clone(), by_address.clone(), seed, tape.clone())
+                let zone = day.halls[place % halls].clone();
+                let who = Who { name: format!("relay-{place}"), zone, usual };
+                let standing: Vec<Rc<Worker>> = drawn.iter().map(|place| workers[*place].clone()).collect();
+                let front = fronts.of(place, halls);
+                Relay::new(place, who, front, &standing, by_address.clone(), seed, tape.clone())
             })
             .collect();
         let calendar = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs_f64() - tape.now();
@@ -262,8 +299,10 @@
             self.list(governor)?;
             governor.start(&self.tape).await?;
             for relay in &self.relays {
-                tasks.push(tokio::task::spawn_local(relay.clone().follow(governor.uri.clone())));
-                tasks.push(tokio::task::spawn_local(relay.clone().report(governor.uri.clone())));
+                tasks.push(tokio::task::spawn_local(
+                    relay.clone().follow(governor.grpc.clone(), governor.poll.clone()),
+                ));
+                tasks.push(tokio::task::spawn_local(relay.clone().report(governor.grpc.clone())));
             }
         }
         let numbers = Rc::new(Cell::new(1));
@@ -397,7 +436,8 @@
 struct Governor {
     program: PathBuf,
     folder: PathBuf,
-    uri: String,
+    grpc: String,
+    poll: String,
     http: String,
     child: RefCell<Option<Child>>,
     dead: Cell<bool>,
@@ -410,7 +450,7 @@
 
 impl Governor {
     fn new(program: PathBuf, folder: PathBuf, day: &Day) -> Result<Self> {
-        let (grpc, http) = (free_port()?, free_port()?);
+        let (grpc, http, poll) = (free_port()?, free_port()?, free_port()?);
         let groups: String = GROUPS
             .iter()
             .zip(FLOWS)
@@ -431,7 +471,8 @@
              messages_most = {}, messages_over = {})\n\
              reports(every = 0.5, metrics = [\"waiting\"])\n\
              roster(file = \"roster.json\", look_every = 0.05)\n\
-             listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\")\n{groups}",
+             listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\", \
+             poll = \"127.0.0.1:{poll}\")\n{groups}",
             day.halls,
             day.relays,
             day.cold_share,
@@ -446,7 +487,8 @@
         Ok(Governor {
             program,
             folder,
-            uri: format!("http://127.0.0.1:{grpc}"),
+            grpc: format!("http://127.0.0.1:{grpc}"),
+            poll: format!("http://127.0.0.1:{poll}"),
             http: format!("127.0.0.1:{http}"),
             child: RefCell::new(None),
             dead: Cell::new(true),
