Who comes back holding tables is never told that there are none before the module has spoken

Cause: between a join and the module's beat nothing is laid for a proxy; both fronts took that for "no table" and a proxy that came back after a restart was told to drop what it held, for up to a quarter of a second.

Change: no word before there is one; content that a new life arrives at is not sent to who holds it already.

--- a/crates/client/src/grpc.rs
+++ b/crates/client/src/grpc.rs
@@ -78,7 +78,8 @@
     [(Kind::Endpoints, keeper.groups().to_vec()), (Kind::Clusters, vec![]), (Kind::Routes, routes)]
 }
 
-/// Follows over one stream until it ends. What is held stays as it is then; come back with the same `versions`.
+/// Follows over one stream until it ends. What is held stays as it is then; come back with the same
+/// `versions`.
 ///
 /// Errors: why the stream ended.
 pub async fn follow(
--- a/crates/client/src/keeper.rs
+++ b/crates/client/src/keeper.rs
@@ -181,8 +181,8 @@
 
     // ---- flows
 
-    /// Where a flow of a group goes, by two numbers of chance from 0 up to 1, and other than `but`. None: it is
-    /// blocked, by its level or as there is no line, and counted as such if this is its first try.
+    /// Where a flow of a group goes, by two numbers of chance from 0 up to 1, and other than `but`. None: it
+    /// is blocked, by its level or as there is no line, and counted as such if this is its first try.
     pub fn pick(
         &mut self,
         now: Duration,
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -1,8 +1,8 @@
-//! For proxies in Rust: follow a governor by either front, keep the table over broken streams, pick by weight, heed
-//! levels and further tries, report.
+//! For proxies in Rust: follow a governor by either front, keep the table over broken streams, pick by
+//! weight, heed levels and further tries, report.
 //!
-//! [`keeper::Keeper`] is the proxy's state, without I/O; [`grpc`] and [`poll`] keep it up to date and report for
-//! it. All of it lives on one thread (a tokio `LocalSet`), so nothing is locked.
+//! [`keeper::Keeper`] is the proxy's state, without I/O; [`grpc`] and [`poll`] keep it up to date and report
+//! for it. All of it lives on one thread (a tokio `LocalSet`), so nothing is locked.
 //!
 //! ```
 //! use std::time::Duration;
--- a/crates/client/src/poll.rs
+++ b/crates/client/src/poll.rs
@@ -130,8 +130,8 @@
     }
 }
 
-/// A report as this front spells it. Replicas are named by those that the tables told; an address that is in no
-/// table any more is left out.
+/// A report as this front spells it. Replicas are named by those that the tables told; an address that is in
+/// no table any more is left out.
 pub fn report(keeper: &Keeper, interval: Duration, stats: &Stats) -> ReportAsked {
     let groups = keeper.groups();
     let met = stats.met.iter().filter_map(|((group, at), met)| {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -389,8 +389,8 @@
         self.causes.insert(Cause::Probed);
     }
 
-    /// Steps back: these proxies are told, from now on and until `until`, what they were told as of a version,
-    /// less what the rules forbid now. The module goes on deciding; what it decides for them waits.
+    /// Steps back: these proxies are told, from now on and until `until`, what they were told as of a
+    /// version, less what the rules forbid now. The module goes on deciding; what it decides for them waits.
     ///
     /// Errors: nothing is changed by a step back that comes to nothing.
     pub fn rollback(
--- a/crates/core/src/history.rs
+++ b/crates/core/src/history.rs
@@ -1,9 +1,10 @@
-//! The last versions of what each proxy was told, within a bound on memory, to step back to and to make deltas
-//! from.
+//! The last versions of what each proxy was told, within a bound on memory, to step back to and to make
+//! deltas from.
 //!
-//! What is bounded is lines: each costs about as much as its names. Where the bound is met the oldest version of
-//! all proxies goes first, so that a proxy that changes all the time does not push out the one version of others
-//! before its own older ones; the newest of each joined proxy is never dropped, as it is what the proxy holds.
+//! What is bounded is lines: each costs about as much as its names. Where the bound is met the oldest version
+//! of all proxies goes first, so that a proxy that changes all the time does not push out the one version of
+//! others before its own older ones; the newest of each joined proxy is never dropped, as it is what the
+//! proxy holds.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
--- a/crates/core/src/holds.rs
+++ b/crates/core/src/holds.rs
@@ -1,7 +1,7 @@
 //! Holds: tables that operators stepped back to, and what of them may still be told.
 //!
-//! A hold never decides: it takes the lines of an earlier version, which the module decided then, and leaves out
-//! what the module would not have now. See `docs/design/versions.md` for how the two live together.
+//! A hold never decides: it takes the lines of an earlier version, which the module decided then, and leaves
+//! out what the module would not have now. See `docs/design/versions.md` for how the two live together.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -53,9 +53,10 @@
 
 /// What a hold comes to now, beside the module's present table for the same proxy and group.
 ///
-/// A replica that started after the version was told is another process than the one that the table meant: how
-/// much of it can be borne is the module's to say. It gets the share of the table that the module gives it now,
-/// at most its held one, or is left out where the module gives it none. `withdrawn` is the module's word too.
+/// A replica that started after the version was told is another process than the one that the table meant:
+/// how much of it can be borne is the module's to say. It gets the share of the table that the module gives
+/// it now, at most its held one, or is left out where the module gives it none. `withdrawn` is the module's
+/// word too.
 ///
 /// None where no line is left: the hold is over then.
 pub fn told(
@@ -98,7 +99,8 @@
         }
     }
     if lines.is_empty() {
-        // With nothing but what started since, the module's own table is the only one that is known to be borne.
+        // With nothing but what started since, the module's own table is the only one that is known to be
+        // borne.
         return (None, left_out);
     }
     // Shares are of the table as it comes out: what is left out must not raise a capped one's beyond its cap.
--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -1,7 +1,8 @@
 //! What proxies are told, in versions: whole states, their digests, and deltas between them.
 //!
-//! A delta names the version that it starts from and the digest that it must come to. Who applies it checks both
-//! before anything takes effect; what does not come out is answered by asking for the whole, never by guessing.
+//! A delta names the version that it starts from and the digest that it must come to. Who applies it checks
+//! both before anything takes effect; what does not come out is answered by asking for the whole, never by
+//! guessing.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -231,8 +232,8 @@
             }
         }
 
-        /// Relays skip, repeat and reorder deltas, and restart; whoever asks for the whole whenever one does not
-        /// fit ends on the governor's version.
+        /// Relays skip, repeat and reorder deltas, and restart; whoever asks for the whole whenever one does
+        /// not fit ends on the governor's version.
         #[test]
         fn any_history_ends_on_the_governors_version(
             history in prop::collection::vec(states(), 2..10),
@@ -256,7 +257,8 @@
             }
             let last = history.last().unwrap();
             let change = delta(&held, held.digest(), last, last.digest());
-            prop_assert_eq!(apply(&held, held.digest(), &change).unwrap_or_else(|_| last.clone()), last.clone());
+            let end = apply(&held, held.digest(), &change).unwrap_or_else(|_| last.clone());
+            prop_assert_eq!(&end, last);
         }
     }
 
--- a/crates/daemon/benches/scale.rs
+++ b/crates/daemon/benches/scale.rs
@@ -1,7 +1,7 @@
 //! How the governor grows with its fleet: scripted relays on loopback against the real program.
 //!
-//! `cargo bench -p wrenthread-daemon --bench scale [-- RELAYS ...]`; figures of one run are to be compared with
-//! each other only.
+//! `cargo bench -p wrenthread-daemon --bench scale [-- RELAYS ...]`; figures of one run are to be compared
+//! with each other only.
 
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
@@ -63,10 +63,12 @@
         let port = || std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
         let (grpc, http) = (port(), port());
         let script = format!(
-            "fleet(zones = {ZONES:?}, proxies = {relays})\nroster(file = \"roster.json\", look_every = 0.02)\n\
+            "fleet(zones = {ZONES:?}, proxies = {relays})\n\
+             roster(file = \"roster.json\", look_every = 0.02)\n\
              listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\")\n\
              channel(lines_per_s = 200000, waiting_most = 400000)\nreplicas(warm_after = 0.5)\n\
-             for name in {GROUPS:?}:\n    group(name, latency_budget = 1, expiry = 3, prefix = \"/\" + name)\n"
+             for name in {GROUPS:?}:\n    \
+                 group(name, latency_budget = 1, expiry = 3, prefix = \"/\" + name)\n"
         );
         std::fs::write(folder.join("settings.star"), script).unwrap();
         roster(&folder, None);
@@ -223,7 +225,8 @@
     let engine = engine_drain(relays);
     let drain_cpu = (drained_cpu - settled_cpu) / DRAINS as f64;
     println!(
-        "| {relays} | {:.0} / {:.0} | {:.0} / {:.0} / {:.0} | {:.2} | {:.2} | {:.1} | {:.0} | {:.0} | {:.0} / {:.0} |",
+        "| {relays} | {:.0} / {:.0} | {:.0} / {:.0} / {:.0} | {:.2} | {:.0} | {:.0} | {:.0} | {:.0} | \
+         {:.0} / {:.0} |",
         ms(&joins, 0.5),
         ms(&joins, 1.0),
         ms(&first, 0.5),
@@ -239,7 +242,8 @@
     );
 }
 
-/// Seconds that the engine alone takes for a drain and the return of the replica, with all their beats between.
+/// Seconds that the engine alone takes for a drain and the return of the replica, with all their beats
+/// between.
 fn engine_drain(relays: usize) -> f64 {
     let mut now = Duration::from_secs(1000);
     let mut setup = Setup::example(3);
@@ -300,7 +304,9 @@
     let asked: Vec<usize> = std::env::args().filter_map(|one| one.parse().ok()).collect();
     let asked = if asked.is_empty() { vec![24, 200, 1000] } else { asked };
     println!(
-        "| relays | join p50 / all, ms | drain heard p50 / p99 / last, ms | join cpu, ms a relay | memory, KiB a relay | resident, MiB | reports a second | cpu a report, us | engine / whole cpu a drain and return, ms |"
+        "| relays | join p50 / all, ms | drain heard p50 / p99 / last, ms | join cpu, ms a relay | \
+         memory, KiB a relay | resident, MiB | reports a second | cpu a report, us | \
+         engine / whole cpu a drain and return, ms |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -399,6 +399,9 @@
     }
 
     fn flush_poll(&mut self, now: Duration, number: ProxyId, session: u64) {
+        if !self.engine.proxy(number).is_some_and(Proxy::has_word) {
+            return self.engine.sent(now, number, 0, 0);
+        }
         match self.polls.flush(now, session, number, self.engine.history()) {
             Some((reply, told, lines)) => {
                 metrics::counter!("wrenthread_lines_sent_total").increment(lines as u64);
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,131 @@
+//! The real program on loopback, for tests that meet it from outside.
+#![allow(dead_code)] // each of the tests that share this uses a part of it
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+pub struct Governor {
+    pub child: Child,
+    pub folder: PathBuf,
+    pub grpc: u16,
+    pub http: u16,
+    pub poll: u16,
+    pub joined_most: u32,
+}
+
+impl Drop for Governor {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn port() -> u16 {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+pub async fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(found) = found() {
+            return found;
+        }
+        assert!(began.elapsed() < Duration::from_secs(20), "never: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+impl Governor {
+    /// A governor with four workers on its list.
+    pub async fn start(name: &str, joined_most: u32) -> Governor {
+        let folder = std::env::temp_dir().join(format!("wrenthread-test-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let (grpc, http, poll) = (port(), port(), port());
+        // A program that ends at once stands in until the settings are there.
+        let child = Command::new("true").spawn().unwrap();
+        let mut governor = Governor { child, folder, grpc, http, poll, joined_most };
+        governor.settings(16);
+        governor.list(4, &[]);
+        governor.spawn().await;
+        governor
+    }
+
+    pub fn settings(&self, proxies: u32) {
+        let Governor { grpc, http, poll, joined_most, .. } = self;
+        let script = format!(
+            "fleet(zones = [\"north\"], proxies = {proxies}, joined_most = {joined_most})
+\
+             roster(file = \"roster.json\", look_every = 0.02)
+\
+             listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\", poll = \"127.0.0.1:{poll}\")
+\
+             for name in [\"match\", \"charge\"]:
+    \
+                 group(name, latency_budget = 1, expiry = 3, prefix = \"/\" + name)
+"
+        );
+        std::fs::write(self.folder.join("settings.star"), script).unwrap();
+    }
+
+    /// Starts it anew, and waits until it is ready.
+    pub async fn spawn(&mut self) {
+        let folder: &Path = &self.folder;
+        let log = std::fs::File::options().create(true).append(true).open(folder.join("log")).unwrap();
+        self.child = Command::new(env!("CARGO_BIN_EXE_wrenthread"))
+            .arg("run")
+            .arg(folder.join("settings.star"))
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        until("ready", || {
+            self.get("/readyz").filter(|text| {
+                text == "ready
+"
+            })
+        })
+        .await;
+    }
+
+    pub fn roster(&self, text: &str) {
+        std::fs::write(self.folder.join("new"), text).unwrap();
+        std::fs::rename(self.folder.join("new"), self.folder.join("roster.json")).unwrap();
+    }
+
+    pub fn list(&self, workers: usize, draining: &[usize]) {
+        let one = |n: usize| {
+            let phase = if draining.contains(&n) { "draining" } else { "ready" };
+            format!(r#"{{"id": "w{n}", "address": "10.0.0.{n}:80", "zone": "north", "phase": "{phase}"}}"#)
+        };
+        let list: Vec<String> = (0..workers).map(one).collect();
+        self.roster(&format!("{{\"replicas\": [\n{}\n]}}", list.join(",\n")));
+    }
+
+    pub fn get(&self, path: &str) -> Option<String> {
+        let agent: ureq::Agent = ureq::Agent::config_builder().http_status_as_error(false).build().into();
+        agent
+            .get(format!("http://127.0.0.1:{}{path}", self.http))
+            .call()
+            .ok()?
+            .body_mut()
+            .read_to_string()
+            .ok()
+    }
+
+    pub fn status(&self) -> Value {
+        serde_json::from_str(&self.get("/status").unwrap()).unwrap()
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+}
--- a/crates/daemon/tests/governor.rs
+++ b/crates/daemon/tests/governor.rs
@@ -1,9 +1,11 @@
 //! The real program on loopback, met by scripted peers that speak the public protocol.
 
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+mod common;
+
+use std::process::Command;
 use std::time::{Duration, Instant};
 
+use common::{Governor, until};
 use prost::Message;
 use serde_json::Value;
 use tokio::sync::mpsc;
@@ -19,128 +21,18 @@
 use wrenthread_xds::pb::envoy::service::discovery::v3::{DiscoveryRequest, DiscoveryResponse};
 use wrenthread_xds::pb::envoy::service::status::v3::ClientStatusRequest;
 
-struct Governor {
-    child: Child,
-    folder: PathBuf,
-    grpc: u16,
-    http: u16,
-    workers: usize,
+async fn dial(governor: &Governor) -> tonic::transport::Channel {
+    let uri = format!("http://127.0.0.1:{}", governor.grpc);
+    tonic::transport::Endpoint::from_shared(uri).unwrap().connect().await.unwrap()
 }
 
-impl Drop for Governor {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-fn port() -> u16 {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
-}
-
-async fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
-    let began = Instant::now();
-    loop {
-        if let Some(found) = found() {
-            return found;
-        }
-        assert!(began.elapsed() < Duration::from_secs(20), "never: {what}");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
-impl Governor {
-    async fn start(name: &str) -> Governor {
-        let folder = std::env::temp_dir().join(format!("wrenthread-test-{}-{name}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let (grpc, http) = (port(), port());
-        let governor =
-            Governor { child: Self::spawn(&folder, grpc, http, 16), folder, grpc, http, workers: 4 };
-        governor.list(4, &[]);
-        until("ready", || governor.get("/readyz").filter(|text| text == "ready\n")).await;
-        governor
-    }
-
-    fn settings(folder: &std::path::Path, grpc: u16, http: u16, proxies: u32) {
-        let script = format!(
-            "fleet(zones = [\"north\"], proxies = {proxies}, joined_most = 4)\n\
-             roster(file = \"roster.json\", look_every = 0.02)\n\
-             listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\")\n\
-             for name in [\"match\", \"charge\"]:\n    \
-                 group(name, latency_budget = 1, expiry = 3, prefix = \"/\" + name)\n"
-        );
-        std::fs::write(folder.join("settings.star"), script).unwrap();
-    }
-
-    fn spawn(folder: &std::path::Path, grpc: u16, http: u16, proxies: u32) -> Child {
-        Self::settings(folder, grpc, http, proxies);
-        let log = std::fs::File::options().create(true).append(true).open(folder.join("log")).unwrap();
-        Command::new(env!("CARGO_BIN_EXE_wrenthread"))
-            .arg("run")
-            .arg(folder.join("settings.star"))
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .unwrap()
-    }
-
-    fn roster(&self, text: &str) {
-        std::fs::write(self.folder.join("new"), text).unwrap();
-        std::fs::rename(self.folder.join("new"), self.folder.join("roster.json")).unwrap();
-    }
-
-    fn list(&self, workers: usize, draining: &[usize]) {
-        let one = |n: usize| {
-            let phase = if draining.contains(&n) { "draining" } else { "ready" };
-            format!(r#"{{"id": "w{n}", "address": "10.0.0.{n}:80", "zone": "north", "phase": "{phase}"}}"#)
-        };
-        let list: Vec<String> = (0..workers).map(one).collect();
-        self.roster(&format!("{{\"replicas\": [\n{}\n]}}", list.join(",\n")));
-    }
-
-    fn get(&self, path: &str) -> Option<String> {
-        let agent: ureq::Agent = ureq::Agent::config_builder().http_status_as_error(false).build().into();
-        agent
-            .get(format!("http://127.0.0.1:{}{path}", self.http))
-            .call()
-            .ok()?
-            .body_mut()
-            .read_to_string()
-            .ok()
-    }
-
-    fn status(&self) -> Value {
-        serde_json::from_str(&self.get("/status").unwrap()).unwrap()
-    }
-
-    fn log(&self) -> String {
-        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
-    }
-
-    fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
-    }
-
-    async fn dial(&self) -> tonic::transport::Channel {
-        let uri = format!("http://127.0.0.1:{}", self.grpc);
-        tonic::transport::Endpoint::from_shared(uri).unwrap().connect().await.unwrap()
-    }
-
-    async fn peer(&self, id: &str, zone: &str) -> Peer {
-        let mut client = AggregatedDiscoveryServiceClient::new(self.dial().await);
-        let (requests, stream) = mpsc::channel(16);
-        let node = Node {
-            id: id.into(),
-            locality: Some(Locality { zone: zone.into(), ..Locality::default() }),
-            ..Node::default()
-        };
-        let peer_node = Some(node);
-        let responses =
-            client.stream_aggregated_resources(ReceiverStream::new(stream)).await.unwrap().into_inner();
-        Peer { requests, responses, node: peer_node }
-    }
+async fn peer(governor: &Governor, id: &str, zone: &str) -> Peer {
+    let mut client = AggregatedDiscoveryServiceClient::new(dial(governor).await);
+    let (requests, stream) = mpsc::channel(16);
+    let locality = Some(Locality { zone: zone.into(), ..Locality::default() });
+    let node = Some(Node { id: id.into(), locality, ..Node::default() });
+    let responses = client.stream_aggregated_resources(ReceiverStream::new(stream)).await;
+    Peer { requests, responses: responses.unwrap().into_inner(), node }
 }
 
 struct Peer {
@@ -184,15 +76,15 @@
 
 #[tokio::test]
 async fn a_plain_proxy_is_given_its_tables_hears_of_a_drain_and_is_seen_to_have_it() {
-    let governor = Governor::start("plain").await;
-    let mut peer = governor.peer("p", "north").await;
+    let governor = Governor::start("plain", 4).await;
+    let mut peer = self::peer(&governor, "p", "north").await;
     peer.ask(Kind::Clusters, &[], "", None).await;
     let clusters = peer.hear().await.unwrap();
     assert_eq!((clusters.resources.len(), Kind::of(&clusters.type_url)), (2, Some(Kind::Clusters)));
     peer.ask(Kind::Clusters, &[], &clusters.nonce, None).await;
     peer.ask(Kind::Endpoints, &["match", "charge", "unknown"], "", None).await;
     let tables = peer.hear().await.unwrap();
-    assert_eq!(lines(&tables), [governor.workers, governor.workers]);
+    assert_eq!(lines(&tables), [4, 4]);
     peer.ask(Kind::Endpoints, &["match", "charge", "unknown"], &tables.nonce, None).await;
 
     governor.list(4, &[2]);
@@ -207,7 +99,7 @@
     })
     .await;
 
-    let mut client = ClientStatusDiscoveryServiceClient::new(governor.dial().await);
+    let mut client = ClientStatusDiscoveryServiceClient::new(dial(&governor).await);
     let status = client.fetch_client_status(ClientStatusRequest::default()).await.unwrap().into_inner();
     let synced = status.config[0].generic_xds_configs.iter().filter(|one| one.config_status == 1).count();
     assert_eq!(synced, 4, "two clusters, two tables");
@@ -219,8 +111,8 @@
 
 #[tokio::test]
 async fn a_nack_is_logged_and_answered_by_holding_still() {
-    let governor = Governor::start("nack").await;
-    let mut peer = governor.peer("p", "north").await;
+    let governor = Governor::start("nack", 4).await;
+    let mut peer = self::peer(&governor, "p", "north").await;
     peer.ask(Kind::Endpoints, &["match"], "", None).await;
     let tables = peer.hear().await.unwrap();
     peer.ask(Kind::Endpoints, &["match"], &tables.nonce, Some("no such locality")).await;
@@ -233,24 +125,24 @@
 
 #[tokio::test]
 async fn who_can_not_be_let_in_is_told_why() {
-    let governor = Governor::start("refused").await;
-    let mut peer = governor.peer("p", "west").await;
+    let governor = Governor::start("refused", 4).await;
+    let mut peer = self::peer(&governor, "p", "west").await;
     peer.ask(Kind::Clusters, &[], "", None).await;
     let why = peer.hear().await.unwrap_err();
     assert_eq!(why.code(), Code::InvalidArgument);
     assert!(why.message().contains("zone `west`") && why.message().contains("`north`"), "{why}");
     let mut joined = Vec::new();
     for n in 0..4 {
-        let mut peer = governor.peer(&format!("p{n}"), "north").await;
+        let mut peer = self::peer(&governor, &format!("p{n}"), "north").await;
         peer.ask(Kind::Clusters, &[], "", None).await;
         peer.hear().await.unwrap();
         joined.push(peer);
     }
-    let mut late = governor.peer("late", "north").await;
+    let mut late = self::peer(&governor, "late", "north").await;
     late.ask(Kind::Clusters, &[], "", None).await;
     assert_eq!(late.hear().await.unwrap_err().code(), Code::ResourceExhausted);
     // The same name again is no newcomer: the later stream takes over, and the earlier one is told.
-    let mut again = governor.peer("p0", "north").await;
+    let mut again = self::peer(&governor, "p0", "north").await;
     again.ask(Kind::Clusters, &[], "", None).await;
     again.hear().await.unwrap();
     assert_eq!(joined[0].hear().await.unwrap_err().code(), Code::Aborted);
@@ -258,8 +150,8 @@
 
 #[tokio::test]
 async fn a_broken_roster_an_empty_one_and_one_that_is_back_bare_nobody() {
-    let governor = Governor::start("roster").await;
-    let mut peer = governor.peer("p", "north").await;
+    let governor = Governor::start("roster", 4).await;
+    let mut peer = self::peer(&governor, "p", "north").await;
     peer.ask(Kind::Endpoints, &["match"], "", None).await;
     let tables = peer.hear().await.unwrap();
     peer.ask(Kind::Endpoints, &["match"], &tables.nonce, None).await;
@@ -275,10 +167,10 @@
 
 #[tokio::test]
 async fn a_peer_that_never_reads_does_not_hold_up_another() {
-    let governor = Governor::start("mute").await;
-    let mut mute = governor.peer("mute", "north").await;
+    let governor = Governor::start("mute", 4).await;
+    let mut mute = self::peer(&governor, "mute", "north").await;
     mute.ask(Kind::Endpoints, &["match"], "", None).await;
-    let mut peer = governor.peer("p", "north").await;
+    let mut peer = self::peer(&governor, "p", "north").await;
     peer.ask(Kind::Endpoints, &["match"], "", None).await;
     let mut nonce = peer.hear().await.unwrap().nonce;
     for round in 0..12 {
@@ -300,19 +192,19 @@
 
 #[tokio::test]
 async fn signals_reload_what_can_change_refuse_what_can_not_and_stop_with_a_word() {
-    let mut governor = Governor::start("signals").await;
-    let mut peer = governor.peer("p", "north").await;
+    let mut governor = Governor::start("signals", 4).await;
+    let mut peer = self::peer(&governor, "p", "north").await;
     peer.ask(Kind::Endpoints, &["match"], "", None).await;
     let tables = peer.hear().await.unwrap();
     peer.ask(Kind::Endpoints, &["match"], &tables.nonce, None).await;
     governor.list(4, &[0]);
-    Governor::settings(&governor.folder, governor.grpc, governor.http, 17);
+    governor.settings(17);
     governor.signal("-HUP");
     until("refused", || governor.log().contains("`proxies`: 16 runs, 17 is asked for").then_some(())).await;
     std::fs::write(governor.folder.join("settings.star"), "fleet(").unwrap();
     governor.signal("-HUP");
     until("refused", || governor.log().contains("settings not taken").then_some(())).await;
-    Governor::settings(&governor.folder, governor.grpc, governor.http, 16);
+    governor.settings(16);
     governor.signal("-HUP");
     until("reloaded", || governor.log().contains("settings reloaded").then_some(())).await;
     // In the midst of it all the drain got through.
@@ -330,16 +222,15 @@
 
 #[tokio::test]
 async fn a_killed_governors_successor_takes_its_proxies_up_again() {
-    let mut governor = Governor::start("killed").await;
-    let mut peer = governor.peer("p", "north").await;
+    let mut governor = Governor::start("killed", 4).await;
+    let mut peer = self::peer(&governor, "p", "north").await;
     peer.ask(Kind::Endpoints, &["match"], "", None).await;
     let before = peer.hear().await.unwrap();
     governor.child.kill().unwrap();
     governor.child.wait().unwrap();
     governor.list(4, &[3]);
-    governor.child = Governor::spawn(&governor.folder, governor.grpc, governor.http, 16);
-    until("ready", || governor.get("/readyz").filter(|text| text == "ready\n")).await;
-    let mut back = governor.peer("p", "north").await;
+    governor.spawn().await;
+    let mut back = self::peer(&governor, "p", "north").await;
     let node = back.node.take();
     let request = DiscoveryRequest {
         node,
@@ -363,7 +254,10 @@
         let program = env!("CARGO_BIN_EXE_wrenthread");
         Command::new(program).arg("check").arg(&path).args(more).output().unwrap()
     };
-    Governor::settings(&folder, 1, 2, 16);
+    let good = "fleet(zones = ['north'], proxies = 16)\nroster(file = 'roster.json')\n\
+                group('match', latency_budget = 1, expiry = 3, prefix = '/m')\n\
+                group('charge', latency_budget = 1, expiry = 3, prefix = '/c')";
+    std::fs::write(&path, good).unwrap();
     let good = check(&["--output", "json"]);
     let value: Value = serde_json::from_slice(&good.stdout).unwrap();
     assert_eq!((good.status.code(), value["groups"][1]["name"].as_str()), (Some(0), Some("charge")));
--- /dev/null
+++ b/crates/daemon/tests/polling.rs
@@ -0,0 +1,191 @@
+//! The long-poll front of the real program, and stepping back at its command line.
+
+mod common;
+
+use std::cell::RefCell;
+use std::io::{Read, Write};
+use std::process::Command;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use common::{Governor, until};
+use serde_json::Value;
+use tokio::task::LocalSet;
+use wrenthread_client::keeper::Keeper;
+use wrenthread_client::poll::Session;
+use wrenthread_client::{Error, Unwatched, Who};
+
+type Kept = Rc<RefCell<Keeper>>;
+
+fn keeper() -> Kept {
+    Rc::new(RefCell::new(Keeper::new(vec!["match".into(), "charge".into()], vec![], None)))
+}
+
+async fn join(governor: &Governor, name: &str, keeper: &Kept) -> Result<Session, Error> {
+    let who = Who { name: name.into(), zone: "north".into(), usual: 1.0 };
+    Session::join(&format!("http://127.0.0.1:{}", governor.poll), &who, keeper).await
+}
+
+fn lines(keeper: &Kept) -> usize {
+    keeper.borrow().ordered().get("match").map_or(0, |(lines, _)| lines.len())
+}
+
+fn version(keeper: &Kept) -> u64 {
+    keeper.borrow().held().unwrap().0.split_once('.').unwrap().1.parse().unwrap()
+}
+
+/// Asks until the table has so many lines.
+async fn follow(session: &Session, keeper: &Kept, wanted: usize) {
+    let began = Instant::now();
+    while lines(keeper) != wanted {
+        assert!(began.elapsed() < Duration::from_secs(20), "never {wanted} lines");
+        session.ask(keeper, &Unwatched).await.unwrap();
+    }
+}
+
+/// One more question acknowledges what came last; it may well wait, and need not be answered.
+async fn acknowledge(session: &Session, keeper: &Kept) {
+    let _ = tokio::time::timeout(Duration::from_millis(300), session.ask(keeper, &Unwatched)).await;
+}
+
+fn program(governor: &Governor, arguments: &[&str]) -> (Option<i32>, String) {
+    let at = format!("127.0.0.1:{}", governor.http);
+    let ran =
+        Command::new(env!("CARGO_BIN_EXE_wrenthread")).args(arguments).args(["--at", &at]).output().unwrap();
+    let said = [ran.stdout, ran.stderr].concat();
+    (ran.status.code(), String::from_utf8(said).unwrap())
+}
+
+#[tokio::test]
+async fn a_proxy_follows_by_deltas_and_operators_step_back() {
+    let governor = Governor::start("poll", 4).await;
+    let kept = keeper();
+    let session = join(&governor, "p", &kept).await.unwrap();
+    follow(&session, &kept, 4).await;
+    let first = version(&kept);
+    governor.list(3, &[]);
+    follow(&session, &kept, 3).await;
+    governor.list(6, &[]);
+    follow(&session, &kept, 6).await;
+    acknowledge(&session, &kept).await;
+    let status = governor.status();
+    assert_eq!(status["proxies"][0]["acked"], status["proxies"][0]["newest"]);
+
+    let (code, said) = program(&governor, &["tables", "p", "history"]);
+    assert!(code == Some(0) && said.lines().count() >= 4, "{said}");
+    let newest = version(&kept);
+    let (_, said) = program(&governor, &["tables", "p", "diff", &first.to_string(), &newest.to_string()]);
+    assert!(said.contains("+ w4") && said.contains("+ w5"), "{said}");
+
+    let back = |why: &str| program(&governor, &["rollback", &first.to_string(), "--all", "--why", why]);
+    let (code, said) = back("too wide");
+    assert!(code == Some(0) && said.contains("2 tables are held"), "{said}");
+    follow(&session, &kept, 4).await;
+    assert_eq!(governor.status()["holds"][0]["why"], "too wide");
+    // What drains meanwhile leaves the held table too.
+    governor.list(6, &[1]);
+    follow(&session, &kept, 3).await;
+    assert!(back("again").1.contains("gone or draining"));
+    let (code, said) = program(&governor, &["release", "--proxy", "p"]);
+    assert!(code == Some(0) && said.contains("2 tables"), "{said}");
+    follow(&session, &kept, 5).await;
+    let (code, said) = program(&governor, &["rollback", "999999", "--all", "--why", "x"]);
+    assert!(code == Some(1) && said.contains("not given out yet"), "{said}");
+    assert!(governor.log().contains("an operator steps back"));
+}
+
+#[tokio::test]
+async fn a_restart_ends_sessions_and_what_is_held_is_not_sent_again() {
+    let mut governor = Governor::start("poll-restart", 4).await;
+    let kept = keeper();
+    let session = join(&governor, "p", &kept).await.unwrap();
+    follow(&session, &kept, 4).await;
+    governor.child.kill().unwrap();
+    governor.child.wait().unwrap();
+    assert!(session.ask(&kept, &Unwatched).await.is_err());
+    assert_eq!(lines(&kept), 4, "the table is kept");
+    governor.spawn().await;
+    let gone = session.ask(&kept, &Unwatched).await.unwrap_err().to_string();
+    assert!(gone.contains("410"), "{gone}");
+    let before = kept.borrow().held().cloned();
+    let session = join(&governor, "p", &kept).await.unwrap();
+    acknowledge(&session, &kept).await;
+    acknowledge(&session, &kept).await;
+    // Bound anew to the same lines: the digest is the same, so nothing was sent.
+    assert_eq!(kept.borrow().held().cloned(), before);
+    let status = governor.status();
+    assert_eq!(status["proxies"][0]["acked"], status["proxies"][0]["newest"]);
+}
+
+#[tokio::test]
+async fn twice_at_once_under_one_name_the_later_session_counts() {
+    let governor = Governor::start("poll-twice", 4).await;
+    let (kept, other) = (keeper(), keeper());
+    let first = join(&governor, "p", &kept).await.unwrap();
+    follow(&first, &kept, 4).await;
+    let second = join(&governor, "p", &other).await.unwrap();
+    let why = first.ask(&kept, &Unwatched).await.unwrap_err().to_string();
+    assert!(why.contains("410") || why.contains("409"), "{why}");
+    follow(&second, &other, 4).await;
+    let url = format!("http://127.0.0.1:{}/v1/proxies/x?session=77", governor.poll);
+    assert!(matches!(ureq::delete(url).call(), Err(ureq::Error::StatusCode(410))));
+}
+
+#[tokio::test]
+async fn a_client_that_reads_a_byte_a_second_costs_the_others_nothing() {
+    let governor = Governor::start("poll-slow", 8).await;
+    let body = r#"{"zone": "north"}"#;
+    let url = format!("http://127.0.0.1:{}/v1/proxies/slow", governor.poll);
+    let told = ureq::post(url).header("content-type", "application/json").send(body).unwrap();
+    let told: Value = serde_json::from_str(&told.into_body().read_to_string().unwrap()).unwrap();
+    let mut slow = std::net::TcpStream::connect(("127.0.0.1", governor.poll)).unwrap();
+    write!(
+        slow,
+        "GET /v1/proxies/slow/tables?session={}&wait=9 HTTP/1.1\r\nhost: x\r\n\r\n",
+        told["session"]
+    )
+    .unwrap();
+    slow.read_exact(&mut [0]).unwrap();
+    let kept = keeper();
+    let session = join(&governor, "p", &kept).await.unwrap();
+    for workers in [3, 4, 3, 4] {
+        governor.list(workers, &[]);
+        follow(&session, &kept, workers).await;
+        slow.read_exact(&mut [0]).unwrap();
+    }
+}
+
+#[tokio::test]
+async fn many_questions_that_wake_at_the_same_moment_all_get_their_answer() {
+    const MANY: usize = 300;
+    let governor = Governor::start("poll-many", 1000).await;
+    LocalSet::new()
+        .run_until(async {
+            let mut waiting = Vec::new();
+            for n in 0..MANY {
+                let kept = keeper();
+                let session = join(&governor, &format!("p{n}"), &kept).await.unwrap();
+                waiting.push((session, kept));
+            }
+            let tasks: Vec<_> = waiting
+                .into_iter()
+                .map(|(session, kept)| {
+                    tokio::task::spawn_local(async move {
+                        follow(&session, &kept, 4).await;
+                        follow(&session, &kept, 3).await;
+                    })
+                })
+                .collect();
+            until("all hold their tables", || {
+                let status = governor.status();
+                let proxies = status["proxies"].as_array().unwrap();
+                (proxies.iter().filter(|one| one["acked"] == one["newest"]).count() == MANY).then_some(())
+            })
+            .await;
+            governor.list(3, &[]);
+            for task in tasks {
+                task.await.unwrap();
+            }
+        })
+        .await;
+}
--- a/crates/poll/src/polls.rs
+++ b/crates/poll/src/polls.rs
@@ -26,6 +26,8 @@
 struct Poller<R> {
     name: Arc<str>,
     held: Option<(u64, Digest)>,
+    /// The digest that its last question named, whether it is known here or not.
+    said: Option<Digest>,
     waiting: Option<Waiting<R>>,
     due: Duration,
     numbers: VecDeque<u64>,
@@ -81,7 +83,7 @@
     /// A proxy has joined; the number of its stream is its session's.
     pub fn opened(&mut self, now: Duration, session: StreamId, name: Arc<str>) {
         let due = now + LOST_AFTER;
-        let poller = Poller { name, held: None, waiting: None, due, numbers: VecDeque::new() };
+        let poller = Poller { name, held: None, said: None, waiting: None, due, numbers: VecDeque::new() };
         self.sessions.insert(session, poller);
         self.due.insert((due, session));
     }
@@ -94,8 +96,8 @@
         }
     }
 
-    /// A question: what differs from `held`, the version and digest that the proxy says it holds? It waits here
-    /// until [`Polls::flush`] has something, or `wait` is over.
+    /// A question: what differs from `held`, the version and digest that the proxy says it holds? It waits
+    /// here until [`Polls::flush`] has something, or `wait` is over.
     ///
     /// What is said to be held counts only if it is what was told under that version: a proxy that holds
     /// something else of the same number (a fault of somebody's) is told the whole.
@@ -116,6 +118,7 @@
         let newest =
             history.newest(number).filter(|newest| held.is_some_and(|(_, held)| held == newest.digest));
         poller.held = newest.map(|newest| (newest.version, newest.digest)).or(known);
+        poller.said = held.map(|(_, digest)| digest);
         let acked = poller.held.map(|(version, _)| version);
         let superseded = poller.waiting.replace(Waiting { reply, until: now + wait }).map(|old| old.reply);
         self.set_due(session, now + wait);
@@ -138,7 +141,9 @@
     ) -> Option<(R, Told, usize)> {
         let newest = history.newest(number)?;
         let poller = self.sessions.get_mut(&session)?;
-        if poller.held.is_some_and(|(_, digest)| digest == newest.digest) {
+        // Who comes back to another life with the very content that this one arrives at holds it already.
+        if poller.said == Some(newest.digest) {
+            poller.held = Some((newest.version, newest.digest));
             return None;
         }
         let waiting = poller.waiting.take()?;
@@ -281,6 +286,15 @@
         assert_eq!(asked.acked, Some(2));
     }
 
+    #[test]
+    fn content_that_this_life_comes_to_later_is_not_sent_to_who_holds_it() {
+        let (mut polls, mut history) = polls(&[(1, 5)]);
+        let asked = polls.asked(s(1), 9, 0, held(0, 6), s(30), &history, 1).unwrap();
+        assert_eq!(asked.acked, None);
+        history.push(0, version(2, 6));
+        assert!(polls.flush(s(2), 9, 0, &history).is_none() && polls.waits(9));
+    }
+
     #[test]
     fn a_question_waits_as_long_as_it_may_and_a_later_one_takes_its_place() {
         let (mut polls, history) = polls(&[(1, 5)]);
--- a/crates/poll/src/service.rs
+++ b/crates/poll/src/service.rs
@@ -265,7 +265,8 @@
 /// A load report; one number counts once.
 #[utoipa::path(post, path = "/v1/proxies/{proxy}/reports/{number}", request_body = ReportAsked,
     params(("proxy" = String, Path), ("number" = u64, Path), Of),
-    responses((status = 200, body = ReportTold), (status = 400, body = Trouble), (status = 410, body = Trouble)))]
+    responses((status = 200, body = ReportTold), (status = 400, body = Trouble),
+        (status = 410, body = Trouble)))]
 async fn report(
     State(front): State<Front>,
     Path((_proxy, number)): Path<(String, u64)>,
--- a/crates/xds/src/session.rs
+++ b/crates/xds/src/session.rs
@@ -363,7 +363,14 @@
         }
         let gone: Vec<String> = if self.delta {
             let sent = subscription.sent.keys().chain(subscription.initial.keys());
-            let named = sent.chain(subscription.names.iter()).filter(|name| !there.contains_key(*name));
+            // A table that is not made yet is none that does not exist: who holds one keeps it until then.
+            let pending = |name: &String| {
+                kind == Kind::Endpoints
+                    && !proxy.has_word()
+                    && wire.groups.iter().any(|group| group.name == *name)
+            };
+            let named = sent.chain(subscription.names.iter());
+            let named = named.filter(|name| !there.contains_key(*name) && !pending(name));
             named
                 .filter(|name| !subscription.absent.contains(*name) || asked.contains(*name))
                 .cloned()
--- a/crates/xds/src/session/tests.rs
+++ b/crates/xds/src/session/tests.rs
@@ -301,3 +301,23 @@
         }
     }
 }
+
+#[test]
+fn who_comes_back_with_tables_is_not_told_that_there_are_none_before_there_are() {
+    let now = Duration::from_secs(100);
+    let mut engine = Engine::new(Setup::example(2), now);
+    engine.roster(now, entries(&["a", "b", "c"]));
+    let join = Join { name: "p".into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: true };
+    engine.joined(now, 1, &join).unwrap();
+    let mut first = delta(Kind::Endpoints, &["match", "nobody"], &[], "");
+    first.initial_resource_versions = [("match".to_string(), "0123".to_string())].into();
+    let mut session = Session::new(0xabc, &Request::Delta(first.clone()));
+    session.request(Request::Delta(first)).unwrap();
+    let flushed = session.flush(&wire(), engine.proxy(0).unwrap());
+    let Response::Delta(told) = &flushed.responses[0] else { panic!() };
+    assert_eq!(told.removed_resources, ["nobody"], "what is unknown for ever, and nothing else");
+    let later = now + Duration::from_millis(300);
+    while engine.step(later).is_some() {}
+    let flushed = session.flush(&wire(), engine.proxy(0).unwrap());
+    assert_eq!(said(&flushed)[0].2, 1);
+}
