--- a/crates/daemon/benches/scale.rs
+++ b/crates/daemon/benches/scale.rs
@@ -3,10 +3,11 @@
 //! `cargo bench -p wrenthread-daemon --bench scale [-- RELAYS ...]`; figures of one run are to be compared
 //! with each other only.
 
-use std::path::Path;
-use std::process::{Child, Command, Stdio};
+mod common;
+
 use std::time::{Duration, Instant};
 
+use common::{GROUPS, Governor, REPLICAS, ZONES, roster};
 use hdrhistogram::Histogram;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -26,80 +27,8 @@
 use wrenthread_xds::pb::envoy::service::discovery::v3::DeltaDiscoveryRequest;
 use wrenthread_xds::pb::envoy::service::load_stats::v3::LoadStatsRequest;
 
-const ZONES: [&str; 3] = ["north", "south", "east"];
-const GROUPS: [&str; 3] = ["match", "count", "charge"];
-const REPLICAS: usize = 24;
 const DRAINS: usize = 12;
 
-struct Governor {
-    child: Child,
-    folder: std::path::PathBuf,
-    uri: String,
-}
-
-impl Drop for Governor {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-fn roster(folder: &Path, draining: Option<usize>) {
-    let one = |n: usize| {
-        let phase = if draining == Some(n) { "draining" } else { "ready" };
-        let zone = ZONES[n % 3];
-        format!(r#"{{"id": "r{n:02}", "address": "10.0.0.{n}:80", "zone": "{zone}", "phase": "{phase}"}}"#)
-    };
-    let list: Vec<String> = (0..REPLICAS).map(one).collect();
-    std::fs::write(folder.join("new"), format!("{{\"replicas\": [{}]}}", list.join(",\n"))).unwrap();
-    std::fs::rename(folder.join("new"), folder.join("roster.json")).unwrap();
-}
-
-impl Governor {
-    async fn start(relays: usize) -> Governor {
-        let folder = std::env::temp_dir().join(format!("wrenthread-bench-{}-{relays}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let port = || std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
-        let (grpc, http) = (port(), port());
-        let script = format!(
-            "fleet(zones = {ZONES:?}, proxies = {relays})\n\
-             roster(file = \"roster.json\", look_every = 0.02)\n\
-             listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\")\n\
-             channel(lines_per_s = 200000, waiting_most = 400000)\nreplicas(warm_after = 0.5)\n\
-             for name in {GROUPS:?}:\n    \
-                 group(name, latency_budget = 1, expiry = 3, prefix = \"/\" + name)\n"
-        );
-        std::fs::write(folder.join("settings.star"), script).unwrap();
-        roster(&folder, None);
-        let child = Command::new(env!("CARGO_BIN_EXE_wrenthread"))
-            .arg("run")
-            .arg(folder.join("settings.star"))
-            .env("RUST_LOG", "warn")
-            .stderr(Stdio::inherit())
-            .spawn()
-            .unwrap();
-        while tokio::net::TcpStream::connect(("127.0.0.1", grpc)).await.is_err() {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-        tokio::time::sleep(Duration::from_millis(200)).await;
-        Governor { child, folder, uri: format!("http://127.0.0.1:{grpc}") }
-    }
-
-    /// Processor seconds used so far, and resident mebibytes.
-    fn used(&self) -> (f64, f64) {
-        let read = |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id())).unwrap();
-        let stat = read("stat");
-        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap().split(' ').collect();
-        // Fields 14 and 15 of the whole, in ticks of a hundredth of a second.
-        let ticks: f64 = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
-        let status = read("status");
-        let resident = status.lines().find(|line| line.starts_with("VmRSS")).unwrap();
-        let kib: f64 = resident.split_whitespace().nth(1).unwrap().parse().unwrap();
-        (ticks / 100.0, kib / 1024.0)
-    }
-}
-
 /// What a relay tells: it was given so many tables, at a time.
 type Given = mpsc::UnboundedSender<(usize, usize, Instant)>;
 
