--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -198,6 +198,7 @@
             () = tokio::time::sleep_until(due.into()) => {}
         }
         let began = std::time::Instant::now();
+        let _span = tracing::debug_span!("pump").entered();
         host.pump(clock.now(), |chore| match chore {
             Chore::AwaitRoom(stream, answers) => {
                 let chores = chores.clone();
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -71,6 +71,22 @@
         std::fs::write(self.folder.join("settings.star"), script).unwrap();
     }
 
+    /// A governor whose roster is another one's table of a group.
+    pub async fn downstream(name: &str, of: &Governor) -> Governor {
+        let folder = std::env::temp_dir().join(format!("wrenthread-test-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let (grpc, http, poll) = (port(), port(), port());
+        let child = Command::new("true").spawn().unwrap();
+        let mut governor = Governor { child, folder, grpc, http, poll, joined_most: 4 };
+        governor.settings(16);
+        let path = governor.folder.join("settings.star");
+        let upstream = format!("upstream = \"http://127.0.0.1:{}\", clusters = [\"match\"]", of.grpc);
+        let script = std::fs::read_to_string(&path).unwrap().replace("file = \"roster.json\"", &upstream);
+        std::fs::write(&path, script).unwrap();
+        governor.spawn().await;
+        governor
+    }
+
     /// Starts it anew, and waits until it is ready.
     pub async fn spawn(&mut self) {
         let folder: &Path = &self.folder;
--- a/crates/daemon/tests/governor.rs
+++ b/crates/daemon/tests/governor.rs
@@ -274,3 +274,26 @@
     assert!(String::from_utf8_lossy(&check(&[]).stderr).contains("settings.star:1: `fleet` has no `zone`"));
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[tokio::test]
+async fn a_governor_follows_another_control_planes_endpoints_as_its_roster() {
+    let mut upstream = Governor::start("upstream", 4).await;
+    let governor = Governor::downstream("downstream", &upstream).await;
+    let open = || {
+        let status = governor.status();
+        let replicas = status["replicas"].as_array().unwrap().clone();
+        replicas.iter().filter(|one| one["state"] == "open").count()
+    };
+    until("all are there", || (open() == 4).then_some(())).await;
+    assert_eq!(governor.status()["replicas"][0]["address"], "10.0.0.0:80");
+    upstream.list(4, &[0]);
+    until("one is gone", || (open() == 3).then_some(())).await;
+    // The upstream dies and comes back: its last list stays meanwhile.
+    upstream.child.kill().unwrap();
+    upstream.child.wait().unwrap();
+    until("it is noticed", || governor.log().contains("can't be followed").then_some(())).await;
+    assert_eq!(open(), 3);
+    upstream.list(4, &[]);
+    upstream.spawn().await;
+    until("all are back", || (open() == 4).then_some(())).await;
+}
