--- a/crates/client/src/keeper.rs
+++ b/crates/client/src/keeper.rs
@@ -124,6 +124,12 @@
         self.held.as_ref()
     }
 
+    /// Whether it holds anything but its standing table: also where a delta did not come out and the next question
+    /// asks for the whole.
+    pub fn has_orders(&self) -> bool {
+        self.told.iter().any(Option::is_some)
+    }
+
     /// A whole state, checked already.
     pub fn tell_whole(&mut self, version: String, whole: Whole) {
         self.held = Some((version, whole.digest()));
@@ -309,7 +315,7 @@
         keeper.tell_whole("e.1".into(), whole.clone());
         let delta = versions::delta(&whole, whole.digest(), &Whole { groups: vec![None] }, [9; 32]);
         assert_eq!(keeper.tell_delta("e.2".into(), &delta), Err(Mismatch::Digest));
-        assert_eq!(keeper.held(), None);
+        assert!(keeper.held().is_none() && keeper.has_orders());
         assert_eq!(at(&mut keeper, 0, 0.5), Some("c:1".into()));
         assert_eq!(keeper.tries(0), FurtherTries::IfNeverRan);
     }
--- a/crates/client/src/poll.rs
+++ b/crates/client/src/poll.rs
@@ -6,7 +6,7 @@
 
 use reqwest::{Client, RequestBuilder, StatusCode};
 use wrenthread_poll::forms::{
-    JoinAsked, JoinTold, MetTold, ReportAsked, ReportTold, StandingLine, TablesTold, Terms, hex,
+    JoinAsked, JoinTold, MetTold, ReportAsked, ReportTold, StandingLine, TablesTold, Terms, Trouble, hex,
 };
 use wrenthread_poll::service::CBOR;
 
@@ -36,7 +36,12 @@
     let body = response.bytes().await.map_err(reach(base))?;
     match status.is_success() || status == StatusCode::NOT_MODIFIED {
         true => Ok((status, body.to_vec())),
-        false => Err(Error::Refused(format!("{status}: {}", String::from_utf8_lossy(&body)))),
+        false => {
+            let said: Result<Trouble, Error> = read(&body);
+            Err(Error::Refused(
+                said.map_or_else(|_| status.to_string(), |said| format!("{status}: {}", said.error)),
+            ))
+        }
     }
 }
 
@@ -68,7 +73,7 @@
                 zone: who.zone.clone(),
                 usual: Some(who.usual),
                 standing: keeper.standing().iter().map(line).collect(),
-                holds_orders: keeper.held().is_some(),
+                holds_orders: keeper.has_orders(),
             }
         };
         let request = written(client.post(&base).timeout(MARGIN), &asked)?;
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -579,6 +579,7 @@
     fn pull(&mut self, now: Duration) {
         let answers: Arc<[Cause]> = std::mem::take(&mut self.causes).into_iter().collect();
         let (mut concerned, mut everyone, mut marked) = (BTreeSet::new(), false, false);
+        let (mut decided, mut touched) = (Vec::new(), Vec::new());
         self.pulls += 1;
         let version = self.version + 1;
         while let Some(decision) = self.rules.decide(now) {
@@ -601,10 +602,11 @@
                     What::Withdraw(replica, out)
                 }
                 Decision::Lines(table, lines) => {
-                    let (holder, count) = (self.holder(table), lines.len());
+                    // Who follows it may be said only later in the same go.
+                    touched.push((decided.len(), table));
+                    let count = lines.len();
                     self.tables.lay(table, lines);
-                    concerned.extend(holder);
-                    What::Lines(self.name_of(holder), count)
+                    What::Lines("".into(), count)
                 }
                 Decision::Follow(number, table, groups) => {
                     if let Some(proxy) = self.fleet.get_mut(number) {
@@ -623,19 +625,29 @@
                     What::Level(groups, level, tries)
                 }
             };
-            self.out.push_back(Step::Note(Note::Decided { what, version, answers: answers.clone() }));
+            decided.push(what);
         }
+        let followers = if touched.is_empty() { BTreeMap::new() } else { self.followers() };
+        for (place, table) in touched {
+            let Some(number) = followers.get(&table) else { continue };
+            concerned.insert(*number);
+            if let What::Lines(name, _) = &mut decided[place] {
+                *name = self.name_of(Some(*number));
+            }
+        }
+        let note = |what| Step::Note(Note::Decided { what, version, answers: answers.clone() });
+        self.out.extend(decided.into_iter().map(note));
         let concerned: Vec<ProxyId> =
             if everyone { self.fleet.numbers() } else { concerned.into_iter().collect() };
         self.refresh(now, &concerned, marked.then_some(now));
     }
 
-    /// The module numbers a proxy's two tables by twice its number; the adapter and this need only the way
-    /// back.
-    fn holder(&self, table: TableId) -> Option<ProxyId> {
-        let follows = |proxy: &Proxy| proxy.follows.contains(&Some(table));
-        let near = [table / 2].into_iter().find(|number| self.fleet.get(*number).is_some_and(follows));
-        near.or_else(|| self.fleet.iter().find(|(_, proxy)| follows(proxy)).map(|(number, _)| number))
+    /// Who follows which table: each is one proxy's.
+    fn followers(&self) -> BTreeMap<TableId, ProxyId> {
+        let follows = |(number, proxy): (ProxyId, &Proxy)| {
+            proxy.follows.clone().into_iter().flatten().map(move |table| (table, number))
+        };
+        self.fleet.iter().flat_map(follows).collect()
     }
 
     fn name_of(&self, number: Option<ProxyId>) -> Arc<str> {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -156,6 +156,7 @@
 fn logs(form: LogForm) {
     let filter = tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into());
     let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let logs = logs.with_ansi(std::io::IsTerminal::is_terminal(&std::io::stderr()));
     match form {
         LogForm::Text => logs.init(),
         LogForm::Json => logs.json().init(),
