--- /dev/null
+++ b/crates/client/examples/follow_grpc.rs
@@ -0,0 +1,65 @@
+//! Follows a governor by the public protocol, reports every interval, and prints what it is told:
+//! `cargo run -p wrenthread-client --example follow_grpc -- http://127.0.0.1:15010 NAME ZONE GROUP ...`
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::task::LocalSet;
+use wrenthread_client::grpc::{self, Reports, Versions};
+use wrenthread_client::keeper::Keeper;
+use wrenthread_client::{Error, Ordered, Watch, Who};
+
+struct Printed;
+
+impl Watch for Printed {
+    fn ordered(&self, mark: &str, lines: usize, tables: &Ordered) {
+        println!("{mark}: {lines} lines");
+        for (group, (lines, level)) in tables {
+            println!("  {group}: level {level}, {lines:?}");
+        }
+    }
+}
+
+async fn report(uri: &str, who: &Who, keeper: &Rc<RefCell<Keeper>>) -> Result<(), Error> {
+    let mut reports = Reports::open(uri, who, keeper).await?;
+    let mut last = Instant::now();
+    loop {
+        reports.wait().await?;
+        let stats = keeper.borrow_mut().take_stats();
+        let groups = keeper.borrow().groups().to_vec();
+        let request = grpc::request(&groups, last.elapsed(), &stats, &["waiting"]);
+        last = Instant::now();
+        reports.sender().send(request).await.map_err(|_| Error::Ended)?;
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(uri), Some(name), Some(zone)) = (arguments.next(), arguments.next(), arguments.next()) else {
+        eprintln!("follow_grpc http://HOST:PORT NAME ZONE GROUP ...");
+        std::process::exit(2);
+    };
+    let keeper = Rc::new(RefCell::new(Keeper::new(arguments.collect(), vec![], None)));
+    let who = Who { name, zone, usual: 1.0 };
+    let versions = Rc::new(RefCell::new(Versions::default()));
+    let following = async {
+        loop {
+            // The table, and the marks of what is held, outlive the stream.
+            if let Err(error) = grpc::follow(&uri, &who, true, &keeper, &versions, &Printed).await {
+                eprintln!("{error}");
+            }
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    };
+    let reporting = async {
+        loop {
+            if let Err(error) = report(&uri, &who, &keeper).await {
+                eprintln!("reports: {error}");
+            }
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    };
+    LocalSet::new().run_until(async { tokio::join!(following, reporting) }).await;
+}
