--- a/crates/client/examples/follow_grpc.rs
+++ b/crates/client/examples/follow_grpc.rs
@@ -8,7 +8,7 @@
 use tokio::task::LocalSet;
 use wrenthread_client::grpc::{self, Reports, Versions};
 use wrenthread_client::keeper::Keeper;
-use wrenthread_client::{Error, Ordered, Watch, Who};
+use wrenthread_client::{Error, Governor, Ordered, Watch, Who};
 
 struct Printed;
 
@@ -44,10 +44,11 @@
     let keeper = Rc::new(RefCell::new(Keeper::new(arguments.collect(), vec![], None)));
     let who = Who { name, zone, usual: 1.0 };
     let versions = Rc::new(RefCell::new(Versions::default()));
+    let governor = Governor { grpc: uri.clone(), ..Governor::default() };
     let following = async {
         loop {
             // The table, and the marks of what is held, outlive the stream.
-            if let Err(error) = grpc::follow(&uri, &who, true, &keeper, &versions, &Printed).await {
+            if let Err(error) = grpc::follow(&governor, &who, true, &keeper, &versions, &Printed).await {
                 eprintln!("{error}");
             }
             tokio::time::sleep(Duration::from_secs(1)).await;
--- a/crates/client/src/grpc.rs
+++ b/crates/client/src/grpc.rs
@@ -17,7 +17,7 @@
 use wrenthread_xds::clients::lrs::LoadReportingServiceClient;
 use wrenthread_xds::decode::{METADATA, host_port};
 use wrenthread_xds::encode::{self, Kind};
-use wrenthread_xds::pb::envoy::config::core::v3::{Locality, Node};
+use wrenthread_xds::pb::envoy::config::core::v3::{ControlPlane, Locality, Node};
 use wrenthread_xds::pb::envoy::config::endpoint::v3::lb_endpoint::HostIdentifier;
 use wrenthread_xds::pb::envoy::config::endpoint::v3::{
     ClusterLoadAssignment, ClusterStats, EndpointLoadMetricStats, UpstreamEndpointStats,
@@ -32,7 +32,7 @@
 use wrenthread_xds::pb::google::rpc::Status;
 
 use crate::keeper::{Keeper, Stats};
-use crate::{Error, Ordered, Watch, Who};
+use crate::{Error, Governor, Ordered, Watch, Who};
 
 /// What a proxy holds, by type and name: marks of content, or versions of whole types. It outlives streams.
 #[derive(Debug, Clone, Default)]
@@ -63,7 +63,9 @@
     let lines =
         lines.map(|line| structure(vec![("replica", text(&line.replica)), ("weight", number(line.weight))]));
     let standing = Value { kind: Some(value::Kind::ListValue(ListValue { values: lines.collect() })) };
-    let said = structure(vec![("usual", number(who.usual)), ("standing", standing)]);
+    let mut said = vec![("usual", number(who.usual)), ("standing", standing)];
+    said.extend(keeper.claim().map(|claim| ("claim", text(claim))));
+    let said = structure(said);
     Node {
         id: who.name.clone(),
         locality: Some(Locality { zone: who.zone.clone(), ..Locality::default() }),
@@ -78,28 +80,50 @@
     [(Kind::Endpoints, keeper.groups().to_vec()), (Kind::Clusters, vec![]), (Kind::Routes, routes)]
 }
 
+/// Checks an order against the fence, if its governor is one of several: who says it, in which life, up to where.
+fn heed(
+    governor: &Governor,
+    keeper: &Rc<RefCell<Keeper>>,
+    control: Option<&ControlPlane>,
+    version: &str,
+) -> Result<(), Error> {
+    if governor.name.is_empty() {
+        return Ok(());
+    }
+    let said = control.map(|control| control.identifier.as_str()).unwrap_or_default();
+    let mut parts = said.splitn(4, '/').skip(1);
+    let (name, epoch, claim) = (parts.next(), parts.next(), parts.next());
+    let epoch = epoch.and_then(|epoch| u64::from_str_radix(epoch, 16).ok());
+    let version = version.rsplit_once('.').and_then(|(_, version)| version.parse().ok());
+    let (Some(name), Some(epoch), Some(version)) = (name, epoch, version) else {
+        return Err(unclear("an order that does not say whose it is"));
+    };
+    Ok(keeper.borrow_mut().heed(name, epoch, version, claim)?)
+}
+
 /// Follows over one stream until it ends. What is held stays as it is then; come back with the same
 /// `versions`.
 ///
 /// Errors: why the stream ended.
 pub async fn follow(
-    uri: &str,
+    governor: &Governor,
     who: &Who,
     delta: bool,
     keeper: &Rc<RefCell<Keeper>>,
     versions: &Rc<RefCell<Versions>>,
     watch: &impl Watch,
 ) -> Result<(), Error> {
-    let mut client = AggregatedDiscoveryServiceClient::new(connect(uri).await?);
+    let mut client = AggregatedDiscoveryServiceClient::new(connect(&governor.grpc).await?);
+    keeper.borrow_mut().follow(&governor.name);
     match delta {
-        true => by_delta(&mut client, uri, who, keeper, versions, watch).await,
-        false => by_state(&mut client, uri, who, keeper, versions, watch).await,
+        true => by_delta(&mut client, governor, who, keeper, versions, watch).await,
+        false => by_state(&mut client, governor, who, keeper, versions, watch).await,
     }
 }
 
 async fn by_state(
     client: &mut AggregatedDiscoveryServiceClient<Channel>,
-    uri: &str,
+    governor: &Governor,
     who: &Who,
     keeper: &Rc<RefCell<Keeper>>,
     versions: &Rc<RefCell<Versions>>,
@@ -123,10 +147,11 @@
     }
     watch.joined();
     let responses = client.stream_aggregated_resources(ReceiverStream::new(stream)).await;
-    let mut responses = responses.map_err(status(uri))?.into_inner();
+    let mut responses = responses.map_err(status(&governor.grpc))?.into_inner();
     while let Some(response) = responses.next().await {
-        let DiscoveryResponse { version_info, resources, type_url, nonce, .. } =
-            response.map_err(status(uri))?;
+        let response = response.map_err(status(&governor.grpc))?;
+        heed(governor, keeper, response.control_plane.as_ref(), &response.version_info)?;
+        let DiscoveryResponse { version_info, resources, type_url, nonce, .. } = response;
         let Some(kind) = Kind::of(&type_url) else { continue };
         let error = match take(kind, &nonce, &resources, keeper, watch) {
             Ok(()) => {
@@ -144,7 +169,7 @@
 
 async fn by_delta(
     client: &mut AggregatedDiscoveryServiceClient<Channel>,
-    uri: &str,
+    governor: &Governor,
     who: &Who,
     keeper: &Rc<RefCell<Keeper>>,
     versions: &Rc<RefCell<Versions>>,
@@ -167,9 +192,10 @@
     }
     watch.joined();
     let responses = client.delta_aggregated_resources(ReceiverStream::new(stream)).await;
-    let mut responses = responses.map_err(status(uri))?.into_inner();
+    let mut responses = responses.map_err(status(&governor.grpc))?.into_inner();
     while let Some(response) = responses.next().await {
-        let response = response.map_err(status(uri))?;
+        let response = response.map_err(status(&governor.grpc))?;
+        heed(governor, keeper, response.control_plane.as_ref(), &response.system_version_info)?;
         let DeltaDiscoveryResponse { resources, type_url, removed_resources, nonce, .. } = response;
         let Some(kind) = Kind::of(&type_url) else { continue };
         let whole: Vec<Any> = resources.iter().filter_map(|one| one.resource.clone()).collect();
--- a/crates/client/src/keeper.rs
+++ b/crates/client/src/keeper.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use wrenthread::interface::FurtherTries;
+use wrenthread_core::takeover::{Fence, Fenced};
 use wrenthread_core::versions::{self, Delta, Digest, MILLION, Mismatch, Said, Whole};
 
 /// Names are forgotten all at once beyond so many, and learnt anew from the next table.
@@ -58,6 +59,9 @@
     /// Long-poll: what is held, to make deltas take effect on.
     whole: Whole,
     held: Option<(String, Digest)>,
+    /// Whose orders count, and the signed word of whose they are that are held.
+    fence: Fence,
+    claim: Option<String>,
     /// Addresses that tables have told, and the replicas there.
     names: BTreeMap<Arc<str>, String>,
     avoid: Option<(u32, Duration)>,
@@ -77,6 +81,8 @@
             tries: vec![FurtherTries::Never; count],
             whole: Whole { groups: vec![None; count] },
             held: None,
+            fence: Fence::default(),
+            claim: None,
             names: BTreeMap::new(),
             avoid,
             failing: BTreeMap::new(),
@@ -93,6 +99,33 @@
         &self.standing
     }
 
+    // ---- whose orders count
+
+    /// From now on only this governor's orders count.
+    pub fn follow(&mut self, governor: &str) {
+        self.fence.follow(governor);
+    }
+
+    /// An order comes in: from whom, of which life, up to which version, with the claim to keep.
+    ///
+    /// Errors: why it is not to be heeded.
+    pub fn heed(
+        &mut self,
+        governor: &str,
+        epoch: u64,
+        version: u64,
+        claim: Option<&str>,
+    ) -> Result<(), Fenced> {
+        self.fence.heed(governor, epoch, version)?;
+        self.claim = claim.map(str::to_string);
+        Ok(())
+    }
+
+    /// To be shown to the governor that is joined next.
+    pub fn claim(&self) -> Option<&str> {
+        self.claim.as_deref()
+    }
+
     // ---- what the governor tells
 
     pub fn place(&self, group: &str) -> Option<usize> {
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -56,8 +56,26 @@
 
 impl Watch for Unwatched {}
 
+/// A governor, by its name among those that share the fleet (empty where it is alone), and its ports.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Governor {
+    pub name: String,
+    /// `http://host:port`, each.
+    pub grpc: String,
+    pub poll: String,
+}
+
+/// Whether somebody answers there, within a second.
+pub async fn answers(uri: &str) -> bool {
+    let at = uri.split("://").last().unwrap_or_default().trim_end_matches('/').to_string();
+    let dial = tokio::time::timeout(std::time::Duration::from_secs(1), tokio::net::TcpStream::connect(at));
+    matches!(dial.await, Ok(Ok(_)))
+}
+
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
+    #[error("an order is not heeded: {0}")]
+    Fenced(#[from] wrenthread_core::takeover::Fenced),
     #[error("the governor at {0}: {1}")]
     Reach(String, String),
     #[error("the governor turned the proxy away: {0}")]
--- a/crates/client/src/poll.rs
+++ b/crates/client/src/poll.rs
@@ -74,10 +74,12 @@
                 usual: Some(who.usual),
                 standing: keeper.standing().iter().map(line).collect(),
                 holds_orders: keeper.has_orders(),
+                claim: keeper.claim().map(str::to_string),
             }
         };
         let request = written(client.post(&base).timeout(MARGIN), &asked)?;
         let told: JoinTold = read(&answered(&base, request).await?.1)?;
+        keeper.borrow_mut().follow(&told.terms.governor);
         Ok(Session { client, base, session: told.session, terms: told.terms })
     }
 
@@ -95,6 +97,10 @@
             return Ok(());
         }
         let told: TablesTold = read(&body)?;
+        let of = told.version.split_once('.');
+        let life = of.and_then(|(epoch, at)| Some((u64::from_str_radix(epoch, 16).ok()?, at.parse().ok()?)));
+        let (epoch, at) = life.ok_or_else(|| Error::Unclear(format!("version `{}`", told.version)))?;
+        keeper.borrow_mut().heed(&self.terms.governor, epoch, at, told.claim.as_deref())?;
         let understood = self.terms.read(&told).map_err(|error| Error::Unclear(error.to_string()))?;
         let lines: usize =
             told.groups.values().map(|group| 1 + group.lines.len() + group.removed.len()).sum();
--- a/crates/client/tests/model.rs
+++ b/crates/client/tests/model.rs
@@ -31,6 +31,8 @@
     };
     Wire {
         epoch: 1,
+        governor: String::new(),
+        key: None,
         zones: vec!["north".into()],
         groups: vec![group("match"), group("charge")],
         report_every: Duration::from_secs(1),
@@ -42,6 +44,7 @@
 fn terms() -> Terms {
     Terms {
         epoch: "1".into(),
+        governor: String::new(),
         zones: vec!["north".into()],
         groups: vec!["match".into(), "charge".into()],
         report_every_s: "1".into(),
@@ -99,7 +102,14 @@
             Proxy::Poll(keeper) => (None, keeper.held().is_some()),
         };
         let name = format!("p{place}");
-        let join = Join { name: name.as_str().into(), zone: 0, usual: 1.0, standing: vec![], holds_orders };
+        let join = Join {
+            name: name.as_str().into(),
+            zone: 0,
+            usual: 1.0,
+            standing: vec![],
+            holds_orders,
+            claim: None,
+        };
         self.engine.joined(now, stream, &join).unwrap();
         match &mut self.proxies[place] {
             Proxy::Poll(_) => self.polls.opened(now, stream, name.as_str().into()),
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -17,7 +17,7 @@
 //!     id: "r1".into(), address: "10.0.0.1:80".into(), zone: 0, weight: 1.0, phase: Phase::Ready,
 //!     started: None,
 //! }]);
-//! let join = Join { name: "p".into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: false };
+//! let join = Join { name: "p".into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: false, claim: None };
 //! let number = engine.joined(now, 1, &join).unwrap().number;
 //! // The module gives its holdings to who came with none that it knows.
 //! let later = now + Duration::from_millis(250);
@@ -266,7 +266,10 @@
             known.is_some_and(|one| one.zone == join.zone || self.roster.ready_in(join.zone) < 3)
                 && *weight > 0.0
         };
-        let fresh = !join.holds_orders && !join.standing.is_empty() && join.standing.iter().all(drawn);
+        let fresh = !join.holds_orders
+            && join.claim.is_none()
+            && !join.standing.is_empty()
+            && join.standing.iter().all(drawn);
         // A join has a version of its own: what the number's tables were before is another state.
         let tries = (self.version + 1, self.tables.tries());
         let joined = self.fleet.join(now, stream, join, fresh, self.groups, tries)?;
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -14,7 +14,7 @@
 
 fn join(name: &str, standing: &[&str]) -> Join {
     let standing = standing.iter().map(|id| ((*id).into(), 1.0)).collect();
-    Join { name: name.into(), zone: 0, usual: 5.0, standing, holds_orders: false }
+    Join { name: name.into(), zone: 0, usual: 5.0, standing, holds_orders: false, claim: None }
 }
 
 fn engine(names: &[&str]) -> Engine {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -38,6 +38,8 @@
     pub standing: Vec<(ReplicaId, f64)>,
     /// It says that it holds tables of this or another governor besides.
     pub holds_orders: bool,
+    /// Its signed word of whose they are, if it has one.
+    pub claim: Option<String>,
 }
 
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
@@ -332,7 +334,7 @@
     use super::*;
 
     fn join(name: &str) -> Join {
-        Join { name: name.into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: false }
+        Join { name: name.into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: false, claim: None }
     }
 
     fn put(fleet: &mut Fleet, now: u64, stream: StreamId, name: &str) -> Result<Joined, Refused> {
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -34,7 +34,7 @@
 
 /// A secret that all governors share, by its name. Two live ones make a change of keys possible: the first
 /// signs, all are believed.
-#[derive(Clone)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct Key {
     id: String,
     key: [u8; 32],
@@ -213,6 +213,57 @@
     }
 }
 
+/// Which governor a proxy dials next, and when it leaves one for its home.
+///
+/// A governor that can't be had is passed over for the next in rank; after the last it begins anew at home. So a
+/// proxy whose governors are all dead goes round until one is back.
+#[derive(Debug, Clone)]
+pub struct Dialer {
+    ranking: Vec<usize>,
+    at: usize,
+    homeward: Homeward,
+}
+
+impl Dialer {
+    /// `governors`: their names, the same list at every proxy; empty is of no use, and dials the first for ever.
+    pub fn new(proxy: &str, governors: &[&str], steady: Duration, over: Duration) -> Self {
+        let ranking = ranking(proxy, governors);
+        Dialer { ranking, at: 0, homeward: Homeward::new(proxy, steady, over) }
+    }
+
+    /// The governor to dial, by its place in the list.
+    pub fn dials(&self) -> usize {
+        self.ranking.get(self.at).copied().unwrap_or(0)
+    }
+
+    pub fn home(&self) -> usize {
+        self.ranking.first().copied().unwrap_or(0)
+    }
+
+    pub fn is_home(&self) -> bool {
+        self.at == 0
+    }
+
+    /// The governor dialled can't be had, or its stream is over.
+    pub fn lost(&mut self) {
+        self.at = (self.at + 1) % self.ranking.len().max(1);
+    }
+
+    /// Its home was asked whether it is there. Whether it goes there now.
+    pub fn home_asked(&mut self, now: Duration, answered: bool) -> bool {
+        if self.is_home() {
+            return false;
+        }
+        self.homeward.asked(now, answered);
+        let goes = self.homeward.goes(now);
+        if goes {
+            self.at = 0;
+            self.homeward.asked(now, false);
+        }
+        goes
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -314,4 +365,22 @@
         }
         assert!(seconds.iter().all(|count| (60..140).contains(count)), "{seconds:?}");
     }
+
+    #[test]
+    fn a_proxy_goes_round_its_governors_and_home_once_home_is_steady() {
+        let names = ["g0", "g1", "g2"];
+        let mut dialer = Dialer::new("relay-1", &names, s(2), Duration::ZERO);
+        let ranked = ranking("relay-1", &names);
+        assert_eq!((dialer.dials(), dialer.is_home()), (ranked[0], true));
+        dialer.lost();
+        dialer.lost();
+        assert_eq!(dialer.dials(), ranked[2]);
+        assert!(!dialer.home_asked(s(10), true) && !dialer.home_asked(s(11), false));
+        assert!(!dialer.home_asked(s(12), true) && !dialer.home_asked(s(13), true));
+        assert!(dialer.home_asked(s(14), true) && dialer.is_home());
+        assert!(!dialer.home_asked(s(15), true), "it is there");
+        (0..3).for_each(|_| dialer.lost());
+        assert_eq!(dialer.dials(), dialer.home(), "all dead: round again");
+        assert_eq!(Dialer::new("p", &[], s(1), s(1)).dials(), 0);
+    }
 }
--- a/crates/daemon/benches/fronts.rs
+++ b/crates/daemon/benches/fronts.rs
@@ -101,8 +101,13 @@
 async fn by_poll(place: usize, at: String, heard: Rc<Heard>) {
     let client = reqwest::Client::new();
     let base = format!("{at}/v1/proxies/relay-{place}");
-    let join =
-        JoinAsked { zone: ZONES[place % 3].into(), usual: None, standing: vec![], holds_orders: false };
+    let join = JoinAsked {
+        zone: ZONES[place % 3].into(),
+        usual: None,
+        standing: vec![],
+        holds_orders: false,
+        claim: None,
+    };
     let mut body = Vec::new();
     ciborium::into_writer(&join, &mut body).unwrap();
     let cbor = "application/cbor";
--- a/crates/daemon/benches/scale.rs
+++ b/crates/daemon/benches/scale.rs
@@ -208,6 +208,7 @@
             usual: 1.0,
             standing: vec![],
             holds_orders: false,
+            claim: None,
         };
         engine.joined(now, place as u64, &join).unwrap();
     }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -11,8 +11,9 @@
 use wrenthread_core::engine::{Engine, NoStepBack, Note, Scope, Setup, Step, What};
 use wrenthread_core::fleet::{Kind, Proxy, Refused};
 use wrenthread_core::roster::Entry;
+use wrenthread_core::takeover::{self, Key};
 use wrenthread_core::versions;
-use wrenthread_poll::forms::{JoinTold, ReportTold, Terms, unhex};
+use wrenthread_poll::forms::{JoinTold, ReportTold, TablesTold, Terms, unhex};
 use wrenthread_poll::polls::{Due, Polls, Told};
 use wrenthread_poll::service as poll;
 use wrenthread_xds::pb::envoy::admin::v3::ClientResourceStatus;
@@ -45,6 +46,9 @@
 pub struct Host {
     pub engine: Engine,
     wire: Wire,
+    keys: Vec<Key>,
+    /// Proxies that came with another governor's orders, or another life's.
+    taken_over: u64,
     usual: f64,
     streams: BTreeMap<u64, Stream>,
     /// Load report streams, by the name that their node gave.
@@ -55,9 +59,10 @@
 }
 
 impl Host {
-    pub fn new(setup: Setup, wire: Wire, usual: f64, now: Duration) -> Self {
+    pub fn new(setup: Setup, wire: Wire, keys: Vec<Key>, usual: f64, now: Duration) -> Self {
         let terms = Terms {
             epoch: format!("{:x}", wire.epoch),
+            governor: wire.governor.clone(),
             zones: wire.zones.clone(),
             groups: wire.groups.iter().map(|group| group.name.clone()).collect(),
             report_every_s: wire.report_every.as_secs_f64().to_string(),
@@ -69,6 +74,8 @@
             polls: Polls::default(),
             terms,
             wire,
+            keys,
+            taken_over: 0,
             usual,
             streams: BTreeMap::new(),
             reporters: BTreeMap::new(),
@@ -114,6 +121,7 @@
 
     fn asked(&mut self, now: Duration, stream: u64, request: Request) {
         let Some(open) = self.streams.get_mut(&stream) else { return };
+        let mut claim = None;
         if open.session.is_none() {
             let join = decode::join(&self.wire, request.node(), self.usual, request.holds_orders());
             let joined =
@@ -123,6 +131,7 @@
                         Refused::Contested { .. } => Status::already_exists(refused.to_string()),
                         Refused::Nameless => Status::invalid_argument(refused.to_string()),
                     })?;
+                    claim = join.claim.clone().map(|claim| (join.name.clone(), claim));
                     let fresh = self.engine.proxy(joined.number).is_some_and(|proxy| proxy.fresh);
                     tracing::info!(proxy = %join.name, zone = join.zone, fresh, stream, "a proxy joined");
                     Ok(())
@@ -135,6 +144,10 @@
                 return;
             }
         }
+        if let Some((proxy, claim)) = claim {
+            self.claimed(&proxy, Some(&claim));
+        }
+        let Some(open) = self.streams.get_mut(&stream) else { return };
         let session = open.session.get_or_insert_with(|| Session::new(self.wire.epoch, &request));
         match session.request(request) {
             Ok(heard) => {
@@ -185,6 +198,25 @@
         }
     }
 
+    /// Whose orders a proxy says that it holds. Nothing hangs on it but the log: whoever came with orders is given
+    /// a whole state by the module, so neither a stale claim nor a forged one brings old orders back.
+    fn claimed(&mut self, proxy: &str, claim: Option<&str>) {
+        let Some(claim) = claim else { return };
+        match takeover::prove(&self.keys, proxy, claim) {
+            Ok(claim) if claim.governor == self.wire.governor && claim.epoch == self.wire.epoch => {}
+            Ok(claim) => {
+                self.taken_over += 1;
+                metrics::counter!("wrenthread_taken_over_total").increment(1);
+                let epoch = format!("{:x}", claim.epoch);
+                tracing::info!(proxy, from = claim.governor, epoch, version = claim.version, "taken over");
+            }
+            Err(unproven) => {
+                metrics::counter!("wrenthread_claims_unproven_total").increment(1);
+                tracing::warn!(proxy, why = %unproven, "a claim is not believed");
+            }
+        }
+    }
+
     /// A question on the long-poll front. `stream`: a number for a new session, in the order of all streams.
     pub fn poll(&mut self, now: Duration, event: poll::Event, stream: impl FnOnce() -> u64) {
         // Whoever asked may be gone by the time of the answer; nothing hangs on that.
@@ -226,6 +258,7 @@
             Refused::Contested { .. } => poll::Refusal::Conflict(refused.to_string()),
             Refused::Nameless => poll::Refusal::Unclear(refused.to_string()),
         })?;
+        self.claimed(proxy, join.claim.as_deref());
         let fresh = self.engine.proxy(joined.number).is_some_and(|proxy| proxy.fresh);
         tracing::info!(proxy, zone = join.zone, fresh, session, "a proxy joined by long-poll");
         self.polls.opened(now, session, join.name);
@@ -309,12 +342,20 @@
     }
 
     fn reply(&self, reply: poll::Reply<poll::Answer>, told: Told) {
+        self.reply_to("", reply, told);
+    }
+
+    fn reply_to(&self, proxy: &str, reply: poll::Reply<poll::Answer>, told: Told) {
+        let claim = |version| self.wire.claim(proxy, version);
         let _ = reply.send(match told {
             Told::Whole(version) => {
                 let told = self.terms.whole(version.version, &version.digest, &version.whole);
-                Ok(poll::Answer::Tables(told))
+                Ok(poll::Answer::Tables(TablesTold { claim: claim(version.version), ..told }))
+            }
+            Told::Delta(version, delta) => {
+                let told = self.terms.delta(version, &delta);
+                Ok(poll::Answer::Tables(TablesTold { claim: claim(version), ..told }))
             }
-            Told::Delta(version, delta) => Ok(poll::Answer::Tables(self.terms.delta(version, &delta))),
             Told::Unchanged(..) => Ok(poll::Answer::Unchanged),
             Told::Superseded => Err(poll::Refusal::Conflict("a later question took its place".into())),
             Told::Over => Err(poll::Refusal::NoSession),
@@ -406,7 +447,8 @@
             Some((reply, told, lines)) => {
                 metrics::counter!("wrenthread_lines_sent_total").increment(lines as u64);
                 metrics::counter!("wrenthread_responses_total").increment(1);
-                self.reply(reply, told);
+                let name = self.polls.name(session).cloned().unwrap_or_default();
+                self.reply_to(&name, reply, told);
                 self.engine.sent(now, number, lines, 1);
             }
             // It holds that already.
@@ -548,6 +590,7 @@
             discarded.iter().map(|(why, times)| (why.to_string(), *times)).collect();
         json!({
             "governor": {
+                "name": self.wire.governor, "taken_over": self.taken_over,
                 "epoch": format!("{:x}", self.wire.epoch), "up_s": up.as_secs_f64(), "ready": self.listed,
                 "version": figures.version, "joined": figures.joined, "lobby": figures.lobby,
                 "lines_waiting": figures.lines_waiting, "lines_waited_most": figures.lines_waited_most,
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -10,6 +10,7 @@
 use tokio::task::{JoinHandle, LocalSet};
 use tokio_stream::wrappers::TcpListenerStream;
 use wrenthread_core::roster::Entry;
+use wrenthread_core::takeover::Key;
 use wrenthread_settings::{RosterSource, Route, Settings};
 use wrenthread_xds::service::Front;
 use wrenthread_xds::{Wire, WireGroup, upstream};
@@ -49,6 +50,8 @@
     };
     Wire {
         epoch,
+        governor: settings.governor.clone(),
+        key: None,
         zones: settings.zones.clone(),
         groups: settings.groups.iter().map(group).collect(),
         report_every: span(settings.report_every),
@@ -57,6 +60,16 @@
     }
 }
 
+/// The keys that the settings name, by their files' names. A file holds nothing but the secret.
+fn keys(settings: &Settings) -> Result<Vec<Key>> {
+    let key = |path: &PathBuf| {
+        let secret = std::fs::read(path).with_context(|| format!("key {}", path.display()))?;
+        let name = path.file_stem().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default();
+        Key::new(&name, secret.trim_ascii()).with_context(|| format!("key {}", path.display()))
+    };
+    settings.keys.iter().map(key).collect()
+}
+
 /// Runs until a signal to stop.
 ///
 /// Errors: settings that can't be taken, sockets that can't be had.
@@ -105,7 +118,8 @@
     metrics: metrics_exporter_prometheus::PrometheusHandle,
 ) -> Result<()> {
     let clock = Clock::start();
-    let wire = wire(&settings, clock.epoch());
+    let keys = keys(&settings)?;
+    let wire = Wire { key: keys.first().cloned(), ..wire(&settings, clock.epoch()) };
     let grpc =
         TcpListener::bind(settings.grpc).await.with_context(|| format!("gRPC on {}", settings.grpc))?;
     let pages =
@@ -148,7 +162,7 @@
     let pages = tokio::task::spawn_local(http::serve(pages, queries));
     let mut roster = follow_roster(&settings, &wire, clock, lists.clone());
 
-    let mut host = Host::new(settings.setup(), wire.clone(), settings.usual, clock.now());
+    let mut host = Host::new(settings.setup(), wire.clone(), keys, settings.usual, clock.now());
     let mut hangup = signal(SignalKind::hangup()).context("signals")?;
     let mut terminate = signal(SignalKind::terminate()).context("signals")?;
     let why = loop {
--- a/crates/poll/src/forms.rs
+++ b/crates/poll/src/forms.rs
@@ -15,6 +15,9 @@
 pub struct Terms {
     /// This governor's life.
     pub epoch: String,
+    /// Its name among those that share the fleet; empty where it is alone.
+    #[serde(default)]
+    pub governor: String,
     /// Zones and groups, in the order in which digests are made over them.
     pub zones: Vec<String>,
     pub groups: Vec<String>,
@@ -47,6 +50,9 @@
     /// It holds tables of this or another governor besides.
     #[serde(default)]
     pub holds_orders: bool,
+    /// The signed word of whose they are, as it was told.
+    #[serde(default)]
+    pub claim: Option<String>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, ToSchema)]
@@ -92,6 +98,9 @@
     /// The digest that a delta starts from; without it this is the whole.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub base: Option<String>,
+    /// To be shown to whichever governor the proxy joins next.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub claim: Option<String>,
     pub groups: BTreeMap<String, GroupTold>,
 }
 
@@ -230,6 +239,7 @@
             usual,
             standing: standing.collect(),
             holds_orders: asked.holds_orders,
+            claim: asked.claim,
         })
     }
 
@@ -280,6 +290,7 @@
             version: format!("{}.{version}", self.epoch),
             digest: hex(digest),
             base: None,
+            claim: None,
             groups: groups.collect(),
         }
     }
@@ -317,6 +328,7 @@
             version: format!("{}.{version}", self.epoch),
             digest: hex(&delta.digest),
             base: Some(hex(&delta.base)),
+            claim: None,
             groups: groups.collect(),
         }
     }
@@ -377,6 +389,7 @@
     fn terms() -> Terms {
         Terms {
             epoch: "abc".into(),
+            governor: String::new(),
             zones: vec!["north".into(), "south".into()],
             groups: vec!["match".into(), "charge".into()],
             report_every_s: "1".into(),
--- a/crates/poll/src/service.rs
+++ b/crates/poll/src/service.rs
@@ -301,6 +301,7 @@
                     Event::Join { reply, .. } => {
                         let terms = Terms {
                             epoch: "a".into(),
+                            governor: String::new(),
                             zones: vec![],
                             groups: vec![],
                             report_every_s: "1".into(),
@@ -314,6 +315,7 @@
                             version: "a.1".into(),
                             digest: "00".into(),
                             base: None,
+                            claim: None,
                             groups: BTreeMap::new(),
                         };
                         drop(reply.send(Ok(Answer::Tables(told))));
--- a/crates/rehearsal/src/check.rs
+++ b/crates/rehearsal/src/check.rs
@@ -27,19 +27,21 @@
         ruled("short queue", queue(tape)),
         ruled("every flow has its one end, before its expiry", ends(tape)),
         ruled("every order is answered", answers(tape)),
+        ruled("every relay in a governor's care", care(day, tape)),
+        ruled("no order of an older life, or of another's", fenced(tape)),
     ]
 }
 
-/// Since when each relay is joined, as the tape goes on.
+/// Since when each relay is joined, and to which governor, as the tape goes on.
 #[derive(Default)]
-struct Joined(BTreeMap<usize, f64>);
+struct Joined(BTreeMap<usize, (f64, usize)>);
 
 impl Joined {
     fn see(&mut self, entry: &Entry) {
         match &entry.what {
-            What::Joined { relay } => drop(self.0.insert(*relay, entry.at)),
+            What::Joined { relay, governor } => drop(self.0.insert(*relay, (entry.at, *governor))),
             What::Broken { relay } => drop(self.0.remove(relay)),
-            What::Governor { up: false } => self.0.clear(),
+            What::Governor { governor, up: false } => self.0.retain(|_, (_, of)| of != governor),
             _ => {}
         }
     }
@@ -76,7 +78,7 @@
         let open = ready.iter().any(warm);
         for ((relay, group), (since, told)) in &mut empty {
             match joined.0.get(relay) {
-                Some(at) if open && entry.at - since.max(*at) > day.bare_for && !*told => {
+                Some((at, _)) if open && entry.at - since.max(*at) > day.bare_for && !*told => {
                     *told = true;
                     broken.push(format!(
                         "{:.2} s: relay {relay} has no line for {group} since {since:.2} s",
@@ -123,7 +125,8 @@
                 }
             }
             What::Try { flow, relay, worker } => {
-                let told = shut.get(worker).zip(joined.0.get(relay)).map(|(shut, joined)| shut.max(*joined));
+                let told =
+                    shut.get(worker).zip(joined.0.get(relay)).map(|(shut, (joined, _))| shut.max(*joined));
                 if let Some(told) = told.filter(|told| entry.at > told + day.drain_grace) {
                     let at = entry.at;
                     broken.push(format!(
@@ -185,7 +188,7 @@
     for entry in tape {
         let at = entry.at;
         match &entry.what {
-            What::Governor { up: true } => (lines.clear(), messages.clear()).0,
+            What::Governor { up: true, .. } => (lines.clear(), messages.clear()).0,
             What::Order { relay, lines: count, .. } => {
                 lines.push((at, *count as f64 + HEAD_LINES));
                 lines.retain(|(then, _)| at - then <= 1.0);
@@ -263,6 +266,60 @@
     broken
 }
 
+/// A relay that was with no governor for longer than allowed while one was there.
+pub fn care(day: &Day, tape: &[Entry]) -> Vec<String> {
+    let (mut joined, mut up, mut broken) = (Joined::default(), BTreeSet::new(), Vec::new());
+    let mut alone: BTreeMap<usize, (f64, bool)> = BTreeMap::new();
+    for entry in tape {
+        joined.see(entry);
+        match &entry.what {
+            What::Governor { governor, up: true } => drop(up.insert(*governor)),
+            What::Governor { governor, up: false } => drop(up.remove(governor)),
+            What::Fleet { relays, .. } => {
+                alone = (0..relays.len()).map(|relay| (relay, (entry.at, false))).collect();
+            }
+            _ => {}
+        }
+        for (relay, (since, told)) in &mut alone {
+            if joined.0.contains_key(relay) || up.is_empty() {
+                (*since, *told) = (entry.at, false);
+            } else if entry.at - *since > day.care_for && !*told {
+                *told = true;
+                broken
+                    .push(format!("{:.2} s: relay {relay} is with no governor since {since:.2} s", entry.at));
+            }
+        }
+    }
+    broken
+}
+
+/// Orders that a relay took in from an older life of a governor than one before, or from one that it was not with.
+pub fn fenced(tape: &[Entry]) -> Vec<String> {
+    let (mut joined, mut broken) = (Joined::default(), Vec::new());
+    let mut lives: BTreeMap<(usize, usize), u64> = BTreeMap::new();
+    for entry in tape {
+        // What was on its way when a governor died still comes in.
+        if !matches!(entry.what, What::Governor { .. }) {
+            joined.see(entry);
+        }
+        let What::Order { relay, governor, nonce, .. } = &entry.what else { continue };
+        let life = nonce.split('.').next().and_then(|life| u64::from_str_radix(life, 16).ok()).unwrap_or(0);
+        let newest = lives.entry((*relay, *governor)).or_insert(life);
+        if life < *newest {
+            broken
+                .push(format!("{:.2} s: relay {relay} heeds life {life:x} of governor {governor}", entry.at));
+        }
+        *newest = life.max(*newest);
+        if joined.0.get(relay).is_none_or(|(_, of)| of != governor) {
+            broken.push(format!(
+                "{:.2} s: relay {relay} heeds governor {governor}, which it is not with",
+                entry.at
+            ));
+        }
+    }
+    broken
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -283,7 +340,7 @@
 
     fn order(relay: usize, lines: Vec<usize>) -> What {
         let tables = BTreeMap::from([("plate-match".to_string(), (lines, 1.0))]);
-        What::Order { relay, nonce: "n".into(), lines: 1, tables }
+        What::Order { relay, governor: 0, nonce: "n".into(), lines: 1, tables }
     }
 
     #[test]
@@ -295,7 +352,7 @@
                 &day,
                 &tape(vec![
                     (0.0, roster(&[true])),
-                    (0.0, What::Joined { relay: 0 }),
+                    (0.0, What::Joined { relay: 0, governor: 0 }),
                     (1.0, order(0, vec![])),
                     (1.5, extra),
                     (3.0, came()),
@@ -325,7 +382,7 @@
                 &tape(vec![
                     (0.0, roster(&[true, true])),
                     (1.0, roster(&[true, false])),
-                    (joined, What::Joined { relay: 0 }),
+                    (joined, What::Joined { relay: 0, governor: 0 }),
                     (at, tried.clone()),
                 ]),
             )
@@ -335,7 +392,7 @@
         assert!(at(4.5, 2.0).is_empty(), "joined later");
         let back = tape(vec![
             (0.0, roster(&[true, false])),
-            (0.0, What::Joined { relay: 0 }),
+            (0.0, What::Joined { relay: 0, governor: 0 }),
             (5.0, roster(&[true, true])),
             (9.0, tried.clone()),
         ]);
@@ -359,7 +416,8 @@
 
     #[test]
     fn a_flood_of_lines_or_messages_is_seen() {
-        let big = What::Order { relay: 0, nonce: "n".into(), lines: 9000, tables: BTreeMap::new() };
+        let big =
+            What::Order { relay: 0, governor: 0, nonce: "n".into(), lines: 9000, tables: BTreeMap::new() };
         assert_eq!(queue(&tape(vec![(0.0, big)])).len(), 1);
         let many = |step: f64| (0..41).map(|n| (f64::from(n) * step, order(0, vec![0]))).collect();
         assert_eq!(queue(&tape(many(0.1))).len(), 1);
@@ -380,4 +438,33 @@
         assert_eq!(answers(&tape(vec![(0.0, order(0, vec![]))])).len(), 1);
         assert_eq!(answers(&tape(vec![(0.1, answer)])).len(), 1);
     }
+
+    #[test]
+    fn a_relay_without_care_and_orders_of_another_or_an_older_life_are_seen() {
+        let fleet = What::Fleet { workers: vec![0], relays: vec![(0, vec![])] };
+        let came = What::Came { flow: 1, relay: 0, group: 0 };
+        let alone = |up, at| {
+            care(
+                &day(),
+                &tape(vec![
+                    (0.0, fleet.clone()),
+                    (1.0, What::Governor { governor: 1, up }),
+                    (at, came.clone()),
+                ]),
+            )
+        };
+        assert_eq!((alone(true, 9.0).len(), alone(true, 4.0).len(), alone(false, 9.0).len()), (1, 0, 0));
+        let with = |governor| What::Joined { relay: 0, governor };
+        let order = |governor, nonce: &str| What::Order {
+            relay: 0,
+            governor,
+            nonce: nonce.into(),
+            lines: 1,
+            tables: BTreeMap::new(),
+        };
+        let heeds = |then: Vec<What>| fenced(&tape(then.into_iter().map(|what| (1.0, what)).collect())).len();
+        assert_eq!(heeds(vec![with(0), order(0, "b.1"), order(0, "c.1")]), 0);
+        assert_eq!(heeds(vec![with(0), order(0, "b.1"), order(0, "a.9")]), 1);
+        assert_eq!(heeds(vec![with(0), order(1, "b.1")]), 1);
+    }
 }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -34,8 +34,11 @@
 use worker::{Mode, Worker};
 use wrenthread_client::Who;
 
-const DAYS: [(&str, &str); 2] =
-    [("bad-day", include_str!("../days/bad-day.star")), ("short", include_str!("../days/short.star"))];
+const DAYS: [(&str, &str); 3] = [
+    ("bad-day", include_str!("../days/bad-day.star")),
+    ("short", include_str!("../days/short.star")),
+    ("takeover", include_str!("../days/takeover.star")),
+];
 /// Lines of a standing table.
 const STANDING: usize = 8;
 /// After the last flow came: time for the ends of all, and for the last orders' answers.
@@ -285,24 +288,29 @@
 
     /// Holds the day; with a governor (its program, and a folder for its files) or without.
     async fn hold(self: &Rc<Self>, governor: Option<(PathBuf, PathBuf)>) -> Result<Option<usize>> {
-        let governor = match governor {
-            Some((program, folder)) => Some(Rc::new(Governor::new(program, folder, &self.day)?)),
-            None => None,
-        };
+        let mut governors = Vec::new();
+        if let Some((program, folder)) = governor {
+            std::fs::write(folder.join("fleet.key"), format!("{:032}", self.seed))?;
+            for place in 0..self.day.governors {
+                governors.push(Rc::new(Governor::new(program.clone(), folder.clone(), place, &self.day)?));
+            }
+        }
         let halls = self.day.halls.len();
         self.tape.add(What::Fleet {
             workers: (0..self.day.workers).map(|worker| worker % halls).collect(),
             relays: self.relays.iter().map(|relay| (relay.place % halls, Vec::new())).collect(),
         });
         let mut tasks = Vec::new();
-        if let Some(governor) = &governor {
-            self.list(governor)?;
-            governor.start(&self.tape).await?;
+        if !governors.is_empty() {
+            self.list(&governors)?;
+            for governor in &governors {
+                governor.start(&self.tape).await?;
+            }
+            let dialled: Rc<Vec<_>> =
+                Rc::new(governors.iter().map(|governor| governor.dialled.clone()).collect());
             for relay in &self.relays {
-                tasks.push(tokio::task::spawn_local(
-                    relay.clone().follow(governor.grpc.clone(), governor.poll.clone()),
-                ));
-                tasks.push(tokio::task::spawn_local(relay.clone().report(governor.grpc.clone())));
+                tasks.push(tokio::task::spawn_local(relay.clone().follow(dialled.clone())));
+                tasks.push(tokio::task::spawn_local(relay.clone().report()));
             }
         }
         let numbers = Rc::new(Cell::new(1));
@@ -312,18 +320,18 @@
             tasks.push(tokio::task::spawn_local(relay.clone().bring(each, until, numbers.clone())));
         }
         for planned in self.day.troubles.clone() {
-            let (this, governor) = (self.clone(), governor.clone());
+            let (this, governors) = (self.clone(), governors.clone());
             tasks.push(tokio::task::spawn_local(async move {
                 sleep(Duration::from_secs_f64(planned.at)).await;
-                if let Err(error) = this.go_wrong(&planned, governor).await {
+                if let Err(error) = this.go_wrong(&planned, &governors).await {
                     eprintln!("a trouble could not be made: {error:#}");
                 }
             }));
         }
         sleep(Duration::from_secs_f64(self.day.seconds + AFTER)).await;
-        let killed = governor.as_ref().and_then(|governor| governor.killed_after.get());
-        if let Some(governor) = governor {
-            governor.kill();
+        let killed = governors.iter().find_map(|governor| governor.killed_after.get());
+        if !governors.is_empty() {
+            governors.iter().for_each(|governor| governor.kill());
             // Orders on their way when the day ended are nobody's fault.
             self.relays.iter().for_each(|relay| self.tape.add(What::Broken { relay: relay.place }));
         }
@@ -331,8 +339,8 @@
         Ok(killed)
     }
 
-    /// Replaces the roster file by what holds now.
-    fn list(&self, governor: &Governor) -> Result<()> {
+    /// Replaces the governors' roster files by what holds now.
+    fn list(&self, governors: &[Rc<Governor>]) -> Result<()> {
         let draining = self.draining.borrow();
         let entry = |worker: &Rc<Worker>| {
             let phase = if draining.contains(&worker.place) { "draining" } else { "ready" };
@@ -343,9 +351,11 @@
             })
         };
         let list = json!({"replicas": self.workers.iter().map(entry).collect::<Vec<_>>()});
-        let written = governor.folder.join("roster.new");
-        std::fs::write(&written, format!("{list:#}"))?;
-        std::fs::rename(written, governor.folder.join("roster.json"))?;
+        for governor in governors {
+            let written = governor.folder.join("roster.new");
+            std::fs::write(&written, format!("{list:#}"))?;
+            std::fs::rename(written, governor.folder.join("roster.json"))?;
+        }
         let listed = self
             .workers
             .iter()
@@ -354,12 +364,12 @@
         Ok(())
     }
 
-    async fn list_late(&self, governor: Option<&Rc<Governor>>) -> Result<()> {
+    async fn list_late(&self, governors: &[Rc<Governor>]) -> Result<()> {
         sleep(Duration::from_secs_f64(self.day.roster_late)).await;
-        governor.map_or(Ok(()), |governor| self.list(governor))
+        if governors.is_empty() { Ok(()) } else { self.list(governors) }
     }
 
-    async fn go_wrong(&self, planned: &Planned, governor: Option<Rc<Governor>>) -> Result<()> {
+    async fn go_wrong(&self, planned: &Planned, governors: &[Rc<Governor>]) -> Result<()> {
         let lasts = Duration::from_secs_f64(planned.lasts);
         let halls = self.day.halls.len();
         let some = |count: usize| {
@@ -385,11 +395,11 @@
                 let workers = self.workers.iter().filter(|worker| worker.place % halls == *hall);
                 for worker in workers.take((planned.lasts / step).ceil() as usize) {
                     self.draining.borrow_mut().insert(worker.place);
-                    self.list_late(governor.as_ref()).await?;
+                    self.list_late(governors).await?;
                     sleep(Duration::from_secs_f64((step - 2.0 * self.day.roster_late).max(0.5))).await;
                     worker.restart();
                     self.draining.borrow_mut().remove(&worker.place);
-                    self.list_late(governor.as_ref()).await?;
+                    self.list_late(governors).await?;
                 }
             }
             Trouble::BrokenStreams { share: part } => share(*part).for_each(|relay| relay.cut()),
@@ -398,13 +408,16 @@
                 sleep(lasts).await;
                 share(*part).for_each(|relay| relay.report_late(0.0));
             }
-            Trouble::Kill { after_orders } => {
-                let Some(governor) = governor else { return Ok(()) };
+            Trouble::Kill { governor, after_orders } => {
+                let Some(governor) = governors.get(*governor).cloned() else { return Ok(()) };
+                let place = governor.place;
                 let (after, armed, seen) = (*after_orders, Cell::new(false), Cell::new(0));
                 let killer = governor.clone();
                 self.tape.watch(move |entry| match &entry.what {
                     What::Roster { .. } => armed.set(true),
-                    What::Order { tables, .. } if armed.get() && !tables.is_empty() => {
+                    What::Order { governor, tables, .. }
+                        if *governor == place && armed.get() && !tables.is_empty() =>
+                    {
                         seen.set(seen.get() + 1);
                         if seen.get() == after {
                             killer.kill();
@@ -423,7 +436,7 @@
                 governor.kill();
                 sleep(Duration::from_millis(50)).await;
                 self.tape.watch(|_| {});
-                self.tape.add(What::Governor { up: false });
+                self.tape.add(What::Governor { governor: place, up: false });
                 sleep(lasts).await;
                 governor.start(&self.tape).await?;
             }
@@ -434,10 +447,10 @@
 
 /// The real program, as a process of its own.
 struct Governor {
+    place: usize,
     program: PathBuf,
     folder: PathBuf,
-    grpc: String,
-    poll: String,
+    dialled: wrenthread_client::Governor,
     http: String,
     child: RefCell<Option<Child>>,
     dead: Cell<bool>,
@@ -449,7 +462,10 @@
 }
 
 impl Governor {
-    fn new(program: PathBuf, folder: PathBuf, day: &Day) -> Result<Self> {
+    fn new(program: PathBuf, folder: PathBuf, place: usize, day: &Day) -> Result<Self> {
+        let key = folder.join("fleet.key");
+        let folder = folder.join(format!("g{place}"));
+        std::fs::create_dir_all(&folder)?;
         let (grpc, http, poll) = (free_port()?, free_port()?, free_port()?);
         let groups: String = GROUPS
             .iter()
@@ -465,7 +481,8 @@
             })
             .collect();
         let settings = format!(
-            "fleet(zones = {:?}, proxies = {}, standing_lines = {STANDING}, proxies_avoid = True)\n\
+            "fleet(zones = {:?}, proxies = {}, governors = {}, standing_lines = {STANDING}, proxies_avoid = True)\n\
+             governor(name = \"g{place}\", keys = [{key:?}])\n\
              replicas(cold_share = {}, warm_after = {})\n\
              channel(lines_per_s = {}, head_lines = {}, waiting_most = {}, \
              messages_most = {}, messages_over = {})\n\
@@ -475,6 +492,7 @@
              poll = \"127.0.0.1:{poll}\")\n{groups}",
             day.halls,
             day.relays,
+            day.governors,
             day.cold_share,
             day.warm_after,
             tape::LINES_PER_S,
@@ -484,11 +502,14 @@
             tape::MESSAGES.1,
         );
         std::fs::write(folder.join("settings.star"), settings)?;
+        let uri = |port| format!("http://127.0.0.1:{port}");
+        let dialled =
+            wrenthread_client::Governor { name: format!("g{place}"), grpc: uri(grpc), poll: uri(poll) };
         Ok(Governor {
+            place,
             program,
             folder,
-            grpc: format!("http://127.0.0.1:{grpc}"),
-            poll: format!("http://127.0.0.1:{poll}"),
+            dialled,
             http: format!("127.0.0.1:{http}"),
             child: RefCell::new(None),
             dead: Cell::new(true),
@@ -512,7 +533,7 @@
         self.dead.set(false);
         for _ in 0..200 {
             if tokio::net::TcpStream::connect(&self.http).await.is_ok() {
-                tape.add(What::Governor { up: true });
+                tape.add(What::Governor { governor: self.place, up: true });
                 return Ok(());
             }
             sleep(Duration::from_millis(20)).await;
--- a/crates/rehearsal/src/relay.rs
+++ b/crates/rehearsal/src/relay.rs
@@ -16,13 +16,16 @@
 use tokio::time::{sleep, timeout};
 use wrenthread::interface::FurtherTries;
 use wrenthread_client::keeper::{Keeper, Outcome, Standing};
-use wrenthread_client::{Ordered, Watch, Who, grpc, poll};
+use wrenthread_client::{Governor, Ordered, Watch, Who, answers, grpc, poll};
+use wrenthread_core::takeover::Dialer;
 
 use crate::tape::{End, FLOWS, GROUPS, Tape, What};
 use crate::worker::Worker;
 
 /// A relay keeps away from a worker for so long after so many of its own tries in a row were dropped there.
 const AVOID: (u32, Duration) = (3, Duration::from_secs(3));
+/// A home must answer for so long before relays go there, and they do within so long.
+const HOME: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(4));
 const CONNECT: Duration = Duration::from_millis(250);
 
 /// By which front a relay follows its governor.
@@ -43,6 +46,9 @@
     keeper: Rc<RefCell<Keeper>>,
     versions: Rc<RefCell<grpc::Versions>>,
     session: RefCell<Option<Rc<poll::Session>>>,
+    /// Whom it follows now.
+    at: RefCell<Governor>,
+    moved: Notify,
     cut: Notify,
     /// Reports come so many seconds late, and twice.
     late: Cell<f64>,
@@ -58,13 +64,15 @@
 /// Tapes what the client library sees.
 struct Taped<'a> {
     relay: &'a Relay,
+    governor: usize,
     joined: Cell<bool>,
+    ever: Cell<bool>,
 }
 
 impl Watch for Taped<'_> {
     fn joined(&self) {
         self.joined.set(true);
-        self.relay.tape.add(What::Joined { relay: self.relay.place });
+        self.relay.tape.add(What::Joined { relay: self.relay.place, governor: self.governor });
     }
 
     fn broken(&self) {
@@ -78,8 +86,10 @@
         let tables = tables.iter().map(|(group, (lines, level))| {
             (group.clone(), (lines.iter().map(|(at, _)| worker(at)).collect(), *level))
         });
-        let (relay, nonce) = (self.relay.place, mark.to_string());
-        self.relay.tape.add(What::Order { relay, nonce, lines, tables: tables.collect() });
+        // A dial that got no further than its first message found nobody.
+        self.ever.set(true);
+        let (relay, governor, nonce) = (self.relay.place, self.governor, mark.to_string());
+        self.relay.tape.add(What::Order { relay, governor, nonce, lines, tables: tables.collect() });
     }
 
     fn answered(&self, mark: &str, taken: bool) {
@@ -115,6 +125,8 @@
             keeper: Rc::new(RefCell::new(keeper)),
             versions: Rc::default(),
             session: RefCell::new(None),
+            at: RefCell::default(),
+            moved: Notify::new(),
             cut: Notify::new(),
             late: Cell::new(0.0),
             reports: Cell::new(0),
@@ -199,43 +211,76 @@
 
     // ---- the governor
 
-    /// Follows the governor, again and again, over broken streams and dead governors.
-    pub async fn follow(self: Rc<Self>, grpc: String, polled: String) {
+    /// Follows a governor, again and again, over broken streams and dead governors: its home, or the next in rank
+    /// while that can't be had.
+    pub async fn follow(self: Rc<Self>, governors: Rc<Vec<Governor>>) {
+        let names: Vec<&str> = governors.iter().map(|governor| governor.name.as_str()).collect();
+        let mut dialer = Dialer::new(&self.who.name, &names, HOME.0, HOME.1);
         loop {
-            let watch = Taped { relay: &self, joined: Cell::new(false) };
+            let place = dialer.dials();
+            let governor = &governors[place];
+            self.at.replace(governor.clone());
+            self.moved.notify_waiters();
+            let watch =
+                Taped { relay: &self, governor: place, joined: Cell::new(false), ever: Cell::new(false) };
             let cut = self.cut.notified();
             let (keeper, versions) = (&self.keeper, &self.versions);
             let stream = async {
                 match self.front {
                     Front::StateOfTheWorld => {
-                        grpc::follow(&grpc, &self.who, false, keeper, versions, &watch).await
+                        grpc::follow(governor, &self.who, false, keeper, versions, &watch).await
                     }
-                    Front::Delta => grpc::follow(&grpc, &self.who, true, keeper, versions, &watch).await,
+                    Front::Delta => grpc::follow(governor, &self.who, true, keeper, versions, &watch).await,
                     Front::LongPoll => {
-                        let session = Rc::new(poll::Session::join(&polled, &self.who, keeper).await?);
+                        let session = Rc::new(poll::Session::join(&governor.poll, &self.who, keeper).await?);
                         watch.joined();
                         *self.session.borrow_mut() = Some(session.clone());
                         poll::follow(&session, keeper, &watch).await
                     }
                 }
             };
-            tokio::select! {
-                _ = stream => {}
-                () = cut => {}
-            }
+            let home = governors[dialer.home()].grpc.clone();
+            let going_home = async {
+                loop {
+                    sleep(Duration::from_millis(500)).await;
+                    let there = dialer.is_home() || answers(&home).await;
+                    if dialer.home_asked(self.now(), there) {
+                        return;
+                    }
+                }
+            };
+            let went = tokio::select! {
+                _ = stream => false,
+                () = cut => false,
+                () = going_home => true,
+            };
             *self.session.borrow_mut() = None;
+            let ever = watch.ever.get();
             watch.broken();
-            sleep(Duration::from_secs_f64(0.2 + 0.3 * self.chance())).await;
+            drop(watch);
+            // A broken stream is tried again where it was; only who can't be had is passed over.
+            if !went && !ever {
+                dialer.lost();
+            }
+            sleep(Duration::from_secs_f64(0.1 + 0.2 * self.chance())).await;
         }
     }
 
-    /// Reports what it met, again and again.
-    pub async fn report(self: Rc<Self>, grpc: String) {
+    /// Reports what it met to whichever governor it follows, again and again.
+    pub async fn report(self: Rc<Self>) {
         loop {
-            let _ = match self.front {
-                Front::LongPoll => self.report_by_poll().await,
-                _ => self.report_by_grpc(&grpc).await,
+            let moved = self.moved.notified();
+            let uri = self.at.borrow().grpc.clone();
+            let reporting = async {
+                match self.front {
+                    Front::LongPoll => self.report_by_poll().await,
+                    _ => self.report_by_grpc(&uri).await,
+                }
             };
+            tokio::select! {
+                _ = reporting => {}
+                () = moved => {}
+            }
             sleep(Duration::from_millis(300)).await;
         }
     }
--- a/crates/rehearsal/src/tape.rs
+++ b/crates/rehearsal/src/tape.rs
@@ -37,6 +37,7 @@
         listed: Vec<Listed>,
     },
     Governor {
+        governor: usize,
         up: bool,
     },
     /// A worker's process began, cold (or, at the day's start, warm).
@@ -47,6 +48,7 @@
     /// A relay's first message on a stream of the governor's.
     Joined {
         relay: usize,
+        governor: usize,
     },
     Broken {
         relay: usize,
@@ -54,6 +56,7 @@
     /// A response of the governor's: its nonce, and for tables the open lines by group, and the levels.
     Order {
         relay: usize,
+        governor: usize,
         nonce: String,
         lines: usize,
         tables: BTreeMap<String, (Vec<usize>, f64)>,
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -21,7 +21,7 @@
     /// Load reports of a share of the relays come late, and twice.
     LateReports { share: f64, late: f64 },
     /// The governor is killed once so many orders of a flush are out, and is started again at the end.
-    Kill { after_orders: usize },
+    Kill { governor: usize, after_orders: usize },
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -44,6 +44,8 @@
     pub cold_share: f64,
     pub warm_after: f64,
     pub drain_grace: f64,
+    pub governors: usize,
+    pub care_for: f64,
     pub bare_for: f64,
     pub fall_multiple: f64,
     pub overload_for: f64,
@@ -79,7 +81,10 @@
             },
             "broken_streams" => Trouble::BrokenStreams { share },
             "late_reports" => Trouble::LateReports { share, late: read.number("late") },
-            "kill_governor" => Trouble::Kill { after_orders: read.whole("after_orders") as usize },
+            "kill_governor" => Trouble::Kill {
+                governor: read.whole("governor") as usize,
+                after_orders: read.whole("after_orders") as usize,
+            },
             other => {
                 let near = schema::nearest(other, KINDS.into_iter());
                 let near = near.map_or_else(|| KINDS.join(", "), |near| format!("did you mean `{near}`?"));
@@ -107,6 +112,8 @@
         cold_share: day.number("cold_share"),
         warm_after: day.number("warm_after"),
         drain_grace: day.number("drain_grace"),
+        governors: day.whole("governors") as usize,
+        care_for: day.number("care_for"),
         bare_for: day.number("bare_for"),
         fall_multiple: day.number("fall_multiple"),
         overload_for: day.number("overload_for"),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -92,6 +92,8 @@
 pub struct Settings {
     pub groups: Vec<Group>,
     pub zones: Vec<String>,
+    pub governor: String,
+    pub keys: Vec<PathBuf>,
     pub governors: u64,
     pub proxies: u64,
     pub standing_lines: u64,
@@ -133,8 +135,11 @@
     let text = std::fs::read_to_string(path)
         .map_err(|error| Faults(vec![Fault { file: file.clone(), line: 0, why: error.to_string() }]))?;
     let mut settings = parse(&file, &text)?;
-    if let (RosterSource::File(roster), Some(folder)) = (&mut settings.roster, path.parent()) {
-        *roster = folder.join(&*roster);
+    if let Some(folder) = path.parent() {
+        if let RosterSource::File(roster) = &mut settings.roster {
+            *roster = folder.join(&*roster);
+        }
+        settings.keys.iter_mut().for_each(|key| *key = folder.join(&*key));
     }
     Ok(settings)
 }
@@ -182,6 +187,20 @@
         check.fault(0, format!("{} groups; say `group(...)` for 1 to 64", groups.len()));
     }
     let fleet = check.read("fleet", one("fleet"));
+    let governor = check.read("governor", one("governor"));
+    let name = governor.text("name").unwrap_or_default();
+    if name.len() > 64 || !name.chars().all(|c| c.is_ascii_alphanumeric() || c == '-' || c == '_') {
+        check.fault(
+            governor.line,
+            format!("`name` is \"{name}\"; it takes up to 64 letters, digits, `-` and `_`"),
+        );
+    }
+    if fleet.whole("governors") > 1 && name.is_empty() && check.faults.is_empty() {
+        check.fault(
+            fleet.line,
+            "several governors share the fleet: say this one's `governor(name = ...)`".into(),
+        );
+    }
     let replicas = check.read("replicas", one("replicas"));
     let channel = check.read("channel", one("channel"));
     let reports = check.read("reports", one("reports"));
@@ -234,6 +253,8 @@
     Ok(Settings {
         groups,
         zones,
+        governor: name,
+        keys: governor.texts("keys").into_iter().map(PathBuf::from).collect(),
         governors: fleet.whole("governors"),
         proxies: fleet.whole("proxies"),
         standing_lines: fleet.whole("standing_lines"),
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -112,6 +112,20 @@
             field("joined_most", Takes::Whole(1, 32_766), Number(32_766.0), "proxies joined here at once"),
         ],
     },
+    Section {
+        name: "governor",
+        many: false,
+        says: "this governor, among those that share the fleet",
+        fields: &[
+            field("name", Takes::Text, Open, "letters, digits, `-` and `_`; each governor has its own"),
+            field(
+                "keys",
+                Takes::Texts,
+                Open,
+                "files with secrets that all share; the first signs, all count",
+            ),
+        ],
+    },
     Section {
         name: "replicas",
         many: false,
@@ -251,6 +265,13 @@
                 Number(3.0),
                 "no try so long after a drain was listed",
             ),
+            field("governors", Takes::Whole(1, 8), Number(1.0), "governors that can't reach each other"),
+            field(
+                "care_for",
+                Takes::Seconds(0.1, 60.0),
+                Number(5.0),
+                "no relay without a governor for so long",
+            ),
             field("bare_for", Takes::Seconds(0.1, 60.0), Number(2.0), "no relay without a line for so long"),
             field(
                 "fall_multiple",
@@ -273,6 +294,7 @@
             field("count", Takes::Whole(1, 1000), Number(1.0), "how many workers"),
             field("late", Takes::Seconds(0.0, 60.0), Number(2.0), "how late reports come"),
             field("step", Takes::Seconds(0.1, 600.0), Number(2.0), "from one worker of a deploy to the next"),
+            field("governor", Takes::Whole(0, 7), Number(0.0), "which governor"),
             field("after_orders", Takes::Whole(1, 1000), Number(4.0), "orders of a flush that still go out"),
         ],
     },
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -111,6 +111,13 @@
         once!("fleet", kwargs, eval)
     }
 
+    fn governor<'v>(
+        #[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        once!("governor", kwargs, eval)
+    }
+
     fn replicas<'v>(
         #[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>,
         eval: &mut Evaluator<'v, '_, '_>,
--- a/crates/xds/src/decode.rs
+++ b/crates/xds/src/decode.rs
@@ -89,13 +89,18 @@
         }
     };
     let bad = |field, why: &str| Unclear::Metadata { node: name.into(), field, why: why.into() };
-    let mut join = Join { name: Arc::from(name), zone, usual, standing: Vec::new(), holds_orders };
+    let mut join =
+        Join { name: Arc::from(name), zone, usual, standing: Vec::new(), holds_orders, claim: None };
     let metadata = node.metadata.as_ref().and_then(|metadata| field(metadata, METADATA));
     let Some(value::Kind::StructValue(said)) = metadata else { return Ok(join) };
     if said.fields.contains_key("usual") {
         let usual = number(field(said, "usual")).filter(|usual| *usual >= 0.0);
         join.usual = usual.ok_or_else(|| bad("usual", "is not a number of flows a second"))?;
     }
+    if let Some(claim) = field(said, "claim") {
+        let value::Kind::StringValue(claim) = claim else { return Err(bad("claim", "is not a text")) };
+        join.claim = Some(claim.clone());
+    }
     if let Some(standing) = field(said, "standing") {
         let value::Kind::ListValue(lines) = standing else { return Err(bad("standing", "is not a list")) };
         if lines.values.len() > MOST_STANDING {
@@ -243,6 +248,8 @@
     fn wire() -> Wire {
         Wire {
             epoch: 1,
+            governor: String::new(),
+            key: None,
             zones: vec!["north".into(), "south".into()],
             groups: vec![crate::WireGroup {
                 name: "match".into(),
--- a/crates/xds/src/encode.rs
+++ b/crates/xds/src/encode.rs
@@ -309,6 +309,8 @@
         };
         Wire {
             epoch: 7,
+            governor: String::new(),
+            key: None,
             zones: vec!["north".into(), "south".into()],
             groups: vec![
                 group("match", Route::Prefix("/match".into())),
@@ -355,7 +357,14 @@
     fn the_same_content_has_the_same_mark() {
         let table = Table { lines: vec![line("a", 0, 1.0, true)], level: 1.0 };
         let one = packed(&assignment(&wire(), "match", &table));
-        assert_eq!(digest(&one), digest(&packed(&assignment(&Wire { epoch: 8, ..wire() }, "match", &table))));
+        assert_eq!(
+            digest(&one),
+            digest(&packed(&assignment(
+                &Wire { epoch: 8, governor: String::new(), key: None, ..wire() },
+                "match",
+                &table
+            )))
+        );
         let other = Table { level: 0.5, ..table };
         assert_ne!(digest(&one), digest(&packed(&assignment(&wire(), "match", &other))));
     }
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -28,6 +28,10 @@
 pub struct Wire {
     /// This governor's life; versions and nonces carry it.
     pub epoch: u64,
+    /// This governor's name among those that share the fleet; empty where it is alone.
+    pub governor: String,
+    /// What it signs claims with; none are given without it.
+    pub key: Option<wrenthread_core::takeover::Key>,
     pub zones: Vec<String>,
     pub groups: Vec<WireGroup>,
     /// How often proxies are to report.
@@ -38,6 +42,21 @@
     pub answer_metric: String,
 }
 
+impl Wire {
+    /// The signed word that a proxy holds this governor's orders up to a version.
+    pub fn claim(&self, proxy: &str, version: u64) -> Option<String> {
+        let (governor, proxy) = (self.governor.clone(), proxy.to_string());
+        let claim = wrenthread_core::takeover::Claim { governor, epoch: self.epoch, version, proxy };
+        self.key.as_ref().map(|key| wrenthread_core::takeover::sign(key, &claim))
+    }
+
+    /// Who says so, in each response: `wrenthread/GOVERNOR/EPOCH`, and the claim behind it if there is one.
+    pub fn identifier(&self, proxy: &str, version: u64) -> String {
+        let claim = self.claim(proxy, version).map_or_else(String::new, |claim| format!("/{claim}"));
+        format!("wrenthread/{}/{:x}{claim}", self.governor, self.epoch)
+    }
+}
+
 /// A traffic group: a cluster of its own and a route to it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WireGroup {
--- a/crates/xds/src/session.rs
+++ b/crates/xds/src/session.rs
@@ -409,7 +409,7 @@
         }
         subscription.outstanding.push_back((nonce.clone(), newest));
         subscription.last.clone_from(&nonce);
-        let control_plane = Some(ControlPlane { identifier: format!("wrenthread/{:x}", self.epoch) });
+        let control_plane = Some(ControlPlane { identifier: wire.identifier(&proxy.name, newest) });
         let version = format!("{:x}.{newest}", self.epoch);
         let lines = (lines + gone.len()).max(1);
         let response = match self.delta {
--- a/crates/xds/src/upstream.rs
+++ b/crates/xds/src/upstream.rs
@@ -156,6 +156,8 @@
     fn wire() -> Wire {
         Wire {
             epoch: 1,
+            governor: String::new(),
+            key: None,
             zones: vec!["north".into()],
             groups: vec![],
             report_every: Duration::from_secs(1),
