--- a/crates/client/examples/follow.rs
+++ b/crates/client/examples/follow.rs
@@ -1,5 +1,5 @@
-//! Follows a governor by long-poll and prints what it is told: `cargo run -p wrenthread-client --example follow --
-//! http://127.0.0.1:15012 NAME ZONE GROUP ...`
+//! Follows a governor by long-poll and prints what it is told: `cargo run -p wrenthread-client --example
+//! follow -- http://127.0.0.1:15012 NAME ZONE GROUP ...`
 
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/crates/client/src/grpc.rs
+++ b/crates/client/src/grpc.rs
@@ -80,7 +80,8 @@
     [(Kind::Endpoints, keeper.groups().to_vec()), (Kind::Clusters, vec![]), (Kind::Routes, routes)]
 }
 
-/// Checks an order against the fence, if its governor is one of several: who says it, in which life, up to where.
+/// Checks an order against the fence, if its governor is one of several: who says it, in which life, up to
+/// where.
 fn heed(
     governor: &Governor,
     keeper: &Rc<RefCell<Keeper>>,
--- a/crates/client/src/keeper.rs
+++ b/crates/client/src/keeper.rs
@@ -157,8 +157,8 @@
         self.held.as_ref()
     }
 
-    /// Whether it holds anything but its standing table: also where a delta did not come out and the next question
-    /// asks for the whole.
+    /// Whether it holds anything but its standing table: also where a delta did not come out and the next
+    /// question asks for the whole.
     pub fn has_orders(&self) -> bool {
         self.told.iter().any(Option::is_some)
     }
--- a/crates/client/tests/model.rs
+++ b/crates/client/tests/model.rs
@@ -1,5 +1,5 @@
-//! Both fronts against one model: proxies on one engine, by state of the world, by delta and by long-poll, that
-//! skip, repeat and lose what they are told and start over, all end on what the engine says.
+//! Both fronts against one model: proxies on one engine, by state of the world, by delta and by long-poll,
+//! that skip, repeat and lose what they are told and start over, all end on what the engine says.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -56,7 +56,7 @@
 /// One proxy of each kind: what it holds of the first group, and how it hears.
 enum Proxy {
     Ads { delta: bool, session: Option<Session>, held: Option<(Table, String)> },
-    Poll(Keeper),
+    Poll(Box<Keeper>),
 }
 
 struct World {
@@ -72,7 +72,7 @@
         let now = Duration::from_secs(1000);
         let ads = |delta| Proxy::Ads { delta, session: None, held: None };
         let keeper = || Keeper::new(vec!["match".into(), "charge".into()], vec![], None);
-        let proxies = vec![ads(false), ads(true), Proxy::Poll(keeper())];
+        let proxies = vec![ads(false), ads(true), Proxy::Poll(Box::new(keeper()))];
         let engine = Engine::new(Setup::example(2), now);
         let mut world = World { engine, now, streams: 0, polls: Polls::default(), proxies };
         world.list(0b1111);
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -17,7 +17,8 @@
 //!     id: "r1".into(), address: "10.0.0.1:80".into(), zone: 0, weight: 1.0, phase: Phase::Ready,
 //!     started: None,
 //! }]);
-//! let join = Join { name: "p".into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: false, claim: None };
+//! let (name, standing) = ("p".into(), vec![]);
+//! let join = Join { name, zone: 0, usual: 1.0, standing, holds_orders: false, claim: None };
 //! let number = engine.joined(now, 1, &join).unwrap().number;
 //! // The module gives its holdings to who came with none that it knows.
 //! let later = now + Duration::from_millis(250);
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -96,9 +96,9 @@
         if self.follows.iter().any(Option::is_some) { Kind::Own } else { Kind::Standing }
     }
 
-    /// Whether there is a word for it: tables, or that it stays on its standing one. Of a proxy that came with
-    /// orders of its own, or with none that are known, nothing can be said before the module has spoken: "no
-    /// table" would take away what it holds.
+    /// Whether there is a word for it: tables, or that it stays on its standing one. Of a proxy that came
+    /// with orders of its own, or with none that are known, nothing can be said before the module has spoken:
+    /// "no table" would take away what it holds.
     pub fn has_word(&self) -> bool {
         self.fresh || self.tables.iter().any(Option::is_some)
     }
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -1,5 +1,5 @@
-//! Whose care a proxy is in, where nobody can be asked: to which governor it goes, whose orders it heeds, how it
-//! shows whose orders it holds, and when it goes home. No I/O, no clock.
+//! Whose care a proxy is in, where nobody can be asked: to which governor it goes, whose orders it heeds, how
+//! it shows whose orders it holds, and when it goes home. No I/O, no clock.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -96,7 +96,8 @@
         .then(|| (0..text.len()).step_by(2).map(pair).collect())?
 }
 
-/// Signs a claim: `KEY.GOVERNOR.EPOCH.VERSION.PROXY.MAC`, names in hexadecimal, so that nothing needs quoting.
+/// Signs a claim: `KEY.GOVERNOR.EPOCH.VERSION.PROXY.MAC`, names in hexadecimal, so that nothing needs
+/// quoting.
 pub fn sign(key: &Key, claim: &Claim) -> String {
     let (governor, proxy) = (hex(claim.governor.as_bytes()), hex(claim.proxy.as_bytes()));
     let said = format!("{}.{governor}.{:x}.{:x}.{proxy}", key.id, claim.epoch, claim.version);
@@ -142,16 +143,17 @@
     OlderVersion,
 }
 
-/// At the proxy: whose orders it heeds. One governor's one life at a time, and of each governor never an older
-/// life than the newest that was ever heeded; so two that both believe they own a proxy, and one that stalls and
-/// wakes with old orders, do no harm.
+/// At the proxy: whose orders it heeds. One governor's one life at a time, and of each governor never an
+/// older life than the newest that was ever heeded; so two that both believe they own a proxy, and one that
+/// stalls and wakes with old orders, do no harm.
 #[derive(Debug, Clone, Default)]
 pub struct Fence {
     following: Option<String>,
     newest: BTreeMap<String, (u64, u64)>,
 }
 
-/// Governors whose lives a fence remembers. There are never so many; a made-up name in each order would fill it.
+/// Governors whose lives a fence remembers. There are never so many; a made-up name in each order would fill
+/// it.
 const MOST_GOVERNORS: usize = 64;
 
 impl Fence {
@@ -189,8 +191,8 @@
 }
 
 impl Homeward {
-    /// `steady`: its home must have answered for so long without a break; then it goes within `over`, at a moment
-    /// that its name settles, so that a fleet comes home evenly and the same way each time.
+    /// `steady`: its home must have answered for so long without a break; then it goes within `over`, at a
+    /// moment that its name settles, so that a fleet comes home evenly and the same way each time.
     pub fn new(proxy: &str, steady: Duration, over: Duration) -> Self {
         let hash = blake3::derive_key("wrenthread 2026 homeward", proxy.as_bytes());
         let part = u32::from_le_bytes([hash[0], hash[1], hash[2], hash[3]]);
@@ -215,8 +217,8 @@
 
 /// Which governor a proxy dials next, and when it leaves one for its home.
 ///
-/// A governor that can't be had is passed over for the next in rank; after the last it begins anew at home. So a
-/// proxy whose governors are all dead goes round until one is back.
+/// A governor that can't be had is passed over for the next in rank; after the last it begins anew at home.
+/// So a proxy whose governors are all dead goes round until one is back.
 #[derive(Debug, Clone)]
 pub struct Dialer {
     ranking: Vec<usize>,
@@ -225,7 +227,8 @@
 }
 
 impl Dialer {
-    /// `governors`: their names, the same list at every proxy; empty is of no use, and dials the first for ever.
+    /// `governors`: their names, the same list at every proxy; empty is of no use, and dials the first for
+    /// ever.
     pub fn new(proxy: &str, governors: &[&str], steady: Duration, over: Duration) -> Self {
         let ranking = ranking(proxy, governors);
         Dialer { ranking, at: 0, homeward: Homeward::new(proxy, steady, over) }
--- a/crates/daemon/benches/fronts.rs
+++ b/crates/daemon/benches/fronts.rs
@@ -1,7 +1,7 @@
 //! What a change costs by each front: bytes, processor time, and the time of a step back.
 //!
-//! `cargo bench -p wrenthread-daemon --bench fronts [-- RELAYS]`; figures of one run are to be compared with each
-//! other only.
+//! `cargo bench -p wrenthread-daemon --bench fronts [-- RELAYS]`; figures of one run are to be compared with
+//! each other only.
 
 mod common;
 
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -198,8 +198,8 @@
         }
     }
 
-    /// Whose orders a proxy says that it holds. Nothing hangs on it but the log: whoever came with orders is given
-    /// a whole state by the module, so neither a stale claim nor a forged one brings old orders back.
+    /// Whose orders a proxy says that it holds. Nothing hangs on it but the log: whoever came with orders is
+    /// given a whole state by the module, so neither a stale claim nor a forged one brings old orders back.
     fn claimed(&mut self, proxy: &str, claim: Option<&str>) {
         let Some(claim) = claim else { return };
         match takeover::prove(&self.keys, proxy, claim) {
--- a/crates/poll/src/polls.rs
+++ b/crates/poll/src/polls.rs
@@ -114,8 +114,8 @@
     ) -> Result<Asked<R>, (NoSession, R)> {
         let Some(poller) = self.sessions.get_mut(&session) else { return Err((NoSession, reply)) };
         let known = held.filter(|(version, digest)| history.held(number, *version, digest).is_some());
-        // A version of another life is known by its content alone. One that is kept here never is: were digests
-        // alike by somebody's fault, a proxy would stay on an old table for ever.
+        // A version of another life is known by its content alone. One that is kept here never is: were
+        // digests alike by somebody's fault, a proxy would stay on an old table for ever.
         poller.said = held.filter(|_| known.is_none()).map(|(_, digest)| digest);
         let newest = history.newest(number).filter(|newest| poller.said == Some(newest.digest));
         poller.held = known.or(newest.map(|newest| (newest.version, newest.digest)));
--- a/crates/rehearsal/src/check.rs
+++ b/crates/rehearsal/src/check.rs
@@ -293,7 +293,8 @@
     broken
 }
 
-/// Orders that a relay took in from an older life of a governor than one before, or from one that it was not with.
+/// Orders that a relay took in from an older life of a governor than one before, or from one that it was not
+/// with.
 pub fn fenced(tape: &[Entry]) -> Vec<String> {
     let (mut joined, mut broken) = (Joined::default(), Vec::new());
     let mut lives: BTreeMap<(usize, usize), u64> = BTreeMap::new();
--- a/crates/rehearsal/src/relay.rs
+++ b/crates/rehearsal/src/relay.rs
@@ -211,8 +211,8 @@
 
     // ---- the governor
 
-    /// Follows a governor, again and again, over broken streams and dead governors: its home, or the next in rank
-    /// while that can't be had.
+    /// Follows a governor, again and again, over broken streams and dead governors: its home, or the next in
+    /// rank while that can't be had.
     pub async fn follow(self: Rc<Self>, governors: Rc<Vec<Governor>>) {
         let names: Vec<&str> = governors.iter().map(|governor| governor.name.as_str()).collect();
         let mut dialer = Dialer::new(&self.who.name, &names, HOME.0, HOME.1);
@@ -257,7 +257,6 @@
             *self.session.borrow_mut() = None;
             let ever = watch.ever.get();
             watch.broken();
-            drop(watch);
             // A broken stream is tried again where it was; only who can't be had is passed over.
             if !went && !ever {
                 dialer.lost();
