--- a/crates/daemon/benches/fronts.rs
+++ b/crates/daemon/benches/fronts.rs
@@ -212,7 +212,8 @@
 fn main() {
     let relays = std::env::args().find_map(|one| one.parse().ok()).unwrap_or(1000);
     println!(
-        "| front | relays | bytes of a whole | bytes an answer | bytes a change and relay | cpu a change and relay, us | \
+        "| front | relays | bytes of a whole | bytes an answer | bytes a change and relay | \
+        cpu a change and relay, us | \
         step back to last ack, ms | history, lines | resident, MiB |"
     );
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -481,7 +481,8 @@
             })
             .collect();
         let settings = format!(
-            "fleet(zones = {:?}, proxies = {}, governors = {}, standing_lines = {STANDING}, proxies_avoid = True)\n\
+            "fleet(zones = {:?}, proxies = {}, governors = {}, \
+             standing_lines = {STANDING}, proxies_avoid = True)\n\
              governor(name = \"g{place}\", keys = [{key:?}])\n\
              replicas(cold_share = {}, warm_after = {})\n\
              channel(lines_per_s = {}, head_lines = {}, waiting_most = {}, \
