Governors of tests and rehearsals take ports that no outgoing connection is given

Cause: with eight rehearsals at once two of them found a governor's port taken when it started; an outgoing connection may sit on a port that was free a moment ago, most of all while a killed governor is away.

Change: ports below the system's range for outgoing connections, looked for from another place by each process.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
@@ -24,8 +25,16 @@
     }
 }
 
+/// A port below those that the system gives to outgoing connections: one of these must not sit on a
+/// governor's port while the governor is down. Each process begins to look elsewhere.
 pub fn port() -> u16 {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let port = || {
+        let place = std::process::id().wrapping_mul(97).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        15_100 + (place % 17_000) as u16
+    };
+    let free = |port: &u16| std::net::TcpListener::bind(("127.0.0.1", *port)).is_ok();
+    std::iter::repeat_with(port).take(1000).find(free).expect("a free port on loopback")
 }
 
 pub async fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -16,6 +16,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result, bail};
@@ -457,8 +458,17 @@
     killed_after: Cell<Option<usize>>,
 }
 
+/// A port below those that the system gives to outgoing connections: one of these must not sit on a
+/// governor's port while the governor is down. Each process begins to look elsewhere.
 fn free_port() -> Result<u16> {
-    Ok(std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let port = || {
+        let place = std::process::id().wrapping_mul(97).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        15_100 + (place % 17_000) as u16
+    };
+    let mut ports = std::iter::repeat_with(port).take(1000);
+    let free = |port: &u16| std::net::TcpListener::bind(("127.0.0.1", *port)).is_ok();
+    ports.find(free).context("no free port on loopback")
 }
 
 impl Governor {
