--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -136,7 +136,7 @@
     #[command(hide = true)]
     ReadSettings { settings: PathBuf },
     /// Rehearse a bad day on stand-in relays and workers, and judge it by what crossed the sockets
-    #[command(after_help = "Example: wrenthread rehearse bad-day --seed 3\nDays: bad-day, short")]
+    #[command(after_help = "Example: wrenthread rehearse bad-day --seed 3\nDays: bad-day, short, takeover")]
     Rehearse {
         day: String,
         /// Seeds; each is a day of its own
