One place each for hexadecimal, for words of further tries, and for who says an order

Cause: read again as a whole, the change had hexadecimal written twice, the words of further tries twice, the reader of an order's origin in the client while its writer is in the xDS package, and three functions that nobody calls.

Change: versions::hex and unhex, forms::tries_word, xds::said_by beside Wire::identifier; unused ones are gone.

--- a/crates/client/src/grpc.rs
+++ b/crates/client/src/grpc.rs
@@ -30,6 +30,7 @@
 use wrenthread_xds::pb::envoy::service::load_stats::v3::{LoadStatsRequest, LoadStatsResponse};
 use wrenthread_xds::pb::google::protobuf::{Any, ListValue, Struct, Value, value};
 use wrenthread_xds::pb::google::rpc::Status;
+use wrenthread_xds::said_by;
 
 use crate::keeper::{Keeper, Stats};
 use crate::{Error, Governor, Ordered, Watch, Who};
@@ -92,11 +93,8 @@
         return Ok(());
     }
     let said = control.map(|control| control.identifier.as_str()).unwrap_or_default();
-    let mut parts = said.splitn(4, '/').skip(1);
-    let (name, epoch, claim) = (parts.next(), parts.next(), parts.next());
-    let epoch = epoch.and_then(|epoch| u64::from_str_radix(epoch, 16).ok());
     let version = version.rsplit_once('.').and_then(|(_, version)| version.parse().ok());
-    let (Some(name), Some(epoch), Some(version)) = (name, epoch, version) else {
+    let (Some((name, epoch, claim)), Some(version)) = (said_by(said), version) else {
         return Err(unclear("an order that does not say whose it is"));
     };
     Ok(keeper.borrow_mut().heed(name, epoch, version, claim)?)
--- a/crates/client/src/poll.rs
+++ b/crates/client/src/poll.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use reqwest::{Client, RequestBuilder, StatusCode};
+use wrenthread_core::versions::hex;
 use wrenthread_poll::forms::{
-    JoinAsked, JoinTold, MetTold, ReportAsked, ReportTold, StandingLine, TablesTold, Terms, Trouble, hex,
+    JoinAsked, JoinTold, MetTold, ReportAsked, ReportTold, StandingLine, TablesTold, Terms, Trouble,
 };
 use wrenthread_poll::service::CBOR;
 
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -183,10 +183,6 @@
         self.waiting as f64 + heads + debt + lines <= 0.8 * self.channel.waiting_most
     }
 
-    pub fn head_lines(&self) -> f64 {
-        self.channel.head_lines
-    }
-
     /// The least that must be in store for a flush. A drain may go into debt with the channel, by one burst
     /// at most; the rest then waits the longer.
     fn least(&self, line: &Line, urgent: bool) -> f64 {
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -42,7 +42,6 @@
     empty_after: Duration,
     /// Since when the source has said that there are no replicas at all.
     empty_since: Option<Duration>,
-    lists: u64,
 }
 
 /// What became of a list.
@@ -59,19 +58,12 @@
 impl Roster {
     /// `empty_after`: how long an empty list must stand before it is believed.
     pub fn new(empty_after: Duration) -> Self {
-        Roster {
-            known: BTreeMap::new(),
-            by_address: BTreeMap::new(),
-            empty_after,
-            empty_since: None,
-            lists: 0,
-        }
+        Roster { known: BTreeMap::new(), by_address: BTreeMap::new(), empty_after, empty_since: None }
     }
 
     /// Takes a whole list. What it leaves out is gone. A start later than `now` is taken for `now`: the
     /// source's clock runs ahead, and a replica from the future would count as cold for too long.
     pub fn take(&mut self, now: Duration, entries: Vec<Entry>) -> Taken {
-        self.lists += 1;
         let held = self.known.values().any(|one| one.phase != Phase::Gone);
         if entries.is_empty() && held {
             let since = *self.empty_since.get_or_insert(now);
@@ -154,11 +146,6 @@
         self.known.iter()
     }
 
-    /// How many lists have come.
-    pub fn lists(&self) -> u64 {
-        self.lists
-    }
-
     pub fn doubted(&self) -> bool {
         self.next_due().is_some()
     }
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::versions::{hex, unhex};
+
 /// The order in which a proxy dials governors: best first, by rendezvous hashing of both names. A dead
 /// governor's proxies spread evenly over the others, nobody else moves, and each comes home to the same one.
 pub fn ranking(proxy: &str, governors: &[&str]) -> Vec<usize> {
@@ -86,16 +88,6 @@
 /// No claim is longer.
 const LONGEST: usize = 2048;
 
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn unhex(text: &str) -> Option<Vec<u8>> {
-    let pair = |at: usize| u8::from_str_radix(text.get(at..at + 2)?, 16).ok();
-    (text.len().is_multiple_of(2) && text.is_ascii())
-        .then(|| (0..text.len()).step_by(2).map(pair).collect())?
-}
-
 /// Signs a claim: `KEY.GOVERNOR.EPOCH.VERSION.PROXY.MAC`, names in hexadecimal, so that nothing needs
 /// quoting.
 pub fn sign(key: &Key, claim: &Claim) -> String {
--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -40,6 +40,18 @@
 
 pub type Digest = [u8; 32];
 
+/// Bytes as text.
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Text as bytes; none if it is not made by [`hex`].
+pub fn unhex(text: &str) -> Option<Vec<u8>> {
+    let pair = |at: usize| u8::from_str_radix(text.get(at..at + 2)?, 16).ok();
+    let pairs = text.len().is_multiple_of(2) && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    pairs.then(|| (0..text.len()).step_by(2).map(pair).collect())?
+}
+
 impl Said {
     pub fn of(table: &Table, tries: FurtherTries) -> Said {
         let open: Vec<_> = table.lines.iter().filter(|line| line.open).collect();
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -7,13 +7,13 @@
 
 use serde_json::{Value, json};
 use tonic::Status;
-use wrenthread::interface::{FurtherTries, Phase, ProxyId};
+use wrenthread::interface::{Phase, ProxyId};
 use wrenthread_core::engine::{Engine, NoStepBack, Note, Scope, Setup, Step, What};
 use wrenthread_core::fleet::{Kind, Proxy, Refused};
 use wrenthread_core::roster::Entry;
 use wrenthread_core::takeover::{self, Key};
 use wrenthread_core::versions;
-use wrenthread_poll::forms::{JoinTold, ReportTold, TablesTold, Terms, unhex};
+use wrenthread_poll::forms::{JoinTold, ReportTold, TablesTold, Terms, digest_of, tries_word};
 use wrenthread_poll::polls::{Due, Polls, Told};
 use wrenthread_poll::service as poll;
 use wrenthread_xds::pb::envoy::admin::v3::ClientResourceStatus;
@@ -277,7 +277,7 @@
         let held = held.map(|(version, digest)| {
             Ok::<_, wrenthread_poll::forms::Unclear>((
                 self.terms.number(&version)?.unwrap_or(0),
-                unhex(&digest)?,
+                digest_of(&digest)?,
             ))
         });
         let held = match held.transpose() {
@@ -382,7 +382,7 @@
         }
         while let Some(step) = self.engine.step(now) {
             match step {
-                Step::Flush(number) => chore_of(self.flush(now, number), &mut chore),
+                Step::Flush(number) => self.flush(now, number).into_iter().for_each(&mut chore),
                 Step::Close(session) if self.polls.name(session).is_some() => {
                     if let Some(reply) = self.polls.close(session) {
                         let why = "a later stream or session of this name took over";
@@ -635,7 +635,7 @@
             .map(|one| {
                 json!({
                     "version": one.version, "age_s": now.saturating_sub(one.at).as_secs_f64(),
-                    "lines": one.whole.lines(), "digest": wrenthread_poll::forms::hex(&one.digest)[..16],
+                    "lines": one.whole.lines(), "digest": versions::hex(&one.digest)[..16],
                     "acked": one.version <= proxy.acked,
                 })
             })
@@ -766,17 +766,3 @@
         ClientStatusResponse { config }
     }
 }
-
-fn chore_of(made: Option<Chore>, chore: &mut impl FnMut(Chore)) {
-    if let Some(made) = made {
-        chore(made);
-    }
-}
-
-fn tries_word(tries: FurtherTries) -> &'static str {
-    match tries {
-        FurtherTries::Never => "never",
-        FurtherTries::IfNeverRan => "if-never-ran",
-        FurtherTries::Once => "once",
-    }
-}
--- a/crates/poll/src/forms.rs
+++ b/crates/poll/src/forms.rs
@@ -8,7 +8,7 @@
 use wrenthread::interface::{FurtherTries, ReplicaId};
 use wrenthread_core::fleet::Join;
 use wrenthread_core::reports::{AtReplica, Report};
-use wrenthread_core::versions::{Change, ChangedLine, Delta, Digest, Said, SaidLine, Whole};
+use wrenthread_core::versions::{self, Change, ChangedLine, Delta, Digest, Said, SaidLine, Whole, hex};
 
 /// What names and numbers on the wire stand for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
@@ -158,20 +158,9 @@
     Version(String),
 }
 
-pub fn hex(digest: &Digest) -> String {
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-pub fn unhex(text: &str) -> Result<Digest, Unclear> {
-    let bad = || Unclear::Digest(text.chars().take(80).collect());
-    if text.len() != 64 || !text.is_ascii() {
-        return Err(bad());
-    }
-    let mut digest = [0; 32];
-    for (place, byte) in digest.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * place..2 * place + 2], 16).map_err(|_| bad())?;
-    }
-    Ok(digest)
+pub fn digest_of(text: &str) -> Result<Digest, Unclear> {
+    let digest = versions::unhex(text).and_then(|bytes| bytes.try_into().ok());
+    digest.ok_or_else(|| Unclear::Digest(text.chars().take(80).collect()))
 }
 
 pub fn tries_word(tries: FurtherTries) -> &'static str {
@@ -303,7 +292,7 @@
                     standing: true,
                     lines: Vec::new(),
                     removed: Vec::new(),
-                    level: wrenthread_core::versions::MILLION,
+                    level: versions::MILLION,
                     tries: "never".into(),
                 },
                 Change::Lines { changed, removed, level, tries } => GroupTold {
@@ -359,9 +348,9 @@
             };
             changes.insert(place, lines);
         }
-        let digest = unhex(&told.digest)?;
+        let digest = digest_of(&told.digest)?;
         if let Some(base) = &told.base {
-            return Ok(Err(Delta { base: unhex(base)?, digest, changes }));
+            return Ok(Err(Delta { base: digest_of(base)?, digest, changes }));
         }
         let mut whole = Whole { groups: vec![None; self.groups.len()] };
         for (place, change) in changes {
@@ -420,9 +409,9 @@
             let (one, two, terms) = (state(&one, both), state(&two, other), terms());
             let whole = terms.whole(7, &one.digest(), &one);
             prop_assert_eq!(terms.read(&whole).unwrap(), Ok(one.clone()));
-            let delta = wrenthread_core::versions::delta(&one, one.digest(), &two, two.digest());
+            let delta = versions::delta(&one, one.digest(), &two, two.digest());
             let Err(read) = terms.read(&terms.delta(8, &delta)).unwrap() else { panic!() };
-            prop_assert_eq!(wrenthread_core::versions::apply(&one, one.digest(), &read).unwrap(), two);
+            prop_assert_eq!(versions::apply(&one, one.digest(), &read).unwrap(), two);
         }
 
         /// Cut off or changed bytes: an error, or something with another digest; never a panic.
@@ -457,7 +446,11 @@
         assert_eq!(terms.number("abc.7"), Ok(Some(7)));
         assert_eq!(terms.number("abd.7"), Ok(None));
         assert!(terms.number("abc").is_err() && terms.number("abc.-1").is_err());
-        assert_eq!(unhex(&hex(&[0xa5; 32])), Ok([0xa5; 32]));
-        assert!(unhex("").is_err() && unhex(&"é".repeat(32)).is_err() && unhex(&"g".repeat(64)).is_err());
+        assert_eq!(digest_of(&hex(&[0xa5; 32])), Ok([0xa5; 32]));
+        assert!(
+            digest_of("").is_err()
+                && digest_of(&"é".repeat(32)).is_err()
+                && digest_of(&"g".repeat(64)).is_err()
+        );
     }
 }
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -57,6 +57,13 @@
     }
 }
 
+/// What [`Wire::identifier`] says: the governor, its epoch, and the claim if there is one.
+pub fn said_by(identifier: &str) -> Option<(&str, u64, Option<&str>)> {
+    let mut parts = identifier.strip_prefix("wrenthread/")?.splitn(3, '/');
+    let (name, epoch) = (parts.next()?, parts.next()?);
+    Some((name, u64::from_str_radix(epoch, 16).ok()?, parts.next()))
+}
+
 /// A traffic group: a cluster of its own and a route to it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WireGroup {
@@ -71,3 +78,18 @@
     Prefix(String),
     Header(String, String),
 }
+
+#[cfg(test)]
+mod tests {
+    use super::said_by;
+
+    #[test]
+    fn who_says_an_order_is_read_as_it_was_written() {
+        assert_eq!(said_by("wrenthread/g1/1f"), Some(("g1", 31, None)));
+        assert_eq!(said_by("wrenthread/g1/1f/k.67.1f.2.70.00"), Some(("g1", 31, Some("k.67.1f.2.70.00"))));
+        assert_eq!(
+            (said_by("another/g1/1f"), said_by("wrenthread/g1"), said_by("wrenthread/g1/x")),
+            (None, None, None)
+        );
+    }
+}
--- a/crates/xds/src/session.rs
+++ b/crates/xds/src/session.rs
@@ -147,10 +147,6 @@
         }
     }
 
-    pub fn is_delta(&self) -> bool {
-        self.delta
-    }
-
     /// Whether the proxy has answered all that it was sent.
     pub fn settled(&self) -> bool {
         self.subscriptions.values().all(|one| one.outstanding.is_empty())
