--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -73,6 +73,35 @@
     }
 }
 
+/// What governors say to each other, sealed: `LENGTH NAME MAC BODY`. It shows who may speak, and hides nothing.
+pub fn seal(key: &Key, body: &[u8]) -> Vec<u8> {
+    let mut sealed = Vec::with_capacity(33 + key.id.len() + body.len());
+    sealed.push(key.id.len() as u8);
+    sealed.extend_from_slice(key.id.as_bytes());
+    sealed.extend_from_slice(talk_mac(key, body).as_bytes());
+    sealed.extend_from_slice(body);
+    sealed
+}
+
+/// The body of what was sealed with any live key. An old one is as good as a new one: who hears it must bear
+/// copies anyhow.
+///
+/// Errors: as [`Unproven`].
+pub fn unseal<'a>(keys: &[Key], sealed: &'a [u8]) -> Result<&'a [u8], Unproven> {
+    let (length, rest) = sealed.split_first().ok_or(Unproven::Unclear)?;
+    let (id, rest) = rest.split_at_checked(usize::from(*length)).ok_or(Unproven::Unclear)?;
+    let (mac, body) = rest.split_at_checked(32).ok_or(Unproven::Unclear)?;
+    let key = keys.iter().find(|key| key.id.as_bytes() == id).ok_or(Unproven::Key)?;
+    let mac = blake3::Hash::from_slice(mac).map_err(|_| Unproven::Unclear)?;
+    if talk_mac(key, body) == mac { Ok(body) } else { Err(Unproven::Signature) }
+}
+
+/// A claim is text: no body that begins with a zero is ever one.
+fn talk_mac(key: &Key, body: &[u8]) -> blake3::Hash {
+    let mut hasher = blake3::Hasher::new_keyed(&key.key);
+    hasher.update(&[0]).update(body).finalize()
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Unproven {
     #[error("it is no claim")]
@@ -133,15 +162,19 @@
     OlderLife,
     #[error("it is older than one of the same life that was heeded")]
     OlderVersion,
+    #[error("it was said on an older stream")]
+    OlderStream,
 }
 
 /// At the proxy: whose orders it heeds. One governor's one life at a time, and of each governor never an
 /// older life than the newest that was ever heeded; so two that both believe they own a proxy, and one that
 /// stalls and wakes with old orders, do no harm.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Fence {
     following: Option<String>,
     newest: BTreeMap<String, (u64, u64)>,
+    /// The newest that was heeded of the one that is followed, before its stream of now began.
+    before: Option<(u64, u64)>,
 }
 
 /// Governors whose lives a fence remembers. There are never so many; a made-up name in each order would fill
@@ -149,12 +182,15 @@
 const MOST_GOVERNORS: usize = 64;
 
 impl Fence {
-    /// From now on this governor's orders count, and no other's.
+    /// From now on this governor's orders count, and no other's; a new stream of its begins. What it said on
+    /// an older one doesn't count again: each join gets a version of its own, beyond all that was said before.
     pub fn follow(&mut self, governor: &str) {
+        self.before = self.newest.get(governor).copied();
         self.following = Some(governor.into());
     }
 
-    /// Takes an order in, or refuses it. Within a life versions never go back.
+    /// Takes an order in, or refuses it. Within a life versions never go back, and on one stream the same may
+    /// come in several pieces.
     pub fn heed(&mut self, governor: &str, epoch: u64, version: u64) -> Result<(), Fenced> {
         if self.following.as_deref() != Some(governor) {
             return Err(Fenced::NotFollowed);
@@ -164,6 +200,9 @@
             Some((newest, heeded)) if epoch == *newest && version < *heeded => {
                 return Err(Fenced::OlderVersion);
             }
+            _ if self.before.is_some_and(|(before, heeded)| epoch == before && version <= heeded) => {
+                return Err(Fenced::OlderStream);
+            }
             _ => {}
         }
         if self.newest.len() >= MOST_GOVERNORS && !self.newest.contains_key(governor) {
@@ -175,7 +214,7 @@
 }
 
 /// When a proxy that lives elsewhere goes home.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Homeward {
     steady: Duration,
     delay: Duration,
@@ -211,10 +250,12 @@
 ///
 /// A governor that can't be had is passed over for the next in rank; after the last it begins anew at home.
 /// So a proxy whose governors are all dead goes round until one is back.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Dialer {
     ranking: Vec<usize>,
     at: usize,
+    /// Its governors sent it where it is: it stays there until that one is lost, or sends it on.
+    placed: bool,
     homeward: Homeward,
 }
 
@@ -223,7 +264,7 @@
     /// ever.
     pub fn new(proxy: &str, governors: &[&str], steady: Duration, over: Duration) -> Self {
         let ranking = ranking(proxy, governors);
-        Dialer { ranking, at: 0, homeward: Homeward::new(proxy, steady, over) }
+        Dialer { ranking, at: 0, placed: false, homeward: Homeward::new(proxy, steady, over) }
     }
 
     /// The governor to dial, by its place in the list.
@@ -242,11 +283,25 @@
     /// The governor dialled can't be had, or its stream is over.
     pub fn lost(&mut self) {
         self.at = (self.at + 1) % self.ranking.len().max(1);
+        self.placed = false;
+    }
+
+    /// The governor sends it on: to another by its place in the list, or (none, or one that is not listed
+    /// here) away to whoever is next.
+    ///
+    /// Who is placed doesn't go home by itself: its home may have sent it away for being overrun, and would
+    /// again. *Harm:* if governors can't talk any more, it stays where it is placed.
+    pub fn sent_on(&mut self, to: Option<usize>) {
+        match to.and_then(|to| self.ranking.iter().position(|place| *place == to)) {
+            Some(at) => (self.at, self.placed) = (at, true),
+            None => self.lost(),
+        }
+        self.homeward.well_since = None;
     }
 
     /// Its home was asked whether it is there. Whether it goes there now.
     pub fn home_asked(&mut self, now: Duration, answered: bool) -> bool {
-        if self.is_home() {
+        if self.is_home() || self.placed {
             return false;
         }
         self.homeward.asked(now, answered);
@@ -336,6 +391,8 @@
         fence.follow("g1");
         assert_eq!(fence.heed("g1", 4, 99), Err(Fenced::OlderLife));
         assert_eq!(fence.heed("g1", 5, 9), Err(Fenced::OlderVersion));
+        assert_eq!(fence.heed("g1", 5, 10), Err(Fenced::OlderStream), "a copy of the stream before");
+        assert_eq!((fence.heed("g1", 5, 11), fence.heed("g1", 5, 11)), (Ok(()), Ok(())), "in two pieces");
         assert_eq!(fence.heed("g1", 6, 1), Ok(()));
         (0..200).for_each(|n| {
             fence.follow(&format!("made up {n}"));
@@ -344,6 +401,43 @@
         assert!(fence.newest.len() <= MOST_GOVERNORS);
     }
 
+    #[test]
+    fn what_is_sealed_is_read_with_a_live_key_and_no_claim_is_taken_for_it() {
+        let (old, new) = (key("a", 1), key("b", 2));
+        let sealed = seal(&old, b"hello");
+        assert_eq!(unseal(&[new.clone(), old.clone()], &sealed), Ok(&b"hello"[..]));
+        assert_eq!(unseal(&[new], &sealed), Err(Unproven::Key));
+        for place in 0..sealed.len() {
+            let mut changed = sealed.clone();
+            changed[place] ^= 1;
+            assert!(unseal(std::slice::from_ref(&old), &changed).is_err(), "byte {place}");
+            assert!(unseal(std::slice::from_ref(&old), &sealed[..place]).is_err());
+        }
+        let signed = sign(&old, &claim());
+        let (said, mac) = signed.rsplit_once('.').unwrap();
+        let mut forged = vec![1, b'a'];
+        forged.extend_from_slice(blake3::Hash::from_hex(mac).unwrap().as_bytes());
+        forged.extend_from_slice(said.as_bytes());
+        assert_eq!(unseal(&[old], &forged), Err(Unproven::Signature));
+    }
+
+    #[test]
+    fn who_is_sent_on_stays_there_until_it_is_lost() {
+        let names = ["g0", "g1", "g2"];
+        let mut dialer = Dialer::new("relay-1", &names, s(2), Duration::ZERO);
+        let ranked = ranking("relay-1", &names);
+        dialer.sent_on(Some(ranked[2]));
+        assert_eq!(dialer.dials(), ranked[2]);
+        assert!((10..20).all(|at| !dialer.home_asked(s(at), true)), "placed");
+        dialer.lost();
+        assert_eq!(dialer.dials(), dialer.home());
+        dialer.sent_on(None);
+        assert_eq!(dialer.dials(), ranked[1]);
+        assert!(!dialer.home_asked(s(30), true) && dialer.home_asked(s(32), true));
+        dialer.sent_on(Some(9));
+        assert_eq!(dialer.dials(), ranked[1], "not on its list: whoever is next");
+    }
+
     #[test]
     fn a_fleet_comes_home_evenly_and_not_to_one_that_comes_and_goes() {
         let mut seconds = [0; 10];
--- /dev/null
+++ b/crates/talk/src/words.rs
@@ -0,0 +1,150 @@
+//! What governors say to each other: each message is a datagram, sealed with the fleet's key, and none is
+//! longer than [`MOST_BYTES`].
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use wrenthread_core::takeover::{Key, Unproven, seal, unseal};
+
+/// What a datagram may have and still cross common networks in one piece.
+pub const MOST_BYTES: usize = 1200;
+/// No governor's name is longer.
+pub const LONGEST_NAME: usize = 64;
+
+/// How a governor stands, as others see it. Of two words of one incarnation the later in this order holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Standing {
+    Alive,
+    /// It did not answer: it is dead unless it says otherwise in time.
+    Suspect,
+    Dead,
+    /// It said that it stops.
+    Left,
+}
+
+/// What a governor says of itself, besides being there.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Figures {
+    /// Grows with each change, within an incarnation.
+    pub turn: u64,
+    /// Proxies joined there, and those on their way.
+    pub joined: u32,
+    /// It hands its proxies over, and wants none.
+    pub draining: bool,
+}
+
+/// A word about a governor, its own or another's.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Word {
+    pub name: String,
+    pub at: SocketAddr,
+    pub incarnation: u64,
+    pub standing: Standing,
+    pub figures: Figures,
+}
+
+/// What a message is for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Body {
+    /// Are you there?
+    Ping { number: u64 },
+    /// Ask another for me whether it is there.
+    PingFor { number: u64, target: String },
+    /// `of` is there: the sender itself, or whom it asked.
+    Ack { number: u64, of: String },
+    /// A part of what is known of a proxy that is to change hands.
+    Offer { number: u64, proxy: String, part: u16, parts: u16, bytes: Vec<u8> },
+    /// The proxy may come.
+    Accept { number: u64, proxy: String },
+    /// It may not, now.
+    Decline { number: u64, proxy: String },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Message {
+    /// The sender's word of itself.
+    pub from: Word,
+    /// Whom it is meant for: an address may be another's by now.
+    pub to: String,
+    pub body: Body,
+    /// Words about others, as many as fit.
+    pub words: Vec<Word>,
+}
+
+/// Why a datagram tells nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Unheard {
+    #[error("it is not proven: {0}")]
+    Unproven(#[from] Unproven),
+    #[error("it is longer than any that is sent")]
+    Long,
+    #[error("it is no message")]
+    Unclear,
+}
+
+/// A message as a datagram.
+pub fn write(key: &Key, message: &Message) -> Vec<u8> {
+    // Only a type that can't be written could fail, and none of these is one.
+    seal(key, &postcard::to_allocvec(message).unwrap_or_default())
+}
+
+/// What a datagram says.
+///
+/// Errors: as [`Unheard`]; nothing is known from it.
+pub fn read(keys: &[Key], datagram: &[u8]) -> Result<Message, Unheard> {
+    if datagram.len() > MOST_BYTES {
+        return Err(Unheard::Long);
+    }
+    let body = unseal(keys, datagram)?;
+    let message: Message = postcard::from_bytes(body).map_err(|_| Unheard::Unclear)?;
+    let names = message.words.iter().map(|word| &word.name).chain([&message.from.name]);
+    let fits = |name: &String| !name.is_empty() && name.len() <= LONGEST_NAME;
+    if names.into_iter().all(fits) { Ok(message) } else { Err(Unheard::Unclear) }
+}
+
+/// The bytes that a word takes in a message.
+pub fn length(word: &Word) -> usize {
+    postcard::to_allocvec(word).map_or(MOST_BYTES, |bytes| bytes.len())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn message() -> Message {
+        let word = |name: &str| Word {
+            name: name.into(),
+            at: "127.0.0.1:1".parse().unwrap(),
+            incarnation: u64::MAX,
+            standing: Standing::Suspect,
+            figures: Figures { turn: 3, joined: 70_000, draining: true },
+        };
+        let body = Body::Offer { number: 1, proxy: "p".into(), part: 1, parts: 2, bytes: vec![7; 300] };
+        Message { from: word("g0"), to: "g1".into(), body, words: vec![word("g2"), word("g3")] }
+    }
+
+    #[test]
+    fn a_message_is_read_as_it_was_written_and_a_long_or_nameless_one_not_at_all() {
+        let key = Key::new("k", &[1; 32]).unwrap();
+        let keys = [key.clone()];
+        assert_eq!(read(&keys, &write(&key, &message())), Ok(message()));
+        let mut long = message();
+        long.body = Body::Offer { number: 1, proxy: "p".into(), part: 0, parts: 1, bytes: vec![0; 1300] };
+        assert_eq!(read(&keys, &write(&key, &long)), Err(Unheard::Long));
+        let mut nameless = message();
+        nameless.words[0].name.clear();
+        assert_eq!(read(&keys, &write(&key, &nameless)), Err(Unheard::Unclear));
+        assert!(length(&message().words[0]) < 40);
+    }
+
+    proptest! {
+        #[test]
+        fn bytes_of_any_kind_are_heard_without_harm(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+            let key = Key::new("k", &[1; 32]).unwrap();
+            prop_assert!(read(std::slice::from_ref(&key), &bytes).is_err());
+            // Even one with the key may be wrong in itself.
+            let _ = read(std::slice::from_ref(&key), &seal(&key, &bytes));
+        }
+    }
+}
--- /dev/null
+++ b/crates/talk/tests/talk.rs
@@ -0,0 +1,152 @@
+//! Governors that talk, through what goes wrong with networks and with themselves.
+
+mod net;
+
+use std::sync::Arc;
+
+use net::{Net, ms};
+use wrenthread_talk::Note;
+use wrenthread_talk::words::Standing;
+
+fn proxies(count: usize) -> Vec<Arc<str>> {
+    (0..count).map(|n| format!("relay-{n}").into()).collect()
+}
+
+fn stands(net: &Net, of: &str, standing: Standing) -> Vec<usize> {
+    let said = net.notes.iter().filter(|(_, _, note)| *note == Note::Stands(of.into(), standing));
+    said.map(|(_, place, _)| *place).collect()
+}
+
+#[test]
+fn a_dead_governor_is_found_and_a_returned_one_is_known_for_a_new_life() {
+    let mut net = Net::new(5, 1);
+    net.run(2000);
+    assert!((0..5).all(|one| (0..5).all(|other| one == other || net.sees(one, other))));
+    net.kill(3);
+    let died = net.now;
+    net.run(8000);
+    assert!([0, 1, 2, 4].iter().all(|one| !net.sees(*one, 3)));
+    let found = net.notes.iter().filter(|(_, _, note)| *note == Note::Stands("g3".into(), Standing::Dead));
+    let last = found.map(|(at, _, _)| *at).max().unwrap() - died;
+    assert!(last < ms(6000), "{last:?}");
+    net.start(3);
+    net.run(2000);
+    assert!((0..5).all(|one| (0..5).all(|other| one == other || net.sees(one, other))));
+}
+
+#[test]
+fn lost_doubled_and_late_datagrams_bury_nobody() {
+    for seed in 0..10 {
+        let mut net = Net::new(5, seed);
+        (net.lost, net.doubled) = (150, 150);
+        net.run(60_000);
+        let dead = net.notes.iter().filter(|(_, _, note)| matches!(note, Note::Stands(_, Standing::Dead)));
+        assert_eq!(dead.count(), 0, "seed {seed}");
+        // Some were doubted, and said otherwise: the loss was met.
+        assert!(net.notes.iter().any(|(_, _, note)| matches!(note, Note::Stands(_, Standing::Suspect))));
+        assert!(net.longest <= wrenthread_talk::words::MOST_BYTES);
+    }
+}
+
+#[test]
+fn who_is_heard_by_others_is_not_dead_though_one_link_goes_one_way() {
+    let mut net = Net::new(4, 2);
+    net.run(2000);
+    net.cut.insert((1, 0));
+    net.run(30_000);
+    assert_eq!(stands(&net, "g1", Standing::Dead), Vec::<usize>::new());
+    assert!(net.sees(0, 1) && net.sees(1, 0));
+    // Who can say nothing to anybody is dead to all; and has nobody to hand a proxy to, though it hears them.
+    net.cut.extend([(1, 2), (1, 3)]);
+    net.run(15_000);
+    assert!([0, 2, 3].iter().all(|one| !net.sees(*one, 1) && !net.sees(1, *one)));
+    net.cut.clear();
+    net.run(4000);
+    assert!([0, 2, 3].iter().all(|one| net.sees(*one, 1)), "it said otherwise as soon as it could");
+}
+
+#[test]
+fn who_stalled_itself_blames_nobody_and_is_believed_when_it_wakes() {
+    let mut net = Net::new(4, 3);
+    net.run(2000);
+    net.stalled.insert(2);
+    net.run(12_000);
+    assert!([0, 1, 3].iter().all(|one| !net.sees(*one, 2)));
+    net.stalled.clear();
+    let woke = net.now;
+    net.run(5000);
+    let blames = net.notes.iter().filter(|(at, place, note)| {
+        *at >= woke && *place == 2 && matches!(note, Note::Stands(_, Standing::Suspect | Standing::Dead))
+    });
+    assert_eq!(blames.count(), 0);
+    assert!(net.notes.iter().any(|(_, place, note)| *place == 2 && matches!(note, Note::Stalled(_))));
+    assert!([0, 1, 3].iter().all(|one| net.sees(*one, 2) && net.sees(2, *one)));
+}
+
+#[test]
+fn a_split_heals_without_a_word_from_anybody() {
+    let mut net = Net::new(6, 4);
+    net.run(2000);
+    let sides = [[0, 1, 2], [3, 4, 5]];
+    for one in sides[0] {
+        for other in sides[1] {
+            net.cut.extend([(one, other), (other, one)]);
+        }
+    }
+    net.run(20_000);
+    assert!(!net.sees(0, 4) && !net.sees(5, 2) && net.sees(0, 2) && net.sees(3, 5));
+    net.cut.clear();
+    net.run(12_000);
+    assert!((0..6).all(|one| (0..6).all(|other| one == other || net.sees(one, other))));
+}
+
+#[test]
+fn a_fleet_at_one_governor_spreads_and_one_that_drains_is_left_with_what_is_known_ahead() {
+    for (seed, lost) in [(5, 0), (6, 100), (7, 250)] {
+        let mut net = Net::new(3, seed);
+        (net.lost, net.doubled) = (lost, lost);
+        proxies(60).iter().for_each(|proxy| net.join(proxy, 0));
+        net.run(40_000);
+        let counts = net.counts();
+        assert!(counts.iter().all(|count| *count <= 25) && counts.iter().sum::<usize>() == 60, "{counts:?}");
+        assert!(net.moves <= 75, "seed {seed}: {} moves", net.moves);
+        let rest = net.moves;
+        net.run(20_000);
+        assert!(net.moves <= rest + usize::from(lost > 0) * 5, "it comes to rest");
+        let now = net.now;
+        net.talk(1).drain(now, true);
+        net.run(25_000);
+        assert_eq!(net.counts()[1], 0, "seed {seed}");
+        assert_eq!(net.counts().iter().sum::<usize>(), 60, "all are somewhere");
+        assert!(net.notes.iter().any(|(_, place, note)| (*place, note) == (1, &Note::Drained)));
+        // Each came with all that was known of it.
+        assert!(net.ahead.len() >= net.moves * 9 / 10, "{} of {}", net.ahead.len(), net.moves);
+        for (proxy, ahead) in &net.ahead {
+            assert_eq!(ahead.bytes, format!("all about {proxy}, ").repeat(100).into_bytes());
+        }
+        // It comes back to service: its own come home.
+        let now = net.now;
+        net.talk(1).drain(now, false);
+        net.run(30_000);
+        assert!(net.counts()[1] >= 10, "{:?}", net.counts());
+    }
+}
+
+#[test]
+fn in_a_split_each_side_keeps_what_it_has() {
+    let mut net = Net::new(3, 8);
+    for (place, proxy) in proxies(60).iter().enumerate() {
+        net.join(proxy, place % 3);
+    }
+    net.run(20_000);
+    net.cut.extend([(0, 1), (1, 0), (0, 2), (2, 0)]);
+    net.run(10_000);
+    let (before, counts) = (net.moves, net.counts());
+    net.run(20_000);
+    assert_eq!((net.moves, net.counts()), (before, counts), "nobody is moved where nobody answers");
+    // Drained while cut off: nobody to hand them to is known of, so they find others by themselves.
+    let now = net.now;
+    net.talk(0).drain(now, true);
+    net.run(1000);
+    assert!(net.moves > before);
+}
