--- a/crates/client/src/grpc.rs
+++ b/crates/client/src/grpc.rs
@@ -44,13 +44,29 @@
 }
 
 fn status(uri: &str) -> impl Fn(tonic::Status) -> Error + '_ {
-    move |status| Error::Reach(uri.to_string(), status.message().to_string())
+    move |status| match status.metadata().get(wrenthread_xds::GO_TO).and_then(|to| to.to_str().ok()) {
+        Some(to) => Error::Moved((!to.is_empty()).then(|| to.to_string())),
+        None => Error::Reach(uri.to_string(), status.message().to_string()),
+    }
+}
+
+/// A governor's process may stand still while its sockets stay up: the stream is asked for life so often, and
+/// over without an answer.
+const ALIVE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(2));
+/// A governor that takes a connection and does not answer for so long can't be had.
+const ANSWER: Duration = Duration::from_secs(2);
+
+async fn answered<T>(uri: &str, answer: impl Future<Output = Result<T, tonic::Status>>) -> Result<T, Error> {
+    let late = |_| Error::Reach(uri.to_string(), format!("no answer within {ANSWER:?}"));
+    tokio::time::timeout(ANSWER, answer).await.map_err(late)?.map_err(status(uri))
 }
 
-async fn connect(uri: &str) -> Result<Channel, Error> {
+pub(crate) async fn connect(uri: &str) -> Result<Channel, Error> {
     let reach = |error: tonic::transport::Error| Error::Reach(uri.to_string(), error.to_string());
     let endpoint = Endpoint::from_shared(uri.to_string()).map_err(reach)?;
-    endpoint.connect_timeout(Duration::from_secs(1)).tcp_nodelay(true).connect().await.map_err(reach)
+    let endpoint = endpoint.connect_timeout(Duration::from_secs(1)).tcp_nodelay(true);
+    let endpoint = endpoint.http2_keep_alive_interval(ALIVE.0).keep_alive_timeout(ALIVE.1);
+    endpoint.keep_alive_while_idle(true).connect().await.map_err(reach)
 }
 
 fn node(who: &Who, keeper: &Keeper) -> Node {
@@ -145,8 +161,8 @@
         requests.send(ask(kind, "", None, node)).await.map_err(unclear)?;
     }
     watch.joined();
-    let responses = client.stream_aggregated_resources(ReceiverStream::new(stream)).await;
-    let mut responses = responses.map_err(status(&governor.grpc))?.into_inner();
+    let responses = client.stream_aggregated_resources(ReceiverStream::new(stream));
+    let mut responses = answered(&governor.grpc, responses).await?.into_inner();
     while let Some(response) = responses.next().await {
         let response = response.map_err(status(&governor.grpc))?;
         heed(governor, keeper, response.control_plane.as_ref(), &response.version_info)?;
@@ -190,8 +206,8 @@
         requests.send(request).await.map_err(unclear)?;
     }
     watch.joined();
-    let responses = client.delta_aggregated_resources(ReceiverStream::new(stream)).await;
-    let mut responses = responses.map_err(status(&governor.grpc))?.into_inner();
+    let responses = client.delta_aggregated_resources(ReceiverStream::new(stream));
+    let mut responses = answered(&governor.grpc, responses).await?.into_inner();
     while let Some(response) = responses.next().await {
         let response = response.map_err(status(&governor.grpc))?;
         heed(governor, keeper, response.control_plane.as_ref(), &response.system_version_info)?;
@@ -304,8 +320,8 @@
         let (requests, stream) = mpsc::channel(16);
         let first = LoadStatsRequest { node: Some(node(who, &keeper.borrow())), cluster_stats: vec![] };
         requests.send(first).await.map_err(unclear)?;
-        let answers = client.stream_load_stats(ReceiverStream::new(stream)).await;
-        let mut answers = answers.map_err(status(uri))?.into_inner();
+        let answers = client.stream_load_stats(ReceiverStream::new(stream));
+        let mut answers = answered(uri, answers).await?.into_inner();
         let asked = answers.next().await.ok_or(Error::Ended)?.map_err(status(uri))?;
         let every = asked.load_reporting_interval.ok_or_else(|| unclear("no interval"))?;
         let every = Duration::new(every.seconds.max(0) as u64, every.nanos.clamp(0, 999_999_999) as u32);
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -65,11 +65,18 @@
     pub poll: String,
 }
 
-/// Whether somebody answers there, within a second.
+/// Whether a governor at a gRPC port wants proxies, by the public health protocol, within a second. One that
+/// answers but does not speak that protocol does.
 pub async fn answers(uri: &str) -> bool {
-    let at = uri.split("://").last().unwrap_or_default().trim_end_matches('/').to_string();
-    let dial = tokio::time::timeout(std::time::Duration::from_secs(1), tokio::net::TcpStream::connect(at));
-    matches!(dial.await, Ok(Ok(_)))
+    let ask = async {
+        let channel = grpc::connect(uri).await.ok()?;
+        let request = tonic_health::pb::HealthCheckRequest::default();
+        match tonic_health::pb::health_client::HealthClient::new(channel).check(request).await {
+            Ok(told) => Some(told.into_inner().status == tonic_health::ServingStatus::Serving as i32),
+            Err(status) => Some(status.code() == tonic::Code::Unimplemented),
+        }
+    };
+    tokio::time::timeout(std::time::Duration::from_secs(1), ask).await.ok().flatten().unwrap_or(false)
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -80,6 +87,9 @@
     Reach(String, String),
     #[error("the governor turned the proxy away: {0}")]
     Refused(String),
+    /// By name, one that the proxy's list should have; none: whoever is next in its own order.
+    #[error("the governor sends the proxy on to {}", .0.as_deref().unwrap_or("whoever is next"))]
+    Moved(Option<String>),
     #[error("what came can't be understood: {0}")]
     Unclear(String),
     #[error("the stream ended")]
--- a/crates/client/src/poll.rs
+++ b/crates/client/src/poll.rs
@@ -15,8 +15,10 @@
 use crate::{Error, Ordered, Watch, Who};
 
 /// How long a question may wait, and how much longer its answer may take.
-const WAIT: Duration = Duration::from_secs(20);
-const MARGIN: Duration = Duration::from_secs(5);
+///
+/// Plain HTTP has no word of life besides its answers: a governor that stands still is found after both.
+const WAIT: Duration = Duration::from_secs(4);
+const MARGIN: Duration = Duration::from_secs(2);
 
 /// A session with a governor.
 #[derive(Debug, Clone)]
@@ -39,6 +41,9 @@
         true => Ok((status, body.to_vec())),
         false => {
             let said: Result<Trouble, Error> = read(&body);
+            if let Ok(Trouble { go_to: Some(to), .. }) = &said {
+                return Err(Error::Moved((!to.is_empty()).then(|| to.clone())));
+            }
             Err(Error::Refused(
                 said.map_or_else(|_| status.to_string(), |said| format!("{status}: {}", said.error)),
             ))
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -43,7 +43,7 @@
 };
 use wrenthread::rules::Governor;
 
-use crate::fleet::{Fleet, Join, Joined, Proxy, Refused, StreamId};
+use crate::fleet::{Fleet, Join, Joined, Kind, Proxy, Refused, StreamId};
 use crate::history::{History, Version};
 use crate::holds::{self, Hold, LeftOut, Over};
 use crate::pace::{Channel, Pace};
@@ -168,6 +168,20 @@
     pub bare: usize,
 }
 
+/// What another governor knew of a proxy that it handed over.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Handed {
+    pub from: Arc<str>,
+    /// What it was told there, and when that was, by the clock here.
+    pub whole: Whole,
+    pub told_at: Duration,
+    /// What it met last, if that is not long ago.
+    pub report: Option<Report>,
+}
+
+/// Tables that were handed over hold for so long if the module does not speak before.
+const HANDED_FOR: Duration = Duration::from_secs(30);
+
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
 pub enum NoStepBack {
     #[error("no proxy `{0}` is joined")]
@@ -300,11 +314,58 @@
         Ok(joined)
     }
 
+    /// A proxy that has just joined was handed over by another governor: until the module speaks for it, it is
+    /// told what it was told there, less what the rules forbid here now; and what it met last is heard. How
+    /// many of its tables that keeps. A proxy that the module has spoken for is left as it is.
+    pub fn handed(&mut self, now: Duration, number: ProxyId, handed: Handed) -> usize {
+        let Some(proxy) = self.fleet.get(number) else { return 0 };
+        if proxy.fresh || proxy.kind() == Kind::Own {
+            return 0;
+        }
+        let (zone, stream) = (proxy.zone, proxy.stream);
+        let why: Arc<str> = format!("handed over by {}", handed.from).into();
+        let (version, told_at, until) = (self.version, handed.told_at, now + HANDED_FOR);
+        let mut kept = 0;
+        for (group, said) in handed.whole.groups.into_iter().enumerate().take(self.groups) {
+            let Some(said) = said else { continue };
+            let hold = Hold { version, told_at, said, since: now, until, why: why.clone(), handed: true };
+            let present = self.present(number, group);
+            let withdrawn = |id: &ReplicaId| self.tables.is_withdrawn(id);
+            // An operator's hold here goes before.
+            if !self.holds.contains_key(&(number, group))
+                && holds::told(&hold, &present, &self.roster, withdrawn).0.is_some()
+            {
+                self.holds.insert((number, group), hold);
+                kept += 1;
+            }
+        }
+        self.refresh(now, &[number], None);
+        if let Some(report) = handed.report {
+            let roster = &self.roster;
+            let listed = |id: &ReplicaId| roster.get(id).is_some_and(|one| one.phase != Phase::Gone);
+            // One that does not count is counted as such; the next comes soon.
+            let _ = self.reports.take(now, number, zone, stream, &report, listed);
+        }
+        kept
+    }
+
+    /// What to hand over with a proxy: what it is told, since when, and what it met last, with its age.
+    pub fn known_of(
+        &self,
+        now: Duration,
+        number: ProxyId,
+    ) -> Option<(&Version, Option<(Duration, &Report)>)> {
+        let newest = self.history.newest(number)?;
+        let last = self.reports.last(number).map(|(at, report)| (now.saturating_sub(*at), report));
+        Some((newest, last))
+    }
+
     /// A stream is over; the proxy may be dead, or still at work with what it holds.
     pub fn left(&mut self, now: Duration, stream: StreamId) {
         let Some(number) = self.fleet.leave(now, stream) else { return };
         self.pace.forget(number);
         self.lobby.retain(|(waiting, _)| *waiting != number);
+        self.holds.retain(|(of, _), hold| *of != number || !hold.handed);
         self.rules.left(number);
         self.causes.insert(Cause::Left);
     }
@@ -421,7 +482,8 @@
                 let (Some(then), Some(said)) = (&then, said) else { continue };
                 any = true;
                 let told_at = then.at;
-                let hold = Hold { version: then.version, told_at, said, since: now, until, why: why.clone() };
+                let (version, why) = (then.version, why.clone());
+                let hold = Hold { version, told_at, said, since: now, until, why, handed: false };
                 let present = self.present(number, group);
                 let (told, left_out) =
                     holds::told(&hold, &present, &self.roster, |id| self.tables.is_withdrawn(id));
@@ -617,6 +679,10 @@
                         for (place, follows) in proxy.follows.iter_mut().enumerate() {
                             if groups >> place & 1 == 1 {
                                 *follows = Some(table);
+                                // It has spoken: what another governor told gives way.
+                                if self.holds.get(&(number, place)).is_some_and(|hold| hold.handed) {
+                                    self.holds.remove(&(number, place));
+                                }
                             }
                         }
                         concerned.insert(number);
--- a/crates/core/src/holds.rs
+++ b/crates/core/src/holds.rs
@@ -1,4 +1,5 @@
-//! Holds: tables that operators stepped back to, and what of them may still be told.
+//! Holds: tables that operators stepped back to, or that another governor handed over, and what of them may
+//! still be told.
 //!
 //! A hold never decides: it takes the lines of an earlier version, which the module decided then, and leaves
 //! out what the module would not have now. See `docs/design/versions.md` for how the two live together.
@@ -23,6 +24,8 @@
     pub since: Duration,
     pub until: Duration,
     pub why: Arc<str>,
+    /// Another governor told it: it holds until the module here has spoken.
+    pub handed: bool,
 }
 
 /// Why a line of a held table is not told.
@@ -137,6 +140,7 @@
             since: s(50),
             until: s(100),
             why: "".into(),
+            handed: false,
         }
     }
 
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -78,6 +78,8 @@
     since: Duration,
     covered: Duration,
     seen: VecDeque<u64>,
+    /// The last report that counted, and when: to be handed over with the proxy.
+    last: Option<(Duration, Report)>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -156,6 +158,11 @@
         self.last.retain(|key, _| !gone(key));
     }
 
+    /// The last report of a proxy that counted, and when.
+    pub fn last(&self, proxy: ProxyId) -> Option<&(Duration, Report)> {
+        self.sources.get(&proxy)?.last.as_ref()
+    }
+
     /// Counts a report, but for its lines on replicas that `listed` does not know. Streams are numbered in
     /// the order in which they were opened.
     pub fn take(
@@ -172,6 +179,9 @@
             return Err(self.discard(why));
         }
         self.counted += 1;
+        if let Some(source) = self.sources.get_mut(&proxy) {
+            source.last = Some((now, report.clone()));
+        }
         let mut came: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
         for (group, blocked) in &report.blocked {
             came.entry(*group).or_default().0 += blocked;
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -2,6 +2,7 @@
 //! hands of one task. Everything here is plain calls; sockets, files and waiting are the loop's.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use wrenthread_poll::forms::{JoinTold, ReportTold, TablesTold, Terms, digest_of, tries_word};
 use wrenthread_poll::polls::{Due, Polls, Told};
 use wrenthread_poll::service as poll;
+use wrenthread_talk::{Note as TalkNote, Step as TalkStep, Talk};
 use wrenthread_xds::pb::envoy::admin::v3::ClientResourceStatus;
 use wrenthread_xds::pb::envoy::config::core::v3::{Locality, Node};
 use wrenthread_xds::pb::envoy::service::status::v3::client_config::GenericXdsConfig;
@@ -25,7 +27,9 @@
 use wrenthread_xds::pb::envoy::r#type::matcher::v3::string_matcher::MatchPattern;
 use wrenthread_xds::service::{Answers, Event};
 use wrenthread_xds::session::{Heard, Request, Session, Standing};
-use wrenthread_xds::{Wire, decode, encode};
+use wrenthread_xds::{GO_TO, Wire, decode, encode};
+
+use crate::talk;
 
 /// The longest that a long-poll question waits.
 pub const WAIT_MOST: Duration = Duration::from_secs(60);
@@ -41,14 +45,24 @@
 pub enum Chore {
     /// Wait until the stream has room, then call [`Host::roomy`].
     AwaitRoom(u64, Answers),
+    /// Say this to another governor.
+    Say(SocketAddr, Vec<u8>),
 }
 
+/// Sessions that were sent on while no question of theirs waited; beyond so many the oldest are forgotten,
+/// and join again wherever they were.
+const MOST_SENT_ON: usize = 1024;
+
 pub struct Host {
     pub engine: Engine,
     wire: Wire,
     keys: Vec<Key>,
     /// Proxies that came with another governor's orders, or another life's.
     taken_over: u64,
+    /// It learnt that an earlier life of its own had a later calendar, and took that up.
+    outlived: bool,
+    talk: Talk,
+    sent_on: BTreeMap<u64, Option<String>>,
     usual: f64,
     streams: BTreeMap<u64, Stream>,
     /// Load report streams, by the name that their node gave.
@@ -59,7 +73,7 @@
 }
 
 impl Host {
-    pub fn new(setup: Setup, wire: Wire, keys: Vec<Key>, usual: f64, now: Duration) -> Self {
+    pub fn new(setup: Setup, wire: Wire, keys: Vec<Key>, usual: f64, talk: Talk, now: Duration) -> Self {
         let terms = Terms {
             epoch: format!("{:x}", wire.epoch),
             governor: wire.governor.clone(),
@@ -76,6 +90,9 @@
             wire,
             keys,
             taken_over: 0,
+            outlived: false,
+            talk,
+            sent_on: BTreeMap::new(),
             usual,
             streams: BTreeMap::new(),
             reporters: BTreeMap::new(),
@@ -107,7 +124,7 @@
                     tracing::info!(proxy = name.as_deref(), stream, "a proxy's stream is over");
                 }
                 self.streams.remove(&stream);
-                self.engine.left(now, stream);
+                self.left(now, stream);
             }
             Event::ReportsOpened { stream, node } => match decode::name(Some(&node)) {
                 Ok(name) => drop(self.reporters.insert(stream, name.into())),
@@ -121,7 +138,7 @@
 
     fn asked(&mut self, now: Duration, stream: u64, request: Request) {
         let Some(open) = self.streams.get_mut(&stream) else { return };
-        let mut claim = None;
+        let (mut claim, mut newly) = (None, None);
         if open.session.is_none() {
             let join = decode::join(&self.wire, request.node(), self.usual, request.holds_orders());
             let joined =
@@ -131,7 +148,7 @@
                         Refused::Contested { .. } => Status::already_exists(refused.to_string()),
                         Refused::Nameless => Status::invalid_argument(refused.to_string()),
                     })?;
-                    claim = join.claim.clone().map(|claim| (join.name.clone(), claim));
+                    (claim, newly) = (Some((join.name.clone(), join.claim.clone())), Some(joined.number));
                     let fresh = self.engine.proxy(joined.number).is_some_and(|proxy| proxy.fresh);
                     tracing::info!(proxy = %join.name, zone = join.zone, fresh, stream, "a proxy joined");
                     Ok(())
@@ -144,8 +161,10 @@
                 return;
             }
         }
-        if let Some((proxy, claim)) = claim {
-            self.claimed(&proxy, Some(&claim));
+        if let Some(number) = newly {
+            let (proxy, claim) = claim.unwrap_or_default();
+            let claimed = self.claimed(now, &proxy, claim.as_deref());
+            self.came(now, number, claimed.as_deref());
         }
         let Some(open) = self.streams.get_mut(&stream) else { return };
         let session = open.session.get_or_insert_with(|| Session::new(self.wire.epoch, &request));
@@ -171,7 +190,7 @@
                 tracing::warn!(stream, %bad, "a stream is ended");
                 open.answers.end(Status::invalid_argument(bad.to_string()));
                 self.streams.remove(&stream);
-                self.engine.left(now, stream);
+                self.left(now, stream);
             }
         }
     }
@@ -198,23 +217,150 @@
         }
     }
 
-    /// Whose orders a proxy says that it holds. Nothing hangs on it but the log: whoever came with orders is
-    /// given a whole state by the module, so neither a stale claim nor a forged one brings old orders back.
-    fn claimed(&mut self, proxy: &str, claim: Option<&str>) {
-        let Some(claim) = claim else { return };
-        match takeover::prove(&self.keys, proxy, claim) {
-            Ok(claim) if claim.governor == self.wire.governor && claim.epoch == self.wire.epoch => {}
+    /// Whose orders a proxy says that it holds, if that is proven. No table hangs on it: whoever came with orders
+    /// is given a whole state by the module, so neither a stale claim nor a forged one brings old orders back.
+    fn claimed(&mut self, now: Duration, proxy: &str, claim: Option<&str>) -> Option<String> {
+        match takeover::prove(&self.keys, proxy, claim?) {
+            Ok(claim) if claim.governor == self.wire.governor && claim.epoch <= self.wire.epoch => {
+                Some(claim.governor)
+            }
+            Ok(claim) if claim.governor == self.wire.governor => {
+                self.outlive(now, claim.epoch);
+                Some(claim.governor)
+            }
             Ok(claim) => {
                 self.taken_over += 1;
                 metrics::counter!("wrenthread_taken_over_total").increment(1);
                 let epoch = format!("{:x}", claim.epoch);
                 tracing::info!(proxy, from = claim.governor, epoch, version = claim.version, "taken over");
+                Some(claim.governor)
             }
             Err(unproven) => {
                 metrics::counter!("wrenthread_claims_unproven_total").increment(1);
                 tracing::warn!(proxy, why = %unproven, "a claim is not believed");
+                None
+            }
+        }
+    }
+
+    /// An earlier life of this governor had a later calendar: its proxies would not heed this one. It takes up a
+    /// later epoch, and has all come anew.
+    ///
+    /// Once in a life: two governors of one name would drive each other up for ever, and their proxies about.
+    fn outlive(&mut self, now: Duration, epoch: u64) {
+        if self.outlived {
+            tracing::error!(epoch = format!("{epoch:x}"), "another governor has this one's name, or its key");
+            return;
+        }
+        self.outlived = true;
+        self.wire.epoch = epoch.saturating_add(1);
+        self.terms.epoch = format!("{:x}", self.wire.epoch);
+        tracing::warn!(epoch = self.terms.epoch, "the calendar was set back: a later epoch is taken up");
+        for (stream, open) in std::mem::take(&mut self.streams) {
+            open.answers.end(Status::unavailable("the governor takes up a later epoch; come back"));
+            self.left(now, stream);
+        }
+        for session in self.polls.sessions() {
+            self.end_session(now, session, Told::Over);
+        }
+    }
+
+    /// A proxy has joined: governors hear of it, and what was sent ahead of it is used, if it comes from whom
+    /// it says that it was with.
+    fn came(&mut self, now: Duration, number: ProxyId, claimed: Option<&str>) {
+        let Some(name) = self.engine.proxy(number).map(|proxy| proxy.name.clone()) else { return };
+        let Some(ahead) = self.talk.here(now, &name) else { return };
+        if claimed.is_some_and(|governor| governor != ahead.from) {
+            return tracing::info!(proxy = %name, from = ahead.from, "it has been elsewhere since");
+        }
+        match talk::read(&self.terms, now, ahead) {
+            Ok(handed) => {
+                let from = handed.from.clone();
+                let tables = self.engine.handed(now, number, handed);
+                metrics::counter!("wrenthread_handed_over_total").increment(1);
+                tracing::info!(proxy = %name, %from, tables, "handed over");
+            }
+            Err(why) => tracing::warn!(proxy = %name, why, "what went ahead of it can't be understood"),
+        }
+    }
+
+    /// A proxy's stream or session is over.
+    fn left(&mut self, now: Duration, stream: u64) {
+        let proxy = self.engine.number_of(stream).and_then(|number| self.engine.proxy(number));
+        if let Some(name) = proxy.map(|proxy| proxy.name.clone()) {
+            self.talk.gone(now, &name);
+        }
+        self.engine.left(now, stream);
+    }
+
+    /// Ends a proxy's stream with word of where to go.
+    fn send_on(&mut self, now: Duration, proxy: &str, to: Option<String>) {
+        let Some(stream) = self.engine.fleet().named(proxy).map(|(_, proxy)| proxy.stream) else { return };
+        tracing::info!(proxy, to = to.as_deref().unwrap_or("whoever is next"), "sent on");
+        if self.polls.name(stream).is_some() {
+            match self.polls.close(stream) {
+                Some(reply) => drop(reply.send(Err(poll::Refusal::Moved(to)))),
+                None => {
+                    self.sent_on.insert(stream, to);
+                    while self.sent_on.len() > MOST_SENT_ON {
+                        self.sent_on.pop_first();
+                    }
+                }
             }
+        } else if let Some(open) = self.streams.remove(&stream) {
+            let mut status = Status::unavailable("this proxy is to go to another governor");
+            // Names are of letters, digits, `-` and `_`: they always fit.
+            if let Ok(to) = to.unwrap_or_default().parse() {
+                status.metadata_mut().insert(GO_TO, to);
+            }
+            open.answers.end(status);
         }
+        self.left(now, stream);
+    }
+
+    /// A word of another governor's.
+    pub fn heard(&mut self, now: Duration, datagram: &[u8]) {
+        if let Err(why) = self.talk.heard(now, datagram) {
+            tracing::debug!(%why, "a datagram tells nothing");
+        }
+    }
+
+    /// From now on this governor hands its proxies over; or no longer.
+    pub fn drain(&mut self, now: Duration, draining: bool) -> Value {
+        tracing::warn!(draining, joined = self.engine.fleet().len(), "an operator drains this governor");
+        self.talk.drain(now, draining);
+        self.governors(now)
+    }
+
+    pub fn is_draining(&self) -> bool {
+        self.talk.is_draining()
+    }
+
+    /// Governors as they are seen from here.
+    pub fn governors(&self, now: Duration) -> Value {
+        let tally = self.talk.tally();
+        let others: Vec<Value> = self
+            .talk
+            .others()
+            .map(|one| {
+                let standing = match one.heard {
+                    None if !one.is_there() => "not heard yet".to_string(),
+                    _ => format!("{:?}", one.word.standing).to_lowercase(),
+                };
+                let ago = |at: Duration| now.saturating_sub(at).as_secs_f64();
+                json!({
+                    "name": one.word.name, "standing": standing, "at": one.word.at.to_string(),
+                    "joined": one.word.figures.joined, "draining": one.word.figures.draining,
+                    "since_s": ago(one.since), "heard_s": one.heard.map(ago),
+                    "incarnation": format!("{:x}", one.word.incarnation),
+                })
+            })
+            .collect();
+        json!({
+            "name": self.wire.governor, "draining": self.talk.is_draining(),
+            "joined": self.engine.fleet().len(), "most": self.talk.bound(), "on_way": tally.on_way,
+            "moved": tally.moved, "came": tally.came, "unheard": tally.unheard, "others": others,
+        })
     }
 
     /// A question on the long-poll front. `stream`: a number for a new session, in the order of all streams.
@@ -258,10 +404,11 @@
             Refused::Contested { .. } => poll::Refusal::Conflict(refused.to_string()),
             Refused::Nameless => poll::Refusal::Unclear(refused.to_string()),
         })?;
-        self.claimed(proxy, join.claim.as_deref());
         let fresh = self.engine.proxy(joined.number).is_some_and(|proxy| proxy.fresh);
         tracing::info!(proxy, zone = join.zone, fresh, session, "a proxy joined by long-poll");
         self.polls.opened(now, session, join.name);
+        let claimed = self.claimed(now, proxy, join.claim.as_deref());
+        self.came(now, joined.number, claimed.as_deref());
         Ok(JoinTold { session, terms: self.terms.clone() })
     }
 
@@ -285,7 +432,9 @@
             Err(unclear) => return drop(reply.send(Err(poll::Refusal::Unclear(unclear.to_string())))),
         };
         let Some(number) = self.engine.number_of(session) else {
-            return drop(reply.send(Err(poll::Refusal::NoSession)));
+            let refusal =
+                self.sent_on.remove(&session).map_or(poll::Refusal::NoSession, poll::Refusal::Moved);
+            return drop(reply.send(Err(refusal)));
         };
         match self.polls.asked(now, session, number, held, wait, self.engine.history(), reply) {
             Err((_, reply)) => drop(reply.send(Err(poll::Refusal::NoSession))),
@@ -338,7 +487,7 @@
         if let Some(reply) = self.polls.close(session) {
             self.reply(reply, told);
         }
-        self.engine.left(now, session);
+        self.left(now, session);
     }
 
     fn reply(&self, reply: poll::Reply<poll::Answer>, told: Told) {
@@ -364,7 +513,8 @@
 
     /// When [`Host::pump`] is to be called at the latest.
     pub fn next_due(&self, now: Duration) -> Duration {
-        self.engine.next_due(now).min(self.polls.next_due().unwrap_or(Duration::MAX))
+        let polls = self.polls.next_due().unwrap_or(Duration::MAX);
+        self.engine.next_due(now).min(polls).min(self.talk.next_due())
     }
 
     /// A stream has room again.
@@ -380,6 +530,27 @@
                 Due::Lost(session) => self.end_session(now, session, Told::Over),
             }
         }
+        while let Some(step) = self.talk.step(now) {
+            match step {
+                TalkStep::Send(at, datagram) => chore(Chore::Say(at, datagram)),
+                TalkStep::Gather { proxy, to } => {
+                    let number = self.engine.fleet().named(&proxy).map(|(number, _)| number);
+                    let known = number.map(|number| talk::gather(&self.engine, &self.terms, now, number));
+                    self.talk.offer(now, &proxy, &to, known.unwrap_or_default());
+                }
+                TalkStep::Move { proxy, to } => self.send_on(now, &proxy, to),
+                TalkStep::Note(note) => match note {
+                    TalkNote::Stands(governor, standing) => {
+                        tracing::info!(governor, ?standing, "another governor");
+                    }
+                    TalkNote::Stalled(late) => tracing::warn!(?late, "this governor did nothing for a while"),
+                    TalkNote::Unanswered { proxy, to } => {
+                        tracing::warn!(proxy, to, "an offer was not answered");
+                    }
+                    TalkNote::Drained => tracing::info!("all proxies are handed over"),
+                },
+            }
+        }
         while let Some(step) = self.engine.step(now) {
             match step {
                 Step::Flush(number) => self.flush(now, number).into_iter().for_each(&mut chore),
@@ -505,8 +676,15 @@
         }
     }
 
-    /// Ends all streams, with a word; proxies keep their tables.
-    pub fn stop(&mut self) {
+    /// Ends all streams, with a word; proxies keep their tables. Other governors hear of it: what is to be said
+    /// to them is handed to `say`.
+    pub fn stop(&mut self, now: Duration, mut say: impl FnMut(SocketAddr, &[u8])) {
+        self.talk.leave();
+        while let Some(step) = self.talk.step(now) {
+            if let TalkStep::Send(at, datagram) = step {
+                say(at, &datagram);
+            }
+        }
         for stream in std::mem::take(&mut self.streams).into_values() {
             stream.answers.end(Status::unavailable("the governor stops; keep your tables and come back"));
         }
@@ -712,6 +890,11 @@
         metrics::gauge!("wrenthread_lines_waiting").set(figures.lines_waiting as f64);
         metrics::gauge!("wrenthread_history_lines").set(figures.history_lines as f64);
         metrics::gauge!("wrenthread_holds").set(figures.holds as f64);
+        let tally = self.talk.tally();
+        metrics::gauge!("wrenthread_governors_there").set(self.talk.members().there() as f64);
+        metrics::gauge!("wrenthread_draining").set(f64::from(u8::from(self.talk.is_draining())));
+        metrics::gauge!("wrenthread_proxies_sent_on").set(tally.moved as f64);
+        metrics::gauge!("wrenthread_datagrams_unheard").set(tally.unheard as f64);
         metrics::gauge!("wrenthread_version").set(figures.version as f64);
         metrics::gauge!("wrenthread_report_lines_waiting").set(figures.reports_waiting as f64);
         for (group, (level, _)) in self.wire.groups.iter().zip(self.engine.levels()) {
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -19,6 +19,8 @@
     History(String, oneshot::Sender<Option<Value>>),
     Diff(String, u64, u64, oneshot::Sender<Result<Value, String>>),
     Rollback(Value, oneshot::Sender<Result<Value, String>>),
+    Governors(oneshot::Sender<Value>),
+    Drain(bool, oneshot::Sender<Value>),
     Release(Value, oneshot::Sender<Result<Value, String>>),
 }
 
@@ -33,6 +35,8 @@
         .route("/tables/{proxy}", get(tables))
         .route("/tables/{proxy}/history", get(history))
         .route("/tables/{proxy}/diff/{one}/{other}", get(diff))
+        .route("/governors", get(governors))
+        .route("/drain", post(drain))
         .route("/rollback", post(rollback))
         .route("/release", post(release))
         .with_state(queries);
@@ -51,7 +55,7 @@
 async fn ready(State(asked): State<Asked>) -> Response {
     match ask(&asked, Query::Ready).await {
         Ok(true) => "ready\n".into_response(),
-        Ok(false) => (StatusCode::SERVICE_UNAVAILABLE, "no roster yet\n").into_response(),
+        Ok(false) => (StatusCode::SERVICE_UNAVAILABLE, "no roster yet, or it drains\n").into_response(),
         Err(response) => response,
     }
 }
@@ -94,6 +98,19 @@
     ask(&asked, |reply| Query::Rollback(body, reply)).await.map_or_else(|response| response, plain)
 }
 
+async fn governors(State(asked): State<Asked>) -> Response {
+    ask(&asked, Query::Governors).await.map_or_else(|response| response, |seen| Json(seen).into_response())
+}
+
+async fn drain(State(asked): State<Asked>, Json(body): Json<Value>) -> Response {
+    let Some(draining) = body["draining"].as_bool() else {
+        let error = json!({"error": "`draining` is true or false"});
+        return (StatusCode::BAD_REQUEST, Json(error)).into_response();
+    };
+    let answer = ask(&asked, |reply| Query::Drain(draining, reply)).await;
+    answer.map_or_else(|response| response, |seen| Json(seen).into_response())
+}
+
 async fn release(State(asked): State<Asked>, Json(body): Json<Value>) -> Response {
     ask(&asked, |reply| Query::Release(body, reply)).await.map_or_else(|response| response, plain)
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod roster_file;
 mod run;
 mod show;
+mod talk;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -90,9 +91,25 @@
         /// The governor's HTTP port
         #[arg(long, default_value = "127.0.0.1:15011")]
         at: String,
+        /// Say which governors it sees instead
+        #[arg(long)]
+        governors: bool,
         #[arg(long, value_enum, default_value = "text")]
         output: Output,
     },
+    /// Hand all proxies of a governor over to the others, ahead of its end; it runs on until stopped
+    #[command(after_help = "Example: wrenthread drain-governor --at 127.0.0.1:15011 --wait 60")]
+    DrainGovernor {
+        /// The governor's HTTP port
+        #[arg(long, default_value = "127.0.0.1:15011")]
+        at: String,
+        /// How long it may take, in seconds; the drain goes on behind it
+        #[arg(long, default_value = "60")]
+        wait: f64,
+        /// Take proxies again
+        #[arg(long)]
+        undo: bool,
+    },
     /// Ask a running governor for one proxy's tables, their versions, and what differs between two
     #[command(after_help = "Examples:\n  wrenthread tables relay-3\n  wrenthread tables relay-3 history\n  \
         wrenthread tables relay-3 diff 41 57")]
@@ -136,7 +153,8 @@
     #[command(hide = true)]
     ReadSettings { settings: PathBuf },
     /// Rehearse a bad day on stand-in relays and workers, and judge it by what crossed the sockets
-    #[command(after_help = "Example: wrenthread rehearse bad-day --seed 3\nDays: bad-day, short, takeover")]
+    #[command(after_help = "Example: wrenthread rehearse bad-day --seed 3\nDays: bad-day, short, takeover, \
+        split, stall, roll, dark")]
     Rehearse {
         day: String,
         /// Seeds; each is a day of its own
@@ -182,7 +200,12 @@
             wrenthread_settings::bound_process()?;
             println!("{}", serde_json::to_string(&wrenthread_settings::load(&settings))?);
         }
-        Command::Status { at, output } => {
+        Command::Status { at, governors: true, output } => {
+            let seen = show::fetch(&at, "/governors", None)?;
+            print(output, &seen, || show::governors(&seen));
+        }
+        Command::DrainGovernor { at, wait, undo } => show::drain(&at, wait, undo)?,
+        Command::Status { at, governors: false, output } => {
             let status = show::fetch(&at, "/status", None)?;
             print(output, &status, || show::status(&status));
         }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,10 +1,11 @@
 //! `wrenthread run`: sockets, files, signals and the one task that owns all state, on one thread.
 
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinHandle, LocalSet};
@@ -12,13 +13,14 @@
 use wrenthread_core::roster::Entry;
 use wrenthread_core::takeover::Key;
 use wrenthread_settings::{RosterSource, Route, Settings};
+use wrenthread_talk::{Talk, Terms};
 use wrenthread_xds::service::Front;
 use wrenthread_xds::{Wire, WireGroup, upstream};
 
 use crate::clock::Clock;
 use crate::host::{Chore, Host, WAIT_MOST};
 use crate::http::{self, Query};
-use crate::roster_file;
+use crate::{roster_file, talk};
 
 /// Events that may wait for the one task; streams beyond it wait on their sockets.
 const EVENTS: usize = 1024;
@@ -124,6 +126,12 @@
         TcpListener::bind(settings.grpc).await.with_context(|| format!("gRPC on {}", settings.grpc))?;
     let pages =
         TcpListener::bind(settings.http).await.with_context(|| format!("HTTP on {}", settings.http))?;
+    let socket = match settings.talk {
+        None => None,
+        Some(at) => Some(Rc::new(UdpSocket::bind(at).await.with_context(|| format!("talk on {at}"))?)),
+    };
+    let (datagrams, mut said) = mpsc::channel(EVENTS);
+    let listening = socket.clone().map(|socket| tokio::task::spawn_local(talk::listen(socket, datagrams)));
     let (events, mut heard) = mpsc::channel(EVENTS);
     let (questions, mut polled) = mpsc::channel(EVENTS);
     let (queries, mut asked) = mpsc::channel(64);
@@ -147,6 +155,9 @@
     let front = Front::new(events, wire.report_every);
     let numbers = front.clone();
     let (ads, lrs, csds) = front.services();
+    // What says to proxies and to those who balance over governors whether they should come here.
+    let (health, healthy) = tonic_health::server::health_reporter();
+    let mut draining = false;
     let server = tonic::transport::Server::builder()
         .http2_keepalive_interval(Some(span(settings.keepalive)))
         .http2_keepalive_timeout(Some(span(settings.keepalive_timeout)))
@@ -155,6 +166,7 @@
         .add_service(ads)
         .add_service(lrs)
         .add_service(csds)
+        .add_service(healthy)
         .serve_with_incoming_shutdown(TcpListenerStream::new(grpc), async {
             let _ = stopped.await;
         });
@@ -162,7 +174,15 @@
     let pages = tokio::task::spawn_local(http::serve(pages, queries));
     let mut roster = follow_roster(&settings, &wire, clock, lists.clone());
 
-    let mut host = Host::new(settings.setup(), wire.clone(), keys, settings.usual, clock.now());
+    let terms = Terms {
+        name: settings.governor.clone(),
+        at: settings.talk.unwrap_or(settings.grpc),
+        peers: settings.peers.clone(),
+        keys: if socket.is_some() { keys.clone() } else { Vec::new() },
+        moves_per_s: settings.moves_per_s,
+    };
+    let talking = Talk::new(terms, clock.epoch(), clock.now());
+    let mut host = Host::new(settings.setup(), wire.clone(), keys, settings.usual, talking, clock.now());
     let mut hangup = signal(SignalKind::hangup()).context("signals")?;
     let mut terminate = signal(SignalKind::terminate()).context("signals")?;
     let why = loop {
@@ -193,6 +213,13 @@
                 break "the gRPC server ended";
             }
             Some(entries) = listed.recv() => host.roster(clock.now(), entries),
+            Some(datagram) = said.recv(), if socket.is_some() => {
+                host.heard(clock.now(), &datagram);
+                for _ in 0..AT_ONCE {
+                    let Ok(datagram) = said.try_recv() else { break };
+                    host.heard(clock.now(), &datagram);
+                }
+            }
             Some(event) = heard.recv() => {
                 host.event(clock.now(), event);
                 for _ in 0..AT_ONCE {
@@ -214,6 +241,7 @@
         let began = std::time::Instant::now();
         let _span = tracing::debug_span!("pump").entered();
         host.pump(clock.now(), |chore| match chore {
+            Chore::Say(at, datagram) => talk::say(socket.as_ref(), at, &datagram),
             Chore::AwaitRoom(stream, answers) => {
                 let chores = chores.clone();
                 tokio::task::spawn_local(async move {
@@ -223,10 +251,21 @@
                 });
             }
         });
+        if draining != host.is_draining() {
+            draining = host.is_draining();
+            let status = match draining {
+                true => tonic_health::ServingStatus::NotServing,
+                false => tonic_health::ServingStatus::Serving,
+            };
+            health.set_service_status("", status).await;
+        }
         metrics::histogram!("wrenthread_pump_seconds").record(began.elapsed().as_secs_f64());
     };
     tracing::info!(why, "the governor stops; proxies keep their tables");
-    host.stop();
+    host.stop(clock.now(), |at, datagram| talk::say(socket.as_ref(), at, datagram));
+    if let Some(listening) = listening {
+        listening.abort();
+    }
     let _ = stop.send(());
     drop(heard);
     // Streams hear of their end before the sockets close.
@@ -270,7 +309,9 @@
     let now = clock.now();
     // Who asked may be gone; that is no concern of the governor's.
     match query {
-        Query::Ready(reply) => drop(reply.send(host.is_ready())),
+        Query::Ready(reply) => drop(reply.send(host.is_ready() && !host.is_draining())),
+        Query::Governors(reply) => drop(reply.send(host.governors(now))),
+        Query::Drain(draining, reply) => drop(reply.send(host.drain(now, draining))),
         Query::Status(reply) => drop(reply.send(host.status(now, clock.up()))),
         Query::Tables(proxy, reply) => drop(reply.send(host.tables(&proxy))),
         Query::History(proxy, reply) => drop(reply.send(host.history(now, &proxy))),
--- a/crates/daemon/src/show.rs
+++ b/crates/daemon/src/show.rs
@@ -164,3 +164,45 @@
     }
     text
 }
+
+pub fn governors(seen: &Value) -> String {
+    let most = if seen["others"].as_array().is_some_and(|others| others.is_empty()) {
+        String::new()
+    } else {
+        format!(" (at most {} as things stand)", cell(&seen["most"]))
+    };
+    let draining = if seen["draining"] == true { ", DRAINING" } else { "" };
+    let mut text = format!(
+        "{}{draining}: {} joined{most}, {} on their way out, {} sent on, {} came with what others knew\n",
+        cell(&seen["name"]),
+        cell(&seen["joined"]),
+        cell(&seen["on_way"]),
+        cell(&seen["moved"]),
+        cell(&seen["came"]),
+    );
+    text += &listed(&seen["others"], &["name", "standing", "joined", "draining", "since_s", "heard_s", "at"]);
+    text
+}
+
+/// Has a governor hand its proxies over, and waits until it has none; or (undo) has it take proxies again.
+///
+/// Errors: no governor answers there; proxies are left after the time.
+pub fn drain(at: &str, wait: f64, undo: bool) -> Result<()> {
+    let began = std::time::Instant::now();
+    let mut seen = fetch(at, "/drain", Some(&serde_json::json!({"draining": !undo})))?;
+    if undo {
+        println!("governor {} takes proxies again", cell(&seen["name"]));
+        return Ok(());
+    }
+    let had = cell(&seen["joined"]);
+    while seen["joined"] != 0 {
+        if began.elapsed().as_secs_f64() > wait {
+            bail!("{} of {had} proxies are still there after {wait} s; the drain goes on", seen["joined"]);
+        }
+        std::thread::sleep(std::time::Duration::from_millis(200));
+        seen = fetch(at, "/governors", None)?;
+    }
+    let took = began.elapsed().as_secs_f64();
+    println!("governor {} has handed over {had} proxies in {took:.1} s", cell(&seen["name"]));
+    Ok(())
+}
--- a/crates/poll/src/forms.rs
+++ b/crates/poll/src/forms.rs
@@ -142,6 +142,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
 pub struct Trouble {
     pub error: String,
+    /// The governor to go to; empty: whoever is next in the proxy's own order.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub go_to: Option<String>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -232,6 +235,31 @@
         })
     }
 
+    /// A report as it would have come, to be passed on.
+    pub fn report_again(&self, report: &Report) -> ReportAsked {
+        let name = |group: usize| self.groups.get(group).cloned();
+        let met = report.met.iter().filter_map(|met| {
+            Some(MetTold {
+                group: name(met.group)?,
+                replica: met.replica.to_string(),
+                issued: met.issued,
+                delivered: met.delivered,
+                dropped: met.dropped,
+                answer_ms: met.answers.0.as_secs_f64() * 1000.0,
+                load: met.load.clone(),
+            })
+        });
+        ReportAsked {
+            interval_ms: report.interval.as_secs_f64() * 1000.0,
+            met: met.collect(),
+            blocked: report
+                .blocked
+                .iter()
+                .filter_map(|(group, flows)| Some((name(*group)?, *flows)))
+                .collect(),
+        }
+    }
+
     pub fn report(&self, asked: &ReportAsked) -> Result<Report, Unclear> {
         let interval = Duration::try_from_secs_f64(asked.interval_ms / 1000.0)
             .map_err(|error| Unclear::Field("interval_ms", error.to_string()))?;
--- a/crates/poll/src/polls.rs
+++ b/crates/poll/src/polls.rs
@@ -125,6 +125,10 @@
         Ok(Asked { acked, superseded })
     }
 
+    pub fn sessions(&self) -> Vec<StreamId> {
+        self.sessions.keys().copied().collect()
+    }
+
     /// Whether a proxy's question waits.
     pub fn waits(&self, session: StreamId) -> bool {
         self.sessions.get(&session).is_some_and(|poller| poller.waiting.is_some())
--- a/crates/poll/src/service.rs
+++ b/crates/poll/src/service.rs
@@ -35,6 +35,8 @@
     /// Another stream or session has the name, or took the question's place.
     Conflict(String),
     NoSession,
+    /// The proxy is to go to this governor, or (none) to whoever is next in its order.
+    Moved(Option<String>),
     /// No room for more proxies: try again after a while.
     Full(String),
     Stopping,
@@ -159,7 +161,12 @@
 }
 
 fn refuse(headers: &HeaderMap, refusal: &Refusal) -> Response {
+    let mut go_to = None;
     let (status, error, again) = match refusal {
+        Refusal::Moved(to) => {
+            go_to = Some(to.clone().unwrap_or_default());
+            (StatusCode::MISDIRECTED_REQUEST, "this proxy is to go to another governor".into(), None)
+        }
         Refusal::Unclear(why) => (StatusCode::BAD_REQUEST, why.clone(), None),
         Refusal::Conflict(why) => (StatusCode::CONFLICT, why.clone(), None),
         Refusal::NoSession => (StatusCode::GONE, "no such session here: join again".into(), None),
@@ -169,7 +176,7 @@
             (StatusCode::SERVICE_UNAVAILABLE, why.into(), Some("2"))
         }
     };
-    let mut response = write(headers, status, &Trouble { error });
+    let mut response = write(headers, status, &Trouble { error, go_to });
     if let Some(again) = again {
         response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(again));
     }
@@ -233,7 +240,8 @@
 /// What differs from the version held; the question itself acknowledges that version.
 #[utoipa::path(get, path = "/v1/proxies/{proxy}/tables", params(("proxy" = String, Path), Question),
     responses((status = 200, body = TablesTold), (status = 304, description = "nothing differs"),
-        (status = 400, body = Trouble), (status = 409, body = Trouble), (status = 410, body = Trouble)))]
+        (status = 400, body = Trouble), (status = 409, body = Trouble), (status = 410, body = Trouble),
+        (status = 421, body = Trouble, description = "go to another governor")))]
 async fn tables(
     State(front): State<Front>,
     Path(_proxy): Path<String>,
--- a/crates/rehearsal/src/check.rs
+++ b/crates/rehearsal/src/check.rs
@@ -47,14 +47,32 @@
     }
 }
 
+/// Since when each governor is told what the roster file says; none for one that is not.
+#[derive(Default)]
+struct Told(BTreeMap<usize, Option<f64>>);
+
+impl Told {
+    fn see(&mut self, entry: &Entry) {
+        if let What::Stale { governor, stale } = entry.what {
+            self.0.insert(governor, (!stale).then_some(entry.at));
+        }
+    }
+
+    /// No governor can heed a list that it was not given.
+    fn since(&self, governor: usize) -> Option<f64> {
+        self.0.get(&governor).copied().unwrap_or(Some(0.0))
+    }
+}
+
 /// A joined relay whose table for a group has no line, for longer than allowed, while the list shows a worker
 /// that is ready and no longer cold.
 pub fn bare(day: &Day, tape: &[Entry]) -> Vec<String> {
     let (mut joined, mut broken) = (Joined::default(), Vec::new());
     let mut empty: BTreeMap<(usize, String), (f64, bool)> = BTreeMap::new();
-    let (mut ready, mut started) = (BTreeSet::new(), BTreeMap::new());
+    let (mut ready, mut started, mut listed_to) = (BTreeSet::new(), BTreeMap::new(), Told::default());
     for entry in tape {
         joined.see(entry);
+        listed_to.see(entry);
         match &entry.what {
             What::Roster { listed } => {
                 ready = listed.iter().filter(|one| one.ready).map(|one| one.worker).collect();
@@ -78,6 +96,7 @@
         let open = ready.iter().any(warm);
         for ((relay, group), (since, told)) in &mut empty {
             match joined.0.get(relay) {
+                Some((_, governor)) if listed_to.since(*governor).is_none() => *since = entry.at,
                 Some((at, _)) if open && entry.at - since.max(*at) > day.bare_for && !*told => {
                     *told = true;
                     broken.push(format!(
@@ -112,8 +131,10 @@
 pub fn drains(day: &Day, tape: &[Entry]) -> Vec<String> {
     let (mut joined, mut broken) = (Joined::default(), Vec::new());
     let (mut shut, mut known): (BTreeMap<usize, f64>, BTreeSet<usize>) = Default::default();
+    let mut listed_to = Told::default();
     for entry in tape {
         joined.see(entry);
+        listed_to.see(entry);
         match &entry.what {
             What::Roster { listed } => {
                 let ready: BTreeSet<usize> =
@@ -125,8 +146,10 @@
                 }
             }
             What::Try { flow, relay, worker } => {
-                let told =
-                    shut.get(worker).zip(joined.0.get(relay)).map(|(shut, (joined, _))| shut.max(*joined));
+                let told = shut.get(worker).zip(joined.0.get(relay));
+                let told = told.and_then(|(shut, (joined, governor))| {
+                    Some(shut.max(*joined).max(listed_to.since(*governor)?))
+                });
                 if let Some(told) = told.filter(|told| entry.at > told + day.drain_grace) {
                     let at = entry.at;
                     broken.push(format!(
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -6,6 +6,7 @@
 //! fleet has the same day on standing tables only.
 
 pub mod check;
+pub mod links;
 pub mod relay;
 pub mod tape;
 pub mod worker;
@@ -13,6 +14,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
@@ -20,6 +22,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result, bail};
+use nix::sys::signal::Signal;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use serde::Serialize;
@@ -30,15 +33,20 @@
 use wrenthread_settings::day::{self, Day, Planned, Trouble};
 
 use check::Ruled;
+use links::Links;
 use relay::{Front, Relay, name};
 use tape::{End, Entry, FLOWS, GROUPS, Listed, Tape, What};
 use worker::{Mode, Worker};
 use wrenthread_client::Who;
 
-const DAYS: [(&str, &str); 3] = [
+const DAYS: [(&str, &str); 7] = [
     ("bad-day", include_str!("../days/bad-day.star")),
     ("short", include_str!("../days/short.star")),
     ("takeover", include_str!("../days/takeover.star")),
+    ("split", include_str!("../days/split.star")),
+    ("stall", include_str!("../days/stall.star")),
+    ("roll", include_str!("../days/roll.star")),
+    ("dark", include_str!("../days/dark.star")),
 ];
 /// Lines of a standing table.
 const STANDING: usize = 8;
@@ -249,6 +257,9 @@
     tape: Tape,
     workers: Rc<Vec<Rc<Worker>>>,
     relays: Vec<Rc<Relay>>,
+    links: Rc<Links>,
+    /// Governors whose roster file is not replaced.
+    stale: RefCell<BTreeSet<usize>>,
     /// Workers that are listed as draining.
     draining: RefCell<BTreeSet<usize>>,
     /// Seconds of the calendar at the tape's beginning.
@@ -284,7 +295,8 @@
             })
             .collect();
         let calendar = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs_f64() - tape.now();
-        Ok(Rc::new(Field { day, seed, tape, workers, relays, draining: RefCell::default(), calendar }))
+        let (links, stale, draining) = (Rc::default(), RefCell::default(), RefCell::default());
+        Ok(Rc::new(Field { day, seed, tape, workers, relays, links, stale, draining, calendar }))
     }
 
     /// Holds the day; with a governor (its program, and a folder for its files) or without.
@@ -293,9 +305,23 @@
         if let Some((program, folder)) = governor {
             std::fs::write(folder.join("fleet.key"), format!("{:032}", self.seed))?;
             for place in 0..self.day.governors {
-                governors.push(Rc::new(Governor::new(program.clone(), folder.clone(), place, &self.day)?));
+                governors.push(Governor::new(program.clone(), folder.clone(), place)?);
             }
+            if self.day.talk {
+                let heard_at: Vec<SocketAddr> = governors.iter().map(|one| one.talk).collect();
+                for governor in &mut governors {
+                    let mut peers = Vec::new();
+                    for (other, at) in heard_at.iter().enumerate() {
+                        if other != governor.place {
+                            peers.push((other, self.links.lay(governor.place, other, *at).await?));
+                        }
+                    }
+                    governor.peers = peers;
+                }
+            }
+            governors.iter().try_for_each(|governor| governor.settle(&self.day))?;
         }
+        let governors: Vec<Rc<Governor>> = governors.into_iter().map(Rc::new).collect();
         let halls = self.day.halls.len();
         self.tape.add(What::Fleet {
             workers: (0..self.day.workers).map(|worker| worker % halls).collect(),
@@ -352,7 +378,8 @@
             })
         };
         let list = json!({"replicas": self.workers.iter().map(entry).collect::<Vec<_>>()});
-        for governor in governors {
+        let told = governors.iter().filter(|governor| !self.stale.borrow().contains(&governor.place));
+        for governor in told {
             let written = governor.folder.join("roster.new");
             std::fs::write(&written, format!("{list:#}"))?;
             std::fs::rename(written, governor.folder.join("roster.json"))?;
@@ -365,6 +392,16 @@
         Ok(())
     }
 
+    /// A governor's roster file is not replaced any more, or is again.
+    fn set_stale(&self, governors: &[Rc<Governor>], governor: usize, stale: bool) -> Result<()> {
+        match stale {
+            true => drop(self.stale.borrow_mut().insert(governor)),
+            false => drop(self.stale.borrow_mut().remove(&governor)),
+        }
+        self.tape.add(What::Stale { governor, stale });
+        if stale || governors.is_empty() { Ok(()) } else { self.list(governors) }
+    }
+
     async fn list_late(&self, governors: &[Rc<Governor>]) -> Result<()> {
         sleep(Duration::from_secs_f64(self.day.roster_late)).await;
         if governors.is_empty() { Ok(()) } else { self.list(governors) }
@@ -412,6 +449,9 @@
             Trouble::Kill { governor, after_orders } => {
                 let Some(governor) = governors.get(*governor).cloned() else { return Ok(()) };
                 let place = governor.place;
+                if *after_orders == 0 {
+                    governor.kill();
+                }
                 let (after, armed, seen) = (*after_orders, Cell::new(false), Cell::new(0));
                 let killer = governor.clone();
                 self.tape.watch(move |entry| match &entry.what {
@@ -441,6 +481,52 @@
                 sleep(lasts).await;
                 governor.start(&self.tape).await?;
             }
+            Trouble::Stall { governor } => {
+                let Some(governor) = governors.get(*governor) else { return Ok(()) };
+                governor.signal(Signal::SIGSTOP)?;
+                self.tape.add(What::Governor { governor: governor.place, up: false });
+                sleep(lasts).await;
+                governor.signal(Signal::SIGCONT)?;
+                self.tape.add(What::Governor { governor: governor.place, up: true });
+            }
+            Trouble::Cut { governor } if !governors.is_empty() => {
+                let (here, count) = (*governor, governors.len());
+                let reach = |reaches: bool| {
+                    for relay in &self.relays {
+                        let within = relay.place % halls == here % halls;
+                        let lost = (0..count).filter(|other| (*other == here) != within);
+                        lost.for_each(|other| relay.reach(other, reaches));
+                    }
+                    self.links.cut(here, count, false, !reaches);
+                    self.set_stale(governors, here, !reaches)
+                };
+                reach(false)?;
+                sleep(lasts).await;
+                reach(true)?;
+            }
+            Trouble::OneWay { governor } => {
+                self.links.cut(*governor, governors.len(), true, true);
+                sleep(lasts).await;
+                self.links.cut(*governor, governors.len(), true, false);
+            }
+            Trouble::Stale { governor } if !governors.is_empty() => {
+                self.set_stale(governors, *governor, true)?;
+                sleep(lasts).await;
+                self.set_stale(governors, *governor, false)?;
+            }
+            Trouble::Roll => {
+                for governor in governors {
+                    governor.drain().await?;
+                    governor.signal(Signal::SIGTERM)?;
+                    governor.ended().await;
+                    self.tape.add(What::Governor { governor: governor.place, up: false });
+                    sleep(Duration::from_millis(500)).await;
+                    governor.start(&self.tape).await?;
+                    // As an operator would: the next once this one is well.
+                    sleep(Duration::from_secs(3)).await;
+                }
+            }
+            Trouble::Cut { .. } | Trouble::Stale { .. } => {}
         }
         Ok(())
     }
@@ -453,6 +539,10 @@
     folder: PathBuf,
     dialled: wrenthread_client::Governor,
     http: String,
+    ports: (u16, u16),
+    /// Where it is heard by others, and where it finds them.
+    talk: SocketAddr,
+    peers: Vec<(usize, SocketAddr)>,
     child: RefCell<Option<Child>>,
     dead: Cell<bool>,
     killed_after: Cell<Option<usize>>,
@@ -472,11 +562,29 @@
 }
 
 impl Governor {
-    fn new(program: PathBuf, folder: PathBuf, place: usize, day: &Day) -> Result<Self> {
-        let key = folder.join("fleet.key");
+    fn new(program: PathBuf, folder: PathBuf, place: usize) -> Result<Self> {
         let folder = folder.join(format!("g{place}"));
         std::fs::create_dir_all(&folder)?;
         let (grpc, http, poll) = (free_port()?, free_port()?, free_port()?);
+        let talk = SocketAddr::from(([127, 0, 0, 1], free_port()?));
+        let uri = |port| format!("http://127.0.0.1:{port}");
+        let dialled =
+            wrenthread_client::Governor { name: format!("g{place}"), grpc: uri(grpc), poll: uri(poll) };
+        let http = format!("127.0.0.1:{http}");
+        let (ports, peers, killed_after) = ((grpc, poll), Vec::new(), Cell::new(None));
+        let (child, dead) = (RefCell::new(None), Cell::new(true));
+        Ok(Governor { place, program, folder, dialled, http, ports, talk, peers, child, dead, killed_after })
+    }
+
+    /// Writes its settings.
+    fn settle(&self, day: &Day) -> Result<()> {
+        let Governor { place, http, ports: (grpc, poll), talk, .. } = self;
+        let key = self.folder.join("../fleet.key");
+        let peers: Vec<String> = self.peers.iter().map(|(other, at)| format!("g{other}={at}")).collect();
+        let talking = match peers.is_empty() {
+            true => String::new(),
+            false => format!(", talk = \"{talk}\", peers = {peers:?}"),
+        };
         let groups: String = GROUPS
             .iter()
             .zip(FLOWS)
@@ -493,13 +601,13 @@
         let settings = format!(
             "fleet(zones = {:?}, proxies = {}, governors = {}, \
              standing_lines = {STANDING}, proxies_avoid = True)\n\
-             governor(name = \"g{place}\", keys = [{key:?}])\n\
+             governor(name = \"g{place}\", keys = [{key:?}]{talking})\n\
              replicas(cold_share = {}, warm_after = {})\n\
              channel(lines_per_s = {}, head_lines = {}, waiting_most = {}, \
              messages_most = {}, messages_over = {})\n\
              reports(every = 0.5, metrics = [\"waiting\"])\n\
              roster(file = \"roster.json\", look_every = 0.05)\n\
-             listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\", \
+             listen(grpc = \"127.0.0.1:{grpc}\", http = \"{http}\", \
              poll = \"127.0.0.1:{poll}\")\n{groups}",
             day.halls,
             day.relays,
@@ -512,20 +620,8 @@
             tape::MESSAGES.0,
             tape::MESSAGES.1,
         );
-        std::fs::write(folder.join("settings.star"), settings)?;
-        let uri = |port| format!("http://127.0.0.1:{port}");
-        let dialled =
-            wrenthread_client::Governor { name: format!("g{place}"), grpc: uri(grpc), poll: uri(poll) };
-        Ok(Governor {
-            place,
-            program,
-            folder,
-            dialled,
-            http: format!("127.0.0.1:{http}"),
-            child: RefCell::new(None),
-            dead: Cell::new(true),
-            killed_after: Cell::new(None),
-        })
+        std::fs::write(self.folder.join("settings.star"), settings)?;
+        Ok(())
     }
 
     async fn start(&self, tape: &Tape) -> Result<()> {
@@ -552,6 +648,32 @@
         bail!("the governor does not answer on {}; its log is in {}", self.http, self.folder.display())
     }
 
+    /// Sends its process a signal, by its id.
+    fn signal(&self, signal: Signal) -> Result<()> {
+        let id = self.child.borrow().as_ref().and_then(Child::id).context("the governor is not up")?;
+        Ok(nix::sys::signal::kill(nix::unistd::Pid::from_raw(id as i32), signal)?)
+    }
+
+    /// Has it hand its relays over, as an operator does.
+    async fn drain(&self) -> Result<()> {
+        let drain = ["drain-governor", "--at", &self.http, "--wait", "20"];
+        let drained = Command::new(&self.program).args(drain).output().await?;
+        // An operator would go on, too: what is left comes back by itself.
+        if !drained.status.success() {
+            eprintln!("{}", String::from_utf8_lossy(&drained.stderr).trim());
+        }
+        Ok(())
+    }
+
+    /// Waits for its end.
+    async fn ended(&self) {
+        let child = self.child.borrow_mut().take();
+        if let Some(mut child) = child {
+            let _ = timeout(Duration::from_secs(5), child.wait()).await;
+        }
+        self.dead.set(true);
+    }
+
     /// Kills it, as by a power cut.
     fn kill(&self) {
         if let Some(child) = self.child.borrow_mut().as_mut() {
--- a/crates/rehearsal/src/relay.rs
+++ b/crates/rehearsal/src/relay.rs
@@ -2,7 +2,7 @@
 //! client library; here are their flows, and what goes wrong with their streams and reports.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 use wrenthread::interface::FurtherTries;
 use wrenthread_client::keeper::{Keeper, Outcome, Standing};
-use wrenthread_client::{Governor, Ordered, Watch, Who, answers, grpc, poll};
+use wrenthread_client::{Error, Governor, Ordered, Watch, Who, answers, grpc, poll};
 use wrenthread_core::takeover::Dialer;
 
 use crate::tape::{End, FLOWS, GROUPS, Tape, What};
@@ -50,6 +50,8 @@
     at: RefCell<Governor>,
     moved: Notify,
     cut: Notify,
+    /// Governors that it can't reach, by place.
+    out_of_reach: RefCell<BTreeSet<usize>>,
     /// Reports come so many seconds late, and twice.
     late: Cell<f64>,
     reports: Cell<u64>,
@@ -128,6 +130,7 @@
             at: RefCell::default(),
             moved: Notify::new(),
             cut: Notify::new(),
+            out_of_reach: RefCell::default(),
             late: Cell::new(0.0),
             reports: Cell::new(0),
         })
@@ -138,6 +141,14 @@
         self.cut.notify_waiters();
     }
 
+    /// Governors are out of its reach, or within it again; a stream to one of them breaks.
+    pub fn reach(&self, governor: usize, reaches: bool) {
+        match reaches {
+            true => drop(self.out_of_reach.borrow_mut().remove(&governor)),
+            false => drop(self.out_of_reach.borrow_mut().insert(governor)),
+        }
+    }
+
     pub fn report_late(&self, seconds: f64) {
         self.late.set(seconds);
     }
@@ -225,7 +236,18 @@
                 Taped { relay: &self, governor: place, joined: Cell::new(false), ever: Cell::new(false) };
             let cut = self.cut.notified();
             let (keeper, versions) = (&self.keeper, &self.versions);
+            let out_of_reach = || self.out_of_reach.borrow().contains(&place);
+            let cut_off = async {
+                while !out_of_reach() {
+                    sleep(Duration::from_millis(50)).await;
+                }
+            };
             let stream = async {
+                if out_of_reach() {
+                    // As a connection that nobody answers, only sooner.
+                    sleep(Duration::from_millis(200)).await;
+                    return Err(Error::Ended);
+                }
                 match self.front {
                     Front::StateOfTheWorld => {
                         grpc::follow(governor, &self.who, false, keeper, versions, &watch).await
@@ -243,23 +265,30 @@
             let going_home = async {
                 loop {
                     sleep(Duration::from_millis(500)).await;
-                    let there = dialer.is_home() || answers(&home).await;
+                    let reaches = !self.out_of_reach.borrow().contains(&dialer.home());
+                    let there = dialer.is_home() || reaches && answers(&home).await;
                     if dialer.home_asked(self.now(), there) {
                         return;
                     }
                 }
             };
-            let went = tokio::select! {
-                _ = stream => false,
-                () = cut => false,
-                () = going_home => true,
+            let ended = tokio::select! {
+                ended = stream => ended.err(),
+                () = cut => None,
+                () = going_home => Some(Error::Moved(Some(names[dialer.home()].to_string()))),
+                () = cut_off => Some(Error::Ended),
             };
             *self.session.borrow_mut() = None;
             let ever = watch.ever.get();
             watch.broken();
-            // A broken stream is tried again where it was; only who can't be had is passed over.
-            if !went && !ever {
-                dialer.lost();
+            match ended {
+                Some(Error::Moved(Some(to))) if dialer.is_home() && to == names[dialer.home()] => {}
+                Some(Error::Moved(to)) => {
+                    dialer.sent_on(to.and_then(|to| names.iter().position(|name| *name == to)));
+                }
+                // A broken stream is tried again where it was; only who can't be had is passed over.
+                _ if !ever || self.out_of_reach.borrow().contains(&place) => dialer.lost(),
+                _ => {}
             }
             sleep(Duration::from_secs_f64(0.1 + 0.2 * self.chance())).await;
         }
--- a/crates/rehearsal/src/tape.rs
+++ b/crates/rehearsal/src/tape.rs
@@ -40,6 +40,11 @@
         governor: usize,
         up: bool,
     },
+    /// A governor's roster file is not replaced any more, or is again.
+    Stale {
+        governor: usize,
+        stale: bool,
+    },
     /// A worker's process began, cold (or, at the day's start, warm).
     Started {
         worker: usize,
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -20,8 +20,19 @@
     BrokenStreams { share: f64 },
     /// Load reports of a share of the relays come late, and twice.
     LateReports { share: f64, late: f64 },
-    /// The governor is killed once so many orders of a flush are out, and is started again at the end.
+    /// The governor is killed once so many orders of a flush are out (none: at once), and is started again at
+    /// the end.
     Kill { governor: usize, after_orders: usize },
+    /// The governor's process stands still.
+    Stall { governor: usize },
+    /// The governor and its hall are cut off from all else: relays, governors, roster.
+    Cut { governor: usize },
+    /// What the governor says to others is lost; what they say is heard.
+    OneWay { governor: usize },
+    /// The governor's roster stays as it is.
+    Stale { governor: usize },
+    /// All governors are drained, stopped and started again, one after another.
+    Roll,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -45,6 +56,7 @@
     pub warm_after: f64,
     pub drain_grace: f64,
     pub governors: usize,
+    pub talk: bool,
     pub care_for: f64,
     pub bare_for: f64,
     pub fall_multiple: f64,
@@ -52,8 +64,19 @@
     pub troubles: Vec<Planned>,
 }
 
-const KINDS: [&str; 6] =
-    ["silent", "quick_errors", "deploy", "broken_streams", "late_reports", "kill_governor"];
+const KINDS: [&str; 11] = [
+    "silent",
+    "quick_errors",
+    "deploy",
+    "broken_streams",
+    "late_reports",
+    "kill_governor",
+    "stall_governor",
+    "cut_governor",
+    "one_way",
+    "stale_roster",
+    "roll_governors",
+];
 
 /// Checks a day's script.
 ///
@@ -69,6 +92,7 @@
         let read = check.read("trouble", Some(said));
         let hall = read.text("hall").map(|name| halls.iter().position(|hall| *hall == name));
         let (count, share) = (read.whole("count") as usize, read.number("share"));
+        let governor = read.whole("governor") as usize;
         let trouble = match said.name.as_str() {
             "silent" => Trouble::Silent { count },
             "quick_errors" => Trouble::QuickErrors { count },
@@ -81,10 +105,12 @@
             },
             "broken_streams" => Trouble::BrokenStreams { share },
             "late_reports" => Trouble::LateReports { share, late: read.number("late") },
-            "kill_governor" => Trouble::Kill {
-                governor: read.whole("governor") as usize,
-                after_orders: read.whole("after_orders") as usize,
-            },
+            "kill_governor" => Trouble::Kill { governor, after_orders: read.whole("after_orders") as usize },
+            "stall_governor" => Trouble::Stall { governor },
+            "cut_governor" => Trouble::Cut { governor },
+            "one_way" => Trouble::OneWay { governor },
+            "stale_roster" => Trouble::Stale { governor },
+            "roll_governors" => Trouble::Roll,
             other => {
                 let near = schema::nearest(other, KINDS.into_iter());
                 let near = near.map_or_else(|| KINDS.join(", "), |near| format!("did you mean `{near}`?"));
@@ -113,6 +139,7 @@
         warm_after: day.number("warm_after"),
         drain_grace: day.number("drain_grace"),
         governors: day.whole("governors") as usize,
+        talk: day.truth("talk"),
         care_for: day.number("care_for"),
         bare_for: day.number("bare_for"),
         fall_multiple: day.number("fall_multiple"),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -94,6 +94,9 @@
     pub zones: Vec<String>,
     pub governor: String,
     pub keys: Vec<PathBuf>,
+    pub talk: Option<SocketAddr>,
+    pub peers: Vec<(String, SocketAddr)>,
+    pub moves_per_s: f64,
     pub governors: u64,
     pub proxies: u64,
     pub standing_lines: u64,
@@ -201,6 +204,31 @@
             "several governors share the fleet: say this one's `governor(name = ...)`".into(),
         );
     }
+    let talk = governor.text("talk").map(|text| (text.parse::<SocketAddr>().ok(), text));
+    if let Some((None, text)) = &talk {
+        check.fault(governor.line, format!("`talk` is \"{text}\"; it takes `address:port`"));
+    }
+    let talk = talk.and_then(|(at, _)| at);
+    let mut peers: Vec<(String, SocketAddr)> = Vec::new();
+    for text in governor.texts("peers") {
+        let peer = text.split_once('=').and_then(|(name, at)| Some((name.to_string(), at.parse().ok()?)));
+        match peer {
+            Some((peer, at))
+                if !peer.is_empty() && peer != name && peers.iter().all(|(one, _)| *one != peer) =>
+            {
+                peers.push((peer, at));
+            }
+            Some((peer, _)) => {
+                check.fault(governor.line, format!("peer `{peer}` is this governor, or twice there"))
+            }
+            None => check.fault(governor.line, format!("peer \"{text}\"; it takes \"name=address:port\"")),
+        }
+    }
+    if (talk.is_some() || !peers.is_empty())
+        && (talk.is_none() || name.is_empty() || governor.texts("keys").is_empty())
+    {
+        check.fault(governor.line, "governors that talk need `name`, `keys` and `talk`, each".into());
+    }
     let replicas = check.read("replicas", one("replicas"));
     let channel = check.read("channel", one("channel"));
     let reports = check.read("reports", one("reports"));
@@ -255,6 +283,9 @@
         zones,
         governor: name,
         keys: governor.texts("keys").into_iter().map(PathBuf::from).collect(),
+        talk,
+        peers,
+        moves_per_s: governor.number("moves_per_s"),
         governors: fleet.whole("governors"),
         proxies: fleet.whole("proxies"),
         standing_lines: fleet.whole("standing_lines"),
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -124,6 +124,14 @@
                 Open,
                 "files with secrets that all share; the first signs, all count",
             ),
+            field("talk", Takes::Text, Open, "where other governors reach this one, by UDP; none without it"),
+            field("peers", Takes::Texts, Open, "other governors as \"name=address:port\""),
+            field(
+                "moves_per_s",
+                Takes::Number(0.1, 10_000.0),
+                Number(20.0),
+                "proxies that are handed over a second, at most",
+            ),
         ],
     },
     Section {
@@ -265,7 +273,8 @@
                 Number(3.0),
                 "no try so long after a drain was listed",
             ),
-            field("governors", Takes::Whole(1, 8), Number(1.0), "governors that can't reach each other"),
+            field("governors", Takes::Whole(1, 8), Number(1.0), "governors that share the relays"),
+            field("talk", Takes::Truth, Truth(false), "they may talk to each other"),
             field(
                 "care_for",
                 Takes::Seconds(0.1, 60.0),
@@ -295,7 +304,12 @@
             field("late", Takes::Seconds(0.0, 60.0), Number(2.0), "how late reports come"),
             field("step", Takes::Seconds(0.1, 600.0), Number(2.0), "from one worker of a deploy to the next"),
             field("governor", Takes::Whole(0, 7), Number(0.0), "which governor"),
-            field("after_orders", Takes::Whole(1, 1000), Number(4.0), "orders of a flush that still go out"),
+            field(
+                "after_orders",
+                Takes::Whole(0, 1000),
+                Number(4.0),
+                "orders of a flush that still go out; 0: at once",
+            ),
         ],
     },
 ];
