Tests and measurements of sharing: hand-overs, differing lists, a calendar set back, gossip

The real program: a drain hands proxies of both fronts over and says so by the health protocol; a later epoch is taken up once; datagrams of any kind are counted. The engine: what another governor told holds until the module speaks, less what is forbidden here; two governors with differing lists never bare a proxy that goes between them (property test).

--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -340,3 +340,122 @@
     engine.rollback(ms(2000), &Scope::All, before, "", ms(60_000)).unwrap();
     assert!(share(&engine) <= cap + 1e-9, "{} {cap}", share(&engine));
 }
+
+fn handed(lines: &[&str], told_at: Duration) -> Handed {
+    let line = |id: &&str| {
+        let line = crate::versions::SaidLine { address: format!("{id}:1").into(), zone: 0, weight: 1000 };
+        (ReplicaId::from(*id), line)
+    };
+    let said = Said {
+        lines: lines.iter().map(line).collect(),
+        level: crate::versions::MILLION,
+        tries: FurtherTries::Never,
+    };
+    Handed { from: "g0".into(), whole: Whole { groups: vec![Some(said), None] }, told_at, report: None }
+}
+
+#[test]
+fn what_another_governor_told_holds_until_the_module_speaks_less_what_is_forbidden_here() {
+    let mut engine = engine(&["a", "b", "c", "d", "e"]);
+    run(&mut engine, ms(600));
+    let mut list = ready(&["a", "b", "c", "d", "e"]);
+    list[1].phase = Phase::Draining;
+    // It started anew after the other governor told it.
+    list[2].started = Some(ms(500));
+    engine.roster(ms(700), list);
+    run(&mut engine, ms(1000));
+    let with_orders = Join { holds_orders: true, ..join("p", &["a"]) };
+    let number = engine.joined(ms(1001), 1, &with_orders).unwrap().number;
+    assert_eq!(engine.handed(ms(1001), number, handed(&["a", "b", "c", "never"], ms(400))), 1);
+    assert_eq!(open(&engine, number), ["a"], "at once, without what drains, is cold or nobody knows");
+    assert_eq!(engine.holds().count(), 1);
+    run(&mut engine, ms(1600));
+    assert!(open(&engine, number).len() >= 3, "the module has spoken: {:?}", open(&engine, number));
+    assert_eq!(engine.holds().count(), 0);
+    // For whom it has spoken, and who is on a standing table, nothing that comes later counts.
+    assert_eq!(engine.handed(ms(1700), number, handed(&["a"], ms(400))), 0);
+    let fresh = engine.joined(ms(1700), 2, &join("q", &["a", "d", "e"])).unwrap().number;
+    assert_eq!(engine.handed(ms(1700), fresh, handed(&["a"], ms(400))), 0);
+    // Nothing of it is left here: it would be bare, so it keeps what it has until the module speaks.
+    let number = engine.joined(ms(1700), 3, &Join { holds_orders: true, ..join("r", &[]) }).unwrap().number;
+    assert_eq!(engine.handed(ms(1700), number, handed(&["b", "never"], ms(400))), 0);
+    assert!(!engine.proxy(number).unwrap().has_word());
+}
+
+#[test]
+fn the_last_report_goes_with_a_proxy_and_is_heard_once() {
+    let (mut one, mut other) = (engine(&["a", "b", "c"]), engine(&["a", "b", "c"]));
+    let number = one.joined(ms(1), 1, &join("p", &[])).unwrap().number;
+    run(&mut one, ms(600));
+    let blocked = vec![(0, 7)];
+    let report = Report { interval: Duration::from_millis(500), met: vec![], blocked };
+    one.report(ms(700), "p", 1, &report).unwrap();
+    let (newest, last) = one.known_of(ms(900), number).unwrap();
+    let (age, known) = last.unwrap();
+    assert_eq!((age, known, newest.version), (Duration::from_millis(200), &report, newest.version));
+    let told_at = newest.at;
+    let handed =
+        Handed { from: "g0".into(), whole: (*newest.whole).clone(), told_at, report: Some(report.clone()) };
+    let there = other.joined(ms(901), 1, &Join { holds_orders: true, ..join("p", &[]) }).unwrap().number;
+    assert_eq!(other.handed(ms(901), there, handed), 2);
+    assert_eq!(open(&other, there), open(&one, number));
+    assert_eq!(other.reports().1, 1);
+    // The proxy sends it again, as it heard no answer.
+    assert_eq!(other.report(ms(1000), "p", 1, &report), Err(Discarded::Copy));
+    other.left(ms(1100), 1);
+    assert_eq!(other.holds().count(), 0, "what was handed over goes with the stream");
+}
+
+proptest::proptest! {
+    /// The roster tells two governors different things, and a proxy goes from one to the other and back.
+    #[test]
+    fn a_proxy_between_governors_with_other_lists_is_never_bare(
+        lists in proptest::collection::vec(
+            (0usize..2, proptest::collection::vec((0usize..6, 0usize..3, proptest::bool::ANY), 1..7)), 1..6),
+        moves in proptest::collection::vec(1u64..900, 1..6),
+    ) {
+        let names = ["a", "b", "c", "d", "e", "f"];
+        let mut engines = [engine(&names), engine(&names)];
+        let mut listed = [[true; 6]; 2];
+        let (mut now, mut stream, mut at) = (1000, 10, 0);
+        engines.iter_mut().for_each(|engine| drop(run(engine, ms(900))));
+        let mut number = engines[0].joined(ms(now), stream, &join("p", &[])).unwrap().number;
+        let mut lists = lists.into_iter();
+        for wait in moves {
+            for _ in 0..4 {
+                now += wait / 4 + 1;
+                engines.iter_mut().for_each(|engine| drop(run(engine, ms(now))));
+                let proxy = engines[at].proxy(number).unwrap();
+                // What it is told always has an open line, as far as any listed replica is ready there.
+                let told = proxy.tables.iter().flatten();
+                let bare = told.filter(|kept| kept.table.lines.iter().all(|line| !line.open)).count();
+                proptest::prop_assert!(bare == 0 || listed[at].iter().all(|ready| !ready), "bare at {now}");
+            }
+            if let Some((of, changes)) = lists.next() {
+                let mut list = ready(&names);
+                for (place, ready) in listed[of].iter().enumerate() {
+                    if !ready {
+                        list[place].phase = Phase::Draining;
+                    }
+                }
+                for (place, phase, cold) in changes {
+                    list[place].phase = [Phase::Ready, Phase::Draining, Phase::Gone][phase];
+                    list[place].started = cold.then(|| ms(now));
+                }
+                let is_ready = |entry: &Entry| entry.phase == Phase::Ready;
+                listed[of] = std::array::from_fn(|place| is_ready(&list[place]));
+                engines[of].roster(ms(now), list);
+            }
+            // It changes hands: what is known goes ahead of it.
+            let known = engines[at].known_of(ms(now), number).map(|(newest, _)| (newest.whole.clone(), newest.at));
+            engines[at].left(ms(now), stream);
+            (at, stream) = (1 - at, stream + 1);
+            let holds = Join { holds_orders: true, ..join("p", &[]) };
+            number = engines[at].joined(ms(now), stream, &holds).unwrap().number;
+            if let Some((whole, told_at)) = known {
+                let whole = (*whole).clone();
+                engines[at].handed(ms(now), number, Handed { from: "g".into(), whole, told_at, report: None });
+            }
+        }
+    }
+}
--- a/crates/daemon/benches/common/mod.rs
+++ b/crates/daemon/benches/common/mod.rs
@@ -38,7 +38,13 @@
 
 impl Governor {
     pub async fn start(relays: usize) -> Governor {
-        let folder = std::env::temp_dir().join(format!("wrenthread-bench-{}-{relays}", std::process::id()));
+        Governor::start_with(relays, "alone", "").await
+    }
+
+    /// With more settings besides; `tag` tells it from others of the same run.
+    pub async fn start_with(relays: usize, tag: &str, more: &str) -> Governor {
+        let folder =
+            std::env::temp_dir().join(format!("wrenthread-bench-{}-{relays}-{tag}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let port = || std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
         let (grpc, http, poll) = (port(), port(), port());
@@ -48,23 +54,30 @@
              listen(grpc = \"127.0.0.1:{grpc}\", http = \"127.0.0.1:{http}\", poll = \"127.0.0.1:{poll}\")\n\
              channel(lines_per_s = 200000, waiting_most = 400000)\nreplicas(warm_after = 0.5)\n\
              for name in {GROUPS:?}:\n    \
-                 group(name, latency_budget = 1, expiry = 3, prefix = \"/\" + name)\n"
+                 group(name, latency_budget = 1, expiry = 3, prefix = \"/\" + name)\n{more}\n"
         );
         std::fs::write(folder.join("settings.star"), script).unwrap();
         roster(&folder, None);
-        let child = Command::new(env!("CARGO_BIN_EXE_wrenthread"))
+        let (uri, poll) = (format!("http://127.0.0.1:{grpc}"), format!("http://127.0.0.1:{poll}"));
+        let child = Command::new("true").spawn().unwrap();
+        let mut governor = Governor { child, folder, uri, poll, http };
+        governor.spawn().await;
+        governor
+    }
+
+    /// Starts it (anew), and waits until it answers.
+    pub async fn spawn(&mut self) {
+        self.child = Command::new(env!("CARGO_BIN_EXE_wrenthread"))
             .arg("run")
-            .arg(folder.join("settings.star"))
+            .arg(self.folder.join("settings.star"))
             .env("RUST_LOG", "warn")
             .stderr(Stdio::inherit())
             .spawn()
             .unwrap();
-        while tokio::net::TcpStream::connect(("127.0.0.1", grpc)).await.is_err() {
+        while tokio::net::TcpStream::connect(self.uri.trim_start_matches("http://")).await.is_err() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         tokio::time::sleep(Duration::from_millis(200)).await;
-        let (uri, poll) = (format!("http://127.0.0.1:{grpc}"), format!("http://127.0.0.1:{poll}"));
-        Governor { child, folder, uri, poll, http }
     }
 
     /// Processor seconds used so far, and resident mebibytes.
--- /dev/null
+++ b/crates/daemon/benches/takeover.rs
@@ -0,0 +1,214 @@
+//! How long relays are without a governor after one of three is killed, or drained; how evenly the others have them
+//! then; how many move on its return. Beside it, in the same run, relays that redial by chance.
+//!
+//! Relays follow by the client library (gRPC, delta) and pause for 0.1 to 0.3 s between two dials, either way.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use common::{Governor, ZONES};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use tokio::task::LocalSet;
+use wrenthread_client::keeper::Keeper;
+use wrenthread_client::{Error, Ordered, Watch, Who, answers, grpc};
+use wrenthread_core::takeover::Dialer;
+
+const HOME: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(4));
+
+#[derive(Default)]
+struct Relay {
+    /// Where it has orders from, and since when.
+    at: Cell<Option<(usize, Instant)>>,
+    /// When its last stream ended.
+    lost: Cell<Option<Instant>>,
+    /// The time from the last stream's end to the first order on the next.
+    gap: Cell<Option<Duration>>,
+    joins: Cell<usize>,
+}
+
+struct Watched<'a>(&'a Relay, usize);
+
+impl Watch for Watched<'_> {
+    fn ordered(&self, _mark: &str, _lines: usize, _tables: &Ordered) {
+        if self.0.at.get().is_none() {
+            self.0.at.set(Some((self.1, Instant::now())));
+            self.0.gap.set(self.0.lost.get().map(|lost| lost.elapsed()));
+            self.0.joins.set(self.0.joins.get() + 1);
+        }
+    }
+}
+
+async fn follow(
+    number: usize,
+    relay: Rc<Relay>,
+    governors: Rc<Vec<wrenthread_client::Governor>>,
+    by_chance: bool,
+) {
+    let names: Vec<&str> = governors.iter().map(|one| one.name.as_str()).collect();
+    let who = Who { name: format!("relay-{number}"), zone: ZONES[number % 3].into(), usual: 1.0 };
+    let mut rng = ChaCha8Rng::seed_from_u64(number as u64);
+    let mut dialer = Dialer::new(&who.name, &names, HOME.0, HOME.1);
+    let keeper = Keeper::new(common::GROUPS.map(str::to_string).to_vec(), vec![], None);
+    let (keeper, versions, began) = (Rc::new(RefCell::new(keeper)), Rc::default(), Instant::now());
+    let mut place = dialer.dials();
+    loop {
+        let watched = Watched(&relay, place);
+        let home = governors[dialer.home()].grpc.clone();
+        let going_home = async {
+            loop {
+                tokio::time::sleep(Duration::from_millis(500)).await;
+                let there = by_chance || dialer.is_home() || answers(&home).await;
+                if !by_chance && dialer.home_asked(began.elapsed(), there) {
+                    return;
+                }
+            }
+        };
+        let ended = tokio::select! {
+            ended = grpc::follow(&governors[place], &who, true, &keeper, &versions, &watched) => ended.err(),
+            () = going_home => None,
+        };
+        if relay.at.take().is_some() {
+            relay.lost.set(Some(Instant::now()));
+        } else if ended.is_some() {
+            dialer.lost();
+        }
+        if let Some(Error::Moved(to)) = &ended {
+            let to = to.as_ref().and_then(|to| names.iter().position(|name| name == to));
+            dialer.sent_on(to);
+        }
+        place = match by_chance {
+            true => rng.next_u64() as usize % governors.len(),
+            false => dialer.dials(),
+        };
+        let pause = Duration::from_millis(100 + rng.next_u64() % 200);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn counts(relays: &[Rc<Relay>]) -> [usize; 3] {
+    let at = |place| relays.iter().filter(|one| one.at.get().is_some_and(|(at, _)| at == place)).count();
+    [at(0), at(1), at(2)]
+}
+
+fn spread(gaps: &mut [Duration]) -> String {
+    gaps.sort();
+    let at = |part: f64| gaps.get((gaps.len() as f64 * part) as usize).or(gaps.last()).copied();
+    let text = |one: Option<Duration>| one.map_or("-".into(), |one| format!("{:.2}", one.as_secs_f64()));
+    format!("{} | {} | {}", text(at(0.5)), text(at(0.99)), text(gaps.last().copied()))
+}
+
+async fn all_there(relays: &[Rc<Relay>], within: Duration) -> bool {
+    let began = Instant::now();
+    while relays.iter().any(|one| one.at.get().is_none()) {
+        if began.elapsed() > within {
+            return false;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    true
+}
+
+async fn fleet(count: usize, tag: &str, talks: bool) -> Vec<Governor> {
+    let mut governors = Vec::new();
+    let port = || std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+    let talk = [port(), port(), port()];
+    let key = std::env::temp_dir().join(format!("wrenthread-bench-{}.key", std::process::id()));
+    std::fs::write(&key, [b'k'; 32]).unwrap();
+    for place in 0..3 {
+        let peers: Vec<String> = (0..3)
+            .filter(|other| *other != place)
+            .map(|other| format!("g{other}=127.0.0.1:{}", talk[other]))
+            .collect();
+        let talking = match talks {
+            true => format!(", talk = \"127.0.0.1:{}\", peers = {peers:?}", talk[place]),
+            false => String::new(),
+        };
+        let more = format!("governor(name = \"g{place}\", keys = [{key:?}]{talking})");
+        governors.push(Governor::start_with(count, &format!("{tag}{place}"), &more).await);
+    }
+    governors
+}
+
+async fn measure(count: usize, way: &str) {
+    let (talks, by_chance) = (way == "drained", way == "killed, redial by chance");
+    let mut governors = fleet(
+        count,
+        if talks {
+            "t"
+        } else if by_chance {
+            "c"
+        } else {
+            "r"
+        },
+        talks,
+    )
+    .await;
+    let dialled = governors.iter().enumerate().map(|(place, one)| wrenthread_client::Governor {
+        name: format!("g{place}"),
+        grpc: one.uri.clone(),
+        poll: one.poll.clone(),
+    });
+    let dialled: Rc<Vec<_>> = Rc::new(dialled.collect());
+    let relays: Vec<Rc<Relay>> = (0..count).map(|_| Rc::default()).collect();
+    for (number, relay) in relays.iter().enumerate() {
+        tokio::task::spawn_local(follow(number, relay.clone(), dialled.clone(), by_chance));
+    }
+    assert!(all_there(&relays, Duration::from_secs(60)).await, "not all have joined");
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let theirs: Vec<Rc<Relay>> =
+        relays.iter().filter(|one| one.at.get().is_some_and(|(at, _)| at == 0)).cloned().collect();
+    let before = counts(&relays);
+    let began = Instant::now();
+    if talks {
+        let url = format!("http://127.0.0.1:{}/drain", governors[0].http);
+        let drain = reqwest::Client::new().post(url).header("content-type", "application/json");
+        drain.body("{\"draining\": true}").send().await.unwrap();
+        while counts(&relays)[0] > 0 || relays.iter().any(|one| one.at.get().is_none()) {
+            assert!(began.elapsed() < Duration::from_secs(120), "the drain does not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    } else {
+        governors[0].child.kill().unwrap();
+        governors[0].child.wait().unwrap();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert!(all_there(&relays, Duration::from_secs(60)).await, "some found nobody");
+    }
+    let all = began.elapsed();
+    let mut gaps: Vec<Duration> = theirs.iter().filter_map(|one| one.gap.get()).collect();
+    let after = counts(&relays);
+    // Its return, or its end: what the drain left is stopped and started again.
+    let joins = |relays: &[Rc<Relay>]| relays.iter().map(|one| one.joins.get()).sum::<usize>();
+    let joined = joins(&relays);
+    if talks {
+        governors[0].child.kill().unwrap();
+        governors[0].child.wait().unwrap();
+    }
+    governors[0].spawn().await;
+    let wait = if talks { 6 + count as u64 / 30 } else { 12 };
+    tokio::time::sleep(Duration::from_secs(wait)).await;
+    let (moves, home) = (joins(&relays) - joined, counts(&relays));
+    println!(
+        "| {way} | {count} | {before:?} | {} | {:.1} | {after:?} | {moves} | {home:?} |",
+        spread(&mut gaps),
+        all.as_secs_f64(),
+    );
+}
+
+fn main() {
+    println!(
+        "| way | relays | at each before | without, p50, s | p99, s | worst, s | until all have another, s | \
+        at each after | moves on return | at each then |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let only: Option<usize> = std::env::args().find_map(|one| one.parse().ok());
+    for count in [60, 600, 1000].into_iter().filter(|count| only.is_none_or(|only| only == *count)) {
+        for way in ["killed", "killed, redial by chance", "drained"] {
+            LocalSet::new().block_on(&runtime, measure(count, way));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/sharing.rs
@@ -0,0 +1,153 @@
+//! Governors that talk, and proxies that change hands, on the real program.
+
+mod common;
+
+use std::cell::RefCell;
+use std::net::UdpSocket;
+use std::process::Command;
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{Governor, port, until};
+use serde_json::{Value, json};
+use wrenthread_client::keeper::Keeper;
+use wrenthread_client::poll::Session;
+use wrenthread_client::{Error, Unwatched, Who, answers, grpc};
+use wrenthread_core::takeover::{Claim, Key, ranking, sign};
+
+const SECRET: [u8; 32] = [b'k'; 32];
+
+/// Governors that share a key, and know each other's addresses.
+async fn sharing(test: &str, count: usize) -> Vec<(Governor, u16)> {
+    let talk: Vec<u16> = (0..count).map(|_| port()).collect();
+    let mut governors = Vec::new();
+    for (place, at) in talk.iter().enumerate() {
+        let mut governor = Governor::start(&format!("{test}-{place}"), 8).await;
+        governor.child.kill().unwrap();
+        governor.child.wait().unwrap();
+        std::fs::write(governor.folder.join("fleet.key"), SECRET).unwrap();
+        let peers = talk.iter().enumerate().filter(|(other, _)| *other != place);
+        let peers: Vec<String> = peers.map(|(other, at)| format!("g{other}=127.0.0.1:{at}")).collect();
+        let path = governor.folder.join("settings.star");
+        let settings = std::fs::read_to_string(&path).unwrap();
+        let more = format!(
+            "governor(name = \"g{place}\", keys = [\"fleet.key\"], talk = \"127.0.0.1:{at}\", peers = {peers:?})"
+        );
+        std::fs::write(&path, format!("{settings}\n{more}\n")).unwrap();
+        governor.spawn().await;
+        governors.push((governor, *at));
+    }
+    governors
+}
+
+fn seen(governor: &Governor) -> Value {
+    serde_json::from_str(&governor.get("/governors").unwrap()).unwrap()
+}
+
+fn program(governor: &Governor, arguments: &[&str]) -> (Option<i32>, String) {
+    let at = format!("127.0.0.1:{}", governor.http);
+    let ran =
+        Command::new(env!("CARGO_BIN_EXE_wrenthread")).args(arguments).args(["--at", &at]).output().unwrap();
+    (ran.status.code(), String::from_utf8([ran.stdout, ran.stderr].concat()).unwrap())
+}
+
+fn who(name: &str) -> Who {
+    Who { name: name.into(), zone: "north".into(), usual: 1.0 }
+}
+
+#[tokio::test]
+async fn a_drain_hands_proxies_of_both_fronts_over_with_what_is_known() {
+    let governors = sharing("drain", 2).await;
+    let (one, other) = (&governors[0].0, &governors[1].0);
+    for governor in [one, other] {
+        until("they see each other", || (seen(governor)["others"][0]["standing"] == "alive").then_some(()))
+            .await;
+    }
+    let (said, text) = program(one, &["status", "--governors"]);
+    assert!(said == Some(0) && text.contains("g1") && text.contains("alive"), "{text}");
+    let base = |governor: &Governor| format!("http://127.0.0.1:{}", governor.poll);
+    let keeper = || Rc::new(RefCell::new(Keeper::new(vec!["match".into(), "charge".into()], vec![], None)));
+    let (polled, streamed) = (keeper(), keeper());
+    // Proxies that belong with the first: they stay until it drains.
+    let names = (0..).map(|n| format!("relay-{n}"));
+    let mut theirs = names.filter(|name| ranking(name, &["g0", "g1"])[0] == 0);
+    let (p, q) = (who(&theirs.next().unwrap()), who(&theirs.next().unwrap()));
+    let session = Session::join(&base(one), &p, &polled).await.unwrap();
+    session.ask(&polled, &Unwatched).await.unwrap();
+    let uri = |governor: &Governor| format!("http://127.0.0.1:{}", governor.grpc);
+    let dialled = wrenthread_client::Governor { name: "g0".into(), grpc: uri(one), poll: base(one) };
+    let versions = Rc::default();
+    let following = grpc::follow(&dialled, &q, true, &streamed, &versions, &Unwatched);
+    assert!(answers(&uri(one)).await && answers(&uri(other)).await);
+    let draining = async {
+        // Nobody is moved who has just come.
+        tokio::time::sleep(Duration::from_millis(2500)).await;
+        let at = format!("127.0.0.1:{}", one.http);
+        let ran = tokio::task::spawn_blocking(move || {
+            let drain = ["drain-governor", "--wait", "15", "--at", &at];
+            Command::new(env!("CARGO_BIN_EXE_wrenthread")).args(drain).output().unwrap()
+        });
+        String::from_utf8(ran.await.unwrap().stdout).unwrap()
+    };
+    let polling = async {
+        loop {
+            if let Err(end) = session.ask(&polled, &Unwatched).await {
+                return end;
+            }
+        }
+    };
+    let (streamed_end, polled_end, said) = tokio::join!(following, polling, draining);
+    assert!(said.contains("has handed over 2 proxies"), "{said}");
+    let to_g1 = |end: &Error| matches!(end, Error::Moved(Some(to)) if to == "g1");
+    assert!(to_g1(&polled_end) && to_g1(&streamed_end.unwrap_err()), "{polled_end:?}");
+    // It says so to whoever asks by the public health protocol, and is not ready.
+    assert!(!answers(&uri(one)).await && answers(&uri(other)).await);
+    assert_ne!(one.get("/readyz").unwrap(), "ready\n");
+    let held = polled.borrow().ordered();
+    let session = Session::join(&base(other), &p, &polled).await.unwrap();
+    session.ask(&polled, &Unwatched).await.unwrap();
+    assert_eq!(polled.borrow().ordered()["match"].0.len(), held["match"].0.len());
+    assert!(other.log().contains("handed over") && other.log().contains("taken over"));
+    assert_eq!(seen(other)["came"], 1);
+    assert_eq!(program(one, &["drain-governor", "--undo"]).0, Some(0));
+    until("it takes proxies again", || one.get("/readyz").filter(|text| text == "ready\n")).await;
+    assert!(answers(&uri(one)).await);
+}
+
+#[tokio::test]
+async fn a_governor_whose_calendar_was_set_back_takes_up_a_later_epoch_once() {
+    let governors = sharing("calendar", 1).await;
+    let (governor, _) = &governors[0];
+    let join = async |name: &str, epoch: u64| {
+        let claim = Claim { governor: "g0".into(), epoch, version: 3, proxy: name.into() };
+        let claim = sign(&Key::new("fleet", &SECRET).unwrap(), &claim);
+        let url = format!("http://127.0.0.1:{}/v1/proxies/{name}", governor.poll);
+        let asked =
+            json!({"zone": "north", "usual": 1.0, "standing": [], "holds_orders": true, "claim": claim});
+        let request = reqwest::Client::new().post(url).header("content-type", "application/json");
+        let told = request.body(asked.to_string()).send().await.unwrap().text().await.unwrap();
+        serde_json::from_str::<Value>(&told).unwrap()
+    };
+    let epoch = || u64::from_str_radix(governor.status()["governor"]["epoch"].as_str().unwrap(), 16).unwrap();
+    let first = epoch();
+    join("old", first - 1000).await;
+    assert_eq!(epoch(), first, "an earlier life had an earlier calendar, as it should");
+    join("p", first + 5000).await;
+    assert_eq!(epoch(), first + 5001);
+    assert_eq!(governor.status()["proxies"], json!([]), "all come anew");
+    join("p", first + 9000).await;
+    assert_eq!(epoch(), first + 5001, "once in a life");
+    assert!(governor.log().contains("another governor has this one's name"));
+}
+
+#[tokio::test]
+async fn datagrams_of_any_kind_do_no_harm_and_are_counted() {
+    let governors = sharing("datagrams", 1).await;
+    let (governor, talk) = &governors[0];
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for length in (0..1500).step_by(50) {
+        socket.send_to(&vec![length as u8; length], ("127.0.0.1", *talk)).unwrap();
+    }
+    until("they are counted", || (seen(governor)["unheard"].as_u64() >= Some(20)).then_some(())).await;
+    assert_eq!(governor.get("/healthz").unwrap(), "ok\n");
+}
--- a/crates/talk/benches/gossip.rs
+++ b/crates/talk/benches/gossip.rs
@@ -5,10 +5,72 @@
 mod net;
 
 use net::Net;
+use wrenthread_core::takeover::ranking;
 use wrenthread_talk::Note;
+use wrenthread_talk::sharing::assign;
 use wrenthread_talk::words::Standing;
 
+/// Whom each proxy is with, by a seeded chance.
+fn by_chance(proxies: usize, among: &[usize], seed: u64) -> Vec<usize> {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let draw = |proxy: usize| {
+        let mut hasher = DefaultHasher::new();
+        (seed, proxy).hash(&mut hasher);
+        among[(hasher.finish() % among.len() as u64) as usize]
+    };
+    (0..proxies).map(draw).collect()
+}
+
+/// How evenly 1,000 proxies are spread before and after one of some governors dies, and how many change hands at
+/// its death and at its return, by each way of saying who belongs where.
+fn spreads() {
+    println!(
+        "| governors | way | fullest before, of its even part | after | moves at a death | at the return |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    let proxies: Vec<String> = (0..1000).map(|n| format!("relay-{n}")).collect();
+    let proxies: Vec<&str> = proxies.iter().map(String::as_str).collect();
+    for count in [3, 5, 8] {
+        let names: Vec<String> = (0..count).map(|n| format!("g{n}")).collect();
+        let all: Vec<&str> = names.iter().map(String::as_str).collect();
+        let ranked = |among: &[usize]| -> Vec<usize> {
+            let some: Vec<&str> = among.iter().map(|one| all[*one]).collect();
+            proxies.iter().map(|proxy| among[ranking(proxy, &some)[0]]).collect()
+        };
+        let bounded = |among: &[usize]| -> Vec<usize> {
+            let some: Vec<&str> = among.iter().map(|one| all[*one]).collect();
+            assign(&proxies, &some).into_iter().map(|place| among[place]).collect()
+        };
+        let everyone: Vec<usize> = (0..count).collect();
+        let others: Vec<usize> = (1..count).collect();
+        let full = |at: &[usize], among: usize| {
+            let most = (0..count).map(|one| at.iter().filter(|to| **to == one).count()).max().unwrap_or(0);
+            most as f64 * among as f64 / proxies.len() as f64
+        };
+        let moved = |one: &[usize], other: &[usize]| one.iter().zip(other).filter(|(a, b)| a != b).count();
+        let mut say = |way: &str, before: Vec<usize>, after: Vec<usize>, then: Vec<usize>| {
+            println!(
+                "| {count} | {way} | {:.2} | {:.2} | {} | {} |",
+                full(&before, count),
+                full(&after, count - 1),
+                moved(&before, &after),
+                moved(&after, &then)
+            );
+        };
+        say("rendezvous", ranked(&everyone), ranked(&others), ranked(&everyone));
+        say("rendezvous, bounded", bounded(&everyone), bounded(&others), bounded(&everyone));
+        // By chance the dead one's redial anywhere, and nobody comes home.
+        let before = by_chance(1000, &everyone, 1);
+        let again = by_chance(1000, &others, 2);
+        let after: Vec<usize> =
+            before.iter().zip(&again).map(|(at, again)| if *at == 0 { *again } else { *at }).collect();
+        say("redial by chance", before, after.clone(), after);
+    }
+}
+
 fn main() {
+    spreads();
+    println!();
     println!(
         "| governors | lost, % | bytes a governor and second | datagrams | longest, bytes | \
          first to know of a death, s | last, s | wrongly dead |"
--- a/crates/talk/src/members.rs
+++ b/crates/talk/src/members.rs
@@ -88,7 +88,7 @@
 /// What membership comes to.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Out {
-    Send(SocketAddr, Message),
+    Send(SocketAddr, Box<Message>),
     /// A governor's standing changed.
     Stands(String, Standing),
     /// This governor did nothing for so long: nobody is blamed for what was not heard meanwhile.
@@ -253,7 +253,7 @@
         };
         let words = self.words_for(to, room);
         let message = Message { from: self.me.clone(), to: to.to_string(), body, words };
-        self.out.push_back(Out::Send(at, message));
+        self.out.push_back(Out::Send(at, Box::new(message)));
     }
 
     // ---- steps
