--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -39,11 +39,12 @@
 use std::time::Duration;
 
 use wrenthread::interface::{
-    Decision, FurtherTries, Group, GroupSet, Phase, ProxyId, ReplicaId, Settings, TableId,
+    Decision, Effect, FurtherTries, Group, GroupSet, Phase, ProxyId, ReplicaId, Settings, TableId,
 };
 use wrenthread::rules::Governor;
 
 use crate::fleet::{Fleet, Join, Joined, Kind, Proxy, Refused, StreamId};
+use crate::guard::{Change, Guard, Limits, Reason, Refusal};
 use crate::history::{History, Version};
 use crate::holds::{self, Hold, LeftOut, Over};
 use crate::pace::{Channel, Pace};
@@ -69,7 +70,7 @@
 impl Setup {
     /// Plain settings with so many like groups, for examples and tests.
     pub fn example(groups: usize) -> Setup {
-        use wrenthread::interface::{Effect, LevelKind, LoadField};
+        use wrenthread::interface::{LevelKind, LoadField};
         let group = Group {
             effect: Effect::NonRetriable,
             latency_budget: Duration::from_secs(1),
@@ -143,6 +144,8 @@
     Nacked { proxy: Arc<str>, version: u64, words: String },
     /// So many proxies wait to be let in, as the channel is full.
     Lobby(usize),
+    /// Something is not sent as it was decided. What goes on being refused is said once.
+    Refused(Refusal),
     /// A hold has ended.
     HoldOver { proxy: Arc<str>, group: usize, over: Over },
 }
@@ -179,6 +182,12 @@
     pub report: Option<Report>,
 }
 
+/// The module is asked again this long after it was, at the soonest and at the latest, whatever it says.
+const SOONEST: Duration = Duration::from_millis(1);
+const LATEST: Duration = Duration::from_secs(60);
+/// Decisions of one go. A fleet of the largest size has fewer changes at once.
+const MOST_DECISIONS: usize = 100_000;
+
 /// Tables that were handed over hold for so long if the module does not speak before.
 const HANDED_FOR: Duration = Duration::from_secs(30);
 
@@ -210,6 +219,8 @@
     reports: Reports,
     history: History,
     holds: BTreeMap<(ProxyId, usize), Hold>,
+    guard: Guard,
+    recheck_all: bool,
     groups: usize,
     /// Lines that a proxy costs which is given all of its tables.
     join_cost: f64,
@@ -223,8 +234,14 @@
     out: VecDeque<Step>,
     offered: Option<ProxyId>,
     pulls: u64,
+    #[cfg(any(test, feature = "suspect"))]
+    suspect: Option<Suspect>,
 }
 
+/// Decides in the module's stead, with the module at hand.
+#[cfg(any(test, feature = "suspect"))]
+pub type Suspect = Box<dyn FnMut(Duration, &mut Governor) -> Option<Decision>>;
+
 impl Engine {
     pub fn new(setup: Setup, now: Duration) -> Self {
         let Setup { module, proxies, reports_per_s, empty_after, history } = setup;
@@ -235,6 +252,18 @@
             waiting_most: module.waiting_most,
             messages_most: module.messages_most,
         };
+        let limits = Limits {
+            cold_share: module.cold_share,
+            warm_after: module.warm_after,
+            lines_most: module.waiting_most,
+            own_zone: module.groups.iter().take(groups).map(|group| group.own_zone).collect(),
+            once_only: module
+                .groups
+                .iter()
+                .take(groups)
+                .map(|one| one.effect == Effect::NonRetriable)
+                .collect(),
+        };
         let join_cost = module.head_lines + (groups * module.standing_lines.clamp(1, 100)) as f64;
         Engine {
             roster: Roster::new(empty_after),
@@ -244,6 +273,8 @@
             reports: Reports::new(module.sums_every, reports_per_s),
             history: History::new(history.0, history.1),
             holds: BTreeMap::new(),
+            guard: Guard::new(limits),
+            recheck_all: false,
             groups,
             join_cost,
             lobby: VecDeque::new(),
@@ -254,6 +285,8 @@
             out: VecDeque::new(),
             offered: None,
             pulls: 0,
+            #[cfg(any(test, feature = "suspect"))]
+            suspect: None,
             rules: Governor::new(module, now),
         }
     }
@@ -306,6 +339,8 @@
             self.rules.left(joined.number);
         }
         self.out.extend(joined.replaced.map(Step::Close));
+        self.guard.left(joined.number);
+        self.guard.joined(joined.number, join.usual, &join.standing);
         // What is withdrawn holds for it from now on, whatever it stands on; levels likewise.
         self.refresh(now, &[joined.number], None);
         self.remember(now, joined.number);
@@ -367,6 +402,7 @@
         self.lobby.retain(|(waiting, _)| *waiting != number);
         self.holds.retain(|(of, _), hold| *of != number || !hold.handed);
         self.rules.left(number);
+        self.guard.left(number);
         self.causes.insert(Cause::Left);
     }
 
@@ -599,8 +635,15 @@
         for told in self.reports.due(now) {
             self.causes.insert(Cause::Reports);
             match told {
-                Told::Met(met) => self.rules.met(now, met),
-                Told::Came(came) => self.rules.came(came),
+                Told::Met(met) => {
+                    let delivered = met.tries.saturating_sub(met.dropped);
+                    self.guard.met(now, &met.replica, met.zone, delivered, met.span);
+                    self.rules.met(now, met);
+                }
+                Told::Came(came) => {
+                    self.guard.came(came.proxy, came.group, came.flows, came.span);
+                    self.rules.came(came);
+                }
             }
         }
         let waited = self.lobby.len();
@@ -625,7 +668,32 @@
             self.rules.beat();
         }
         if !self.causes.is_empty() {
+            let beat = self.causes.contains(&Cause::Beat);
             self.pull(now);
+            if std::mem::take(&mut self.recheck_all) {
+                let all = self.fleet.numbers();
+                self.refresh_as(now, &all, None, true, true);
+            } else if beat {
+                self.recheck(now);
+            }
+        }
+    }
+
+    /// Judges again what was refused, and, if some replica is sent too much by tables that stand, those.
+    fn recheck(&mut self, now: Duration) {
+        let tables = &self.tables;
+        let troubled = self.guard.troubled(now, &self.roster, |id| tables.is_withdrawn(id));
+        let held = self.guard.held();
+        let names = |proxy: &Proxy| {
+            let lines = proxy.tables.iter().flatten().flat_map(|kept| &kept.table.lines);
+            lines.filter(|line| line.open).any(|line| troubled.contains(&line.replica))
+        };
+        let concerned = |(number, proxy): (ProxyId, &Proxy)| {
+            (held.contains(&number) || !troubled.is_empty() && names(proxy)).then_some(number)
+        };
+        let concerned: Vec<ProxyId> = self.fleet.iter().filter_map(concerned).collect();
+        if !concerned.is_empty() {
+            self.refresh_as(now, &concerned, None, false, true);
         }
     }
 
@@ -637,7 +705,10 @@
         self.roster.forget(|id| tables.names(id) || held.contains(id));
         // Addresses may have changed under the same names.
         let all = self.fleet.numbers();
+        self.guard.listed(&self.roster);
         self.refresh(now, &all, None);
+        // What stands may be harmful by the new list, once the module has had its say.
+        self.recheck_all = true;
         self.causes.insert(Cause::Roster);
     }
 
@@ -648,10 +719,13 @@
         let (mut decided, mut touched) = (Vec::new(), Vec::new());
         self.pulls += 1;
         let version = self.version + 1;
-        while let Some(decision) = self.rules.decide(now) {
+        let moving = [Cause::Roster, Cause::Joined, Cause::Left, Cause::Probed];
+        let mut asked = answers.iter().any(|cause| moving.contains(cause));
+        while let Some(decision) = self.decide(now) {
             let what = match decision {
                 Decision::Wake(after) => {
-                    self.beat_at = now + after;
+                    // Neither at once, for ever, nor never again.
+                    self.beat_at = now + after.clamp(SOONEST, LATEST);
                     continue;
                 }
                 Decision::Mark(_) => {
@@ -664,7 +738,7 @@
                 }
                 Decision::Withdraw(replica, out) => {
                     self.tables.withdraw(replica.clone(), out);
-                    everyone = true;
+                    (everyone, asked) = (true, true);
                     What::Withdraw(replica, out)
                 }
                 Decision::Lines(table, lines) => {
@@ -690,12 +764,20 @@
                     What::Follow(self.name_of(Some(number)), groups)
                 }
                 Decision::Level(groups, level, tries) => {
-                    self.tables.level(groups, level, tries);
+                    for (groups, tries) in self.guard.tries(now, groups, tries) {
+                        self.tables.level(groups, level, tries);
+                    }
                     everyone = true;
                     What::Level(groups, level, tries)
                 }
             };
             decided.push(what);
+            if decided.len() >= MOST_DECISIONS {
+                // A module that goes on for ever must not hold up drains: the rest is asked for next time.
+                self.guard.refuse(now, 0, Reason::Flood, decided.len() as f64, MOST_DECISIONS as f64);
+                self.beat_at = now + LATEST.min(Duration::from_millis(250));
+                break;
+            }
         }
         let followers = if touched.is_empty() { BTreeMap::new() } else { self.followers() };
         for (place, table) in touched {
@@ -709,7 +791,29 @@
         self.out.extend(decided.into_iter().map(note));
         let concerned: Vec<ProxyId> =
             if everyone { self.fleet.numbers() } else { concerned.into_iter().collect() };
-        self.refresh(now, &concerned, marked.then_some(now));
+        self.refresh_as(now, &concerned, marked.then_some(now), asked, false);
+    }
+
+    /// The module's next decision.
+    fn decide(&mut self, now: Duration) -> Option<Decision> {
+        #[cfg(any(test, feature = "suspect"))]
+        if let Some(distort) = &mut self.suspect {
+            return distort(now, &mut self.rules);
+        }
+        self.rules.decide(now)
+    }
+
+    /// Puts something between the module and what becomes of its decisions: for tests and rehearsals of a module
+    /// that has gone wrong. It is asked as the module would be.
+    #[cfg(any(test, feature = "suspect"))]
+    pub fn suspect(&mut self, decider: Suspect) {
+        self.suspect = Some(decider);
+    }
+
+    /// Lets all through, for measurements of what the guard is worth.
+    #[cfg(any(test, feature = "suspect"))]
+    pub fn switch_guard_off(&mut self) {
+        self.guard.switch_off();
     }
 
     /// Who follows which table: each is one proxy's.
@@ -726,36 +830,81 @@
 
     /// Brings what these proxies should hold up to date; what changed is due to them.
     fn refresh(&mut self, now: Duration, numbers: &[ProxyId], marked: Option<Duration>) {
+        self.refresh_as(now, numbers, marked, true, false);
+    }
+
+    /// What a proxy's group should hold, as the module and those who hold its tables have it; none where there
+    /// is nothing to say.
+    fn wanted(&self, number: ProxyId, group: usize) -> Option<(Table, bool)> {
+        let proxy = self.fleet.get(number)?;
+        let (follows, told) = (proxy.follows[group], proxy.tables[group].is_some());
+        let wanted = self.tables.wanted(&self.roster, group, follows, &proxy.standing, told);
+        let Some(hold) = self.holds.get(&(number, group)) else { return Some((wanted?, false)) };
+        let nothing = Table { lines: Vec::new(), level: 1.0 };
+        let present = wanted.as_ref().unwrap_or(&nothing);
+        match holds::told(hold, present, &self.roster, |id| self.tables.is_withdrawn(id)) {
+            (Some(held), _) => Some((held, false)),
+            (None, _) => Some((wanted.unwrap_or(nothing), true)),
+        }
+    }
+
+    /// As [`Engine::refresh`]. `asked`: the cause asks for as many moves as it takes. `recheck`: tables that did
+    /// not change are judged again, too, as what they are judged by has.
+    fn refresh_as(
+        &mut self,
+        now: Duration,
+        numbers: &[ProxyId],
+        marked: Option<Duration>,
+        asked: bool,
+        recheck: bool,
+    ) {
         let version = self.version + 1;
+        let mut wanted: Vec<(ProxyId, usize, Table)> = Vec::new();
+        for (number, group) in numbers.iter().flat_map(|number| (0..self.groups).map(move |at| (*number, at)))
+        {
+            let Some((table, bare)) = self.wanted(number, group) else { continue };
+            if bare {
+                self.holds.remove(&(number, group));
+                let (proxy, over) = (self.name_of(Some(number)), Over::Bare);
+                self.out.push_back(Step::Note(Note::HoldOver { proxy, group, over }));
+            }
+            let kept = self.fleet.get(number).and_then(|proxy| proxy.tables[group].as_ref());
+            let same = kept.is_some_and(|kept| *kept.table == table);
+            if same {
+                self.guard.settled(number, group);
+            }
+            if (!same || recheck) && (kept.is_some() || !table.lines.is_empty()) {
+                wanted.push((number, group, table));
+            }
+        }
+        let places: Vec<(ProxyId, usize)> =
+            wanted.iter().map(|(number, group, _)| (*number, *group)).collect();
+        let (fleet, tables) = (&self.fleet, &self.tables);
+        let change = |(number, group, wanted): (ProxyId, usize, Table)| {
+            let proxy = fleet.get(number)?;
+            let held = proxy.tables[group].as_ref().map(|kept| &*kept.table);
+            Some(Change { proxy: number, zone: proxy.zone, group, held, standing: &proxy.standing, wanted })
+        };
+        let changes: Vec<Change> = wanted.into_iter().filter_map(change).collect();
+        let withdrawn = |id: &ReplicaId| tables.is_withdrawn(id);
+        let judged = self.guard.judge(now, &self.roster, withdrawn, asked, changes);
+        let mut judged: BTreeMap<(ProxyId, usize), Table> = places.into_iter().zip(judged).collect();
+        while let Some(refusal) = self.guard.news() {
+            self.out.push_back(Step::Note(Note::Refused(refusal)));
+        }
         let mut changed = Vec::new();
         let tries = self.tables.tries();
         for number in numbers {
             let Some(proxy) = self.fleet.get_mut(*number) else { continue };
             let (mut lines, mut urgent) = (0, false);
             for group in 0..self.groups {
+                let Some(table) = judged.remove(&(*number, group)) else { continue };
                 let kept = proxy.tables[group].take();
-                let follows = proxy.follows[group];
-                let told = kept.is_some();
-                let mut wanted = self.tables.wanted(&self.roster, group, follows, &proxy.standing, told);
-                if let Some(hold) = self.holds.get(&(*number, group)) {
-                    let nothing = Table { lines: Vec::new(), level: 1.0 };
-                    let present = wanted.as_ref().unwrap_or(&nothing);
-                    let withdrawn = |id: &ReplicaId| self.tables.is_withdrawn(id);
-                    if let (Some(held), _) = holds::told(hold, present, &self.roster, withdrawn) {
-                        wanted = Some(held);
-                    } else {
-                        self.holds.remove(&(*number, group));
-                        let (proxy, over) = (proxy.name.clone(), Over::Bare);
-                        self.out.push_back(Step::Note(Note::HoldOver { proxy, group, over }));
-                    }
-                }
-                proxy.tables[group] = match (wanted, kept) {
-                    (None, kept) => kept,
-                    (Some(wanted), Some(kept)) if *kept.table == wanted => Some(kept),
-                    (Some(wanted), kept) => {
-                        lines += kept
-                            .as_ref()
-                            .map_or(wanted.lines.len() + 1, |kept| wanted.differing(&kept.table));
+                proxy.tables[group] = match kept {
+                    Some(kept) if *kept.table == table => Some(kept),
+                    kept => {
+                        lines +=
+                            kept.as_ref().map_or(table.lines.len() + 1, |kept| table.differing(&kept.table));
                         // Who came with holdings that nobody knows, or may send to a drain, can't wait.
                         let drains = |(id, _): &(ReplicaId, f64)| self.tables.is_withdrawn(id);
                         urgent |= match &kept {
@@ -763,8 +912,8 @@
                             None => !proxy.fresh || proxy.standing.iter().any(drains),
                         };
                         // Groups that follow one table share one copy.
-                        let alike = proxy.tables[..group].iter().flatten().find(|one| *one.table == wanted);
-                        let table = alike.map_or_else(|| Arc::new(wanted), |one| one.table.clone());
+                        let alike = proxy.tables[..group].iter().flatten().find(|one| *one.table == table);
+                        let table = alike.map_or_else(|| Arc::new(table), |one| one.table.clone());
                         Some(Kept { version, table })
                     }
                 };
@@ -844,6 +993,11 @@
         self.reports.tally()
     }
 
+    /// What was refused, and the account that it is judged by.
+    pub fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
     /// Versions of what each proxy was told.
     pub fn history(&self) -> &History {
         &self.history
@@ -887,5 +1041,7 @@
     pub roster_doubted: bool,
 }
 
+#[cfg(test)]
+mod hostile;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/core/src/engine/hostile.rs
@@ -0,0 +1,244 @@
+//! The real engine under a module that has gone wrong, in every way that we could think of. With the guard no
+//! table that breaks a rule stands; without it each of these breaks one, so that none of them is idle.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+use super::*;
+use crate::guard::COLD_MARGIN;
+use crate::roster::Entry;
+
+const REPLICAS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
+/// It starts anew, cold, in the midst.
+const COLD: &str = "h";
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(100_000 + ms)
+}
+
+fn list(draining: &[&str], started: Option<Duration>) -> Vec<Entry> {
+    let entry = |id: &&str| Entry {
+        id: (*id).into(),
+        address: format!("{id}:1").into(),
+        zone: 0,
+        weight: 1.0,
+        phase: if draining.contains(id) { Phase::Draining } else { Phase::Ready },
+        started: started.filter(|_| *id == COLD),
+    };
+    REPLICAS.iter().map(entry).collect()
+}
+
+type Laid = BTreeMap<TableId, BTreeMap<ReplicaId, f64>>;
+/// What a module that has gone wrong makes of a decision; all tables that were ever laid, and how many beats
+/// there were, are at hand.
+type Wrong = fn(Decision, &Laid, u64) -> Vec<Decision>;
+
+fn decider(wrong: Wrong) -> Suspect {
+    let laid: Rc<RefCell<Laid>> = Rc::default();
+    let (mut ahead, mut beats) = (VecDeque::new(), 0u64);
+    Box::new(move |now, rules| {
+        if let Some(decision) = ahead.pop_front() {
+            return Some(decision);
+        }
+        let decision = rules.decide(now)?;
+        if let Decision::Lines(table, lines) = &decision {
+            laid.borrow_mut().entry(*table).or_default().extend(lines.iter().cloned());
+        }
+        beats += u64::from(matches!(decision, Decision::Wake(_)));
+        ahead.extend(wrong(decision, &laid.borrow(), beats));
+        ahead.pop_front()
+    })
+}
+
+/// With each beat, lines for every table that was laid.
+fn every_table(decision: Decision, laid: &Laid, weight: impl Fn(&ReplicaId) -> f64) -> Vec<Decision> {
+    let mut all = vec![decision.clone()];
+    if matches!(decision, Decision::Wake(_)) {
+        for table in laid.keys() {
+            let ids = REPLICAS.iter().map(|id| ReplicaId::from(*id));
+            all.push(Decision::Lines(*table, ids.map(|id| (id.clone(), weight(&id))).collect()));
+        }
+    }
+    all
+}
+
+fn with_each_beat(decision: Decision, more: Vec<Decision>) -> Vec<Decision> {
+    let more = if matches!(decision, Decision::Wake(_)) { more } else { Vec::new() };
+    more.into_iter().chain([decision]).collect()
+}
+
+/// Runs four proxies through a drain and a cold start; the rules that were broken, and how often.
+fn broken(wrong: Wrong, guarded: bool) -> BTreeMap<&'static str, usize> {
+    let mut setup = Setup::example(2);
+    setup.module.proxies = 4;
+    let mut engine = Engine::new(setup, at(0));
+    engine.suspect(decider(wrong));
+    if !guarded {
+        engine.switch_guard_off();
+    }
+    engine.roster(at(0), list(&[], None));
+    for (stream, name) in ["p", "q", "r", "s"].into_iter().enumerate() {
+        let standing = if stream < 2 { vec![] } else { REPLICAS.map(|id| (id.into(), 1.0)).to_vec() };
+        let (name, holds_orders) = (name.into(), stream < 2);
+        let join = Join { name, zone: 0, usual: 20.0, standing, holds_orders, claim: None };
+        engine.joined(at(1), stream as u64, &join).unwrap();
+    }
+    let mut broken: BTreeMap<&'static str, usize> = BTreeMap::new();
+    let cold_from = 10_000;
+    for now in (100..25_000).step_by(100) {
+        if now == 5000 {
+            engine.roster(at(now), list(&["a", "b"], None));
+        }
+        if now == cold_from {
+            engine.roster(at(now), list(&["a"], Some(at(now))));
+        }
+        while let Some(step) = engine.step(at(now)) {
+            if let Step::Flush(number) = step {
+                engine.sent(at(now), number, 8, 1);
+                let (stream, newest) = engine.proxy(number).map(|one| (one.stream, one.newest())).unwrap();
+                engine.acked(at(now), stream, newest);
+            }
+        }
+        let mut fault = |rule, is: bool| *broken.entry(rule).or_default() += usize::from(is);
+        let mut on_cold = 0.0;
+        for (_, proxy) in engine.fleet().iter() {
+            for kept in proxy.tables.iter().flatten() {
+                let lines: Vec<_> = kept.table.lines.iter().filter(|line| line.open).collect();
+                fault("bare", lines.is_empty());
+                let phase = |id: &ReplicaId| engine.known_roster().get(id).map(|one| one.phase);
+                fault("a drain", lines.iter().any(|line| phase(&line.replica) != Some(Phase::Ready)));
+                fault("a weight", lines.iter().any(|one| !(one.weight.is_finite() && one.weight > 0.0)));
+                fault("a level", !(0.0..=1.0).contains(&kept.table.level));
+                let most = lines.iter().map(|line| line.weight).fold(0.0, f64::max);
+                fault("the wire", lines.iter().any(|line| line.weight * 4.1e6 < most));
+                let all: f64 = lines.iter().map(|line| line.weight).sum();
+                let cold = lines.iter().filter(|line| &*line.replica == COLD);
+                on_cold += 10.0 * cold.map(|line| line.weight).sum::<f64>() / all;
+            }
+            fault("an effect twice", proxy.tries.1.contains(&FurtherTries::Once));
+        }
+        // 80 flows over six that are warm and one that has a quarter of its capacity, and all 20 s later.
+        let warmth = 0.25 + 0.75 * now.saturating_sub(cold_from) as f64 / 20_000.0;
+        let part = 80.0 / (6.0 + warmth) * warmth;
+        fault("a cold one", now > cold_from + 500 && on_cold > COLD_MARGIN * part * 1.1);
+    }
+    broken.retain(|_, times| *times > 0);
+    broken
+}
+
+/// Kinds of wrong, by what they are and the rule that each breaks where nothing guards it.
+const KINDS: [(&str, &str, Wrong); 12] = [
+    ("empty tables", "bare", |decision, laid, _| every_table(decision, laid, |_| 0.0)),
+    ("all onto a drain, undone", "a drain", |decision, laid, _| match decision {
+        Decision::Withdraw(id, _) => vec![Decision::Withdraw(id, false)],
+        other => every_table(other, laid, |id| f64::from(u8::from(&**id == "a"))),
+    }),
+    ("all onto a cold one", "a cold one", |decision, laid, _| {
+        every_table(decision, laid, |id| if &**id == COLD { 1e3 } else { 1.0 })
+    }),
+    ("flapping, drains undone", "a drain", |decision, laid, beats| match decision {
+        Decision::Withdraw(id, _) => vec![Decision::Withdraw(id, false)],
+        other => every_table(other, laid, |id| {
+            f64::from(u8::from((u64::from(id.as_bytes()[0]) + beats).is_multiple_of(2)))
+        }),
+    }),
+    ("infinite weights", "a weight", |decision, laid, _| {
+        every_table(decision, laid, |id| if &**id == "c" { f64::INFINITY } else { 1.0 })
+    }),
+    ("weights apart", "the wire", |decision, laid, _| {
+        every_table(decision, laid, |id| if &**id == "c" { 1e200 } else { 1e-200 })
+    }),
+    ("levels out of bounds", "a level", |decision, _, _| {
+        with_each_beat(decision, vec![Decision::Level(3, 7.0, FurtherTries::Never)])
+    }),
+    ("levels that are no numbers", "a level", |decision, _, _| {
+        with_each_beat(decision, vec![Decision::Level(1, f64::NAN, FurtherTries::Never)])
+    }),
+    ("further tries of what must not run twice", "an effect twice", |decision, _, _| {
+        with_each_beat(decision, vec![Decision::Level(3, 1.0, FurtherTries::Once)])
+    }),
+    ("all withdrawn", "bare", |decision, _, _| {
+        let out = REPLICAS.iter().map(|id| Decision::Withdraw((*id).into(), true));
+        with_each_beat(decision, out.collect())
+    }),
+    ("tables that nobody laid", "bare", |decision, _, _| {
+        with_each_beat(decision, (0..4).map(|proxy| Decision::Follow(proxy, 60_000, 3)).collect())
+    }),
+    ("replicas that nobody listed", "bare", |decision, _, _| match decision {
+        Decision::Lines(table, lines) => {
+            let made_up = |(place, (_, weight))| (ReplicaId::from(format!("made up {place}")), weight);
+            vec![Decision::Lines(table, lines.into_iter().enumerate().map(made_up).collect())]
+        }
+        other => vec![other],
+    }),
+];
+
+#[test]
+fn no_decider_however_wrong_has_a_table_stand_that_breaks_a_rule() {
+    for (kind, _, wrong) in KINDS {
+        assert_eq!(broken(wrong, true), BTreeMap::new(), "{kind}");
+    }
+}
+
+#[test]
+fn each_of_these_breaks_its_rule_where_nothing_guards_it() {
+    for (kind, rule, wrong) in KINDS {
+        let broken = broken(wrong, false);
+        assert!(broken.contains_key(rule), "{kind}: {broken:?}");
+    }
+}
+
+#[test]
+fn the_module_as_it_is_passes_unchanged() {
+    assert_eq!(broken(|decision, _, _| vec![decision], true), BTreeMap::new());
+    let mut engine = Engine::new(Setup::example(2), at(0));
+    engine.roster(at(0), list(&[], None));
+    for n in 0..8 {
+        let (name, standing) = (format!("p{n}").into(), vec![]);
+        let join = Join { name, zone: 0, usual: 20.0, standing, holds_orders: true, claim: None };
+        engine.joined(at(1), n, &join).unwrap();
+    }
+    for now in (100..30_000).step_by(100) {
+        match now {
+            5000 => engine.roster(at(now), list(&["a", "b"], None)),
+            9000 => engine.roster(at(now), list(&[], Some(at(now)))),
+            _ => {}
+        }
+        while let Some(step) = engine.step(at(now)) {
+            if let Step::Flush(number) = step {
+                engine.sent(at(now), number, 8, 1);
+            }
+        }
+    }
+    // Of what the module says nothing is refused. Tables that stand are judged again when a replica starts anew:
+    // there the guard is earlier than the module, by a beat.
+    let early = |one: &crate::guard::Refusal| {
+        one.reason == Reason::Cold && one.replica.as_deref() == Some(COLD) && one.at < at(9500)
+    };
+    let (_, passed) = engine.guard().tally();
+    let refusals: Vec<_> = engine.guard().refusals().collect();
+    assert!(passed > 20 && !refusals.is_empty() && refusals.iter().all(|one| early(one)), "{refusals:?}");
+}
+
+#[test]
+fn a_module_that_never_ends_and_one_that_never_wakes_are_asked_again_all_the_same() {
+    let forever: Suspect = Box::new(|_, _| Some(Decision::Level(1, 0.5, FurtherTries::Never)));
+    let never: Suspect = Box::new(|now, rules| match rules.decide(now)? {
+        Decision::Wake(_) => Some(Decision::Wake(Duration::MAX / 4)),
+        other => Some(other),
+    });
+    let at_once: Suspect = Box::new(|now, rules| match rules.decide(now)? {
+        Decision::Wake(_) => Some(Decision::Wake(Duration::ZERO)),
+        other => Some(other),
+    });
+    for decider in [forever, never, at_once] {
+        let mut engine = Engine::new(Setup::example(1), at(0));
+        engine.suspect(decider);
+        engine.roster(at(0), list(&[], None));
+        let steps = std::iter::from_fn(|| engine.step(at(1))).take(300_000).count();
+        assert!(steps < 300_000);
+        let due = engine.next_due(at(1));
+        assert!(due > at(1) && due <= at(1) + LATEST, "{due:?}");
+    }
+}
--- /dev/null
+++ b/crates/core/src/guard.rs
@@ -0,0 +1,843 @@
+//! What may not reach a proxy, whoever made it: the module by a fault, an operator, another governor, a front's
+//! bug. See `docs/design/guard.md`.
+//!
+//! The guard keeps its own account: the flows that each replica would be sent by all proxies here, by their
+//! demand and their tables' shares, and what each can take. A change is judged as the state that all proxies
+//! would be in after it. What passes is left as it is, to the letter. What does not is brought to the nearest
+//! that does: a line that means nothing is left out, a share that is too large is made smaller, a change that
+//! can't be is not carried out and the last good table stands, less what drains or is withdrawn. It never opens
+//! a line that nobody asked for, but where a proxy would be left with none.
+//!
+//! When two rules pull apart, the earlier holds: no proxy without a line; drains and withdrawals; no cold replica
+//! over its part; no warm one over what it can take; no more at once than was asked for.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use wrenthread::interface::{FurtherTries, GroupSet, Phase, ProxyId, ReplicaId};
+
+use crate::roster::Roster;
+use crate::tables::{Line, Table};
+
+/// A cold replica may be brought so many times its present part, by this account: the account is of means, and
+/// half a second old. Where it falls is beyond that (the rehearsals' workers: at 2.5).
+pub const COLD_MARGIN: f64 = 2.0;
+/// And a warm one so many times what is known that it can take, if the others have room.
+pub const WARM_MARGIN: f64 = 3.0;
+/// The part of all flows that may change replicas at once without a cause that asks for it.
+pub const AT_ONCE: f64 = 0.5;
+/// A change held back for being too much at once is carried out after so long: a guard that is wrong must not
+/// freeze a fleet.
+pub const HELD_FOR: Duration = Duration::from_secs(5);
+/// A refusal that lasts is an alarm.
+pub const ALARM: Duration = Duration::from_secs(10);
+/// What was seen delivered counts half after so long.
+const HALF_LIFE: f64 = 60.0;
+/// Weights further apart than this can't be said on the wire without moving others ([`crate::weights`]).
+const APART: f64 = 4e6;
+/// Refusals kept for operators.
+const KEPT: usize = 512;
+/// A line is made no smaller than this part of the mean one.
+const LEAST: f64 = 0.02;
+/// Passes over the replicas that are over: what one gives up goes to others.
+const PASSES: usize = 8;
+
+/// What the guard is told at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Limits {
+    /// A replica's share at its start, and how long until it has all.
+    pub cold_share: f64,
+    pub warm_after: Duration,
+    /// Lines that one change may have.
+    pub lines_most: f64,
+    /// By group: whether its flows may only go to replicas in the proxy's own zone.
+    pub own_zone: Vec<bool>,
+    /// By group: whether a flow that may have run must never be tried again.
+    pub once_only: Vec<bool>,
+}
+
+/// Why something of a change does not go out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum Reason {
+    #[error("no line of it is open, though a replica is ready")]
+    Bare,
+    #[error("all of its lines are to replicas that drain or are gone")]
+    Draining,
+    #[error("no line of it is open in the proxy's zone, which its group must not leave")]
+    ZoneBare,
+    #[error("a line leaves the zone that its group must not leave")]
+    OutOfZone,
+    #[error("a weight is not finite, or not above 0")]
+    Weight,
+    #[error("a weight is so small beside another that the wire can't say both")]
+    Wire,
+    #[error("a level is not from 0 to 1")]
+    Level,
+    #[error("a flow that may have run would be tried again, and must not take effect twice")]
+    Tries,
+    #[error("more decisions at once than there can be")]
+    Flood,
+    #[error("a replica that is not warm yet would be sent more than its present part")]
+    Cold,
+    #[error("a replica would be sent more than it can take, while others have room")]
+    Over,
+    #[error("it moves more of all flows at once than its cause asks for")]
+    Sweep,
+    #[error("it has more lines than the channel can carry in time")]
+    Lines,
+}
+
+/// What was done about it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Done {
+    /// The rest of the table goes out.
+    Corrected,
+    /// The last good table stands, less what drains or is withdrawn.
+    Kept,
+    /// Nothing good was left: the proxy's own standing lines, or all that are ready, by the list.
+    LastResort,
+    /// It goes out although: an earlier rule holds, or it was held for long enough.
+    LetThrough,
+}
+
+/// One refusal, for operators.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Refusal {
+    pub at: Duration,
+    /// None where it is about all of them.
+    pub proxy: Option<ProxyId>,
+    pub group: usize,
+    pub reason: Reason,
+    pub done: Done,
+    /// The replica that it is about, if it is about one.
+    pub replica: Option<ReplicaId>,
+    /// What was asked, and what is allowed: flows a second, shares, lines; by the reason.
+    pub asked: f64,
+    pub allowed: f64,
+    /// Since when the same has been refused without a break.
+    pub since: Duration,
+}
+
+/// A table on its way out.
+#[derive(Debug, Clone)]
+pub struct Change<'a> {
+    pub proxy: ProxyId,
+    pub zone: usize,
+    pub group: usize,
+    /// What the proxy holds, if it was told anything.
+    pub held: Option<&'a Table>,
+    /// The proxy's own standing lines.
+    pub standing: &'a [(ReplicaId, f64)],
+    pub wanted: Table,
+}
+
+/// Of which change, why, what was done, about which replica, what was asked and what is allowed.
+type Refused = (usize, Reason, Done, Option<ReplicaId>, f64, f64);
+
+/// What the account of one proxy's group stands on.
+#[derive(Debug, Clone, Default, PartialEq)]
+struct Share {
+    flows: f64,
+    /// Parts of them, by replica.
+    parts: Vec<(ReplicaId, f64)>,
+}
+
+#[derive(Debug)]
+pub struct Guard {
+    limits: Limits,
+    shares: BTreeMap<(ProxyId, usize), Share>,
+    account: BTreeMap<ReplicaId, f64>,
+    /// By replica and zone: the most that was delivered a second lately, and when.
+    seen: BTreeMap<(ReplicaId, usize), (f64, Duration)>,
+    refusals: VecDeque<Refusal>,
+    /// Refusals that are news, for the log.
+    news: VecDeque<Refusal>,
+    lasting: BTreeMap<(ProxyId, usize, Reason), Duration>,
+    counts: BTreeMap<Reason, u64>,
+    passed: u64,
+    off: bool,
+}
+
+/// Open lines as parts of the whole.
+fn parts(table: &Table) -> Vec<(ReplicaId, f64)> {
+    let sound = |line: &&Line| line.open && line.weight.is_finite() && line.weight > 0.0;
+    let all: f64 = table.lines.iter().filter(sound).map(|line| line.weight).sum();
+    table.lines.iter().filter(sound).map(|line| (line.replica.clone(), line.weight / all)).collect()
+}
+
+impl Guard {
+    pub fn new(limits: Limits) -> Self {
+        Guard {
+            limits,
+            shares: BTreeMap::new(),
+            account: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            refusals: VecDeque::new(),
+            news: VecDeque::new(),
+            lasting: BTreeMap::new(),
+            counts: BTreeMap::new(),
+            passed: 0,
+            off: false,
+        }
+    }
+
+    /// Lets all through, for measurements of what it is worth.
+    pub fn switch_off(&mut self) {
+        self.off = true;
+    }
+
+    // ---- the account
+
+    fn book(&mut self, key: (ProxyId, usize), sign: f64) {
+        let Some(share) = self.shares.get(&key) else { return };
+        for (replica, part) in &share.parts {
+            let flows = self.account.entry(replica.clone()).or_default();
+            *flows += sign * share.flows * part;
+        }
+    }
+
+    fn set(&mut self, key: (ProxyId, usize), change: impl FnOnce(&mut Share)) {
+        self.book(key, -1.0);
+        change(self.shares.entry(key).or_default());
+        self.book(key, 1.0);
+    }
+
+    /// A proxy has joined: its demand as it says it ordinarily is, on its standing lines.
+    pub fn joined(&mut self, proxy: ProxyId, flows: f64, standing: &[(ReplicaId, f64)]) {
+        let groups = self.limits.own_zone.len();
+        let all: f64 = standing.iter().map(|(_, weight)| weight.max(0.0)).sum();
+        for group in 0..groups {
+            self.set((proxy, group), |share| {
+                share.flows = flows.clamp(0.0, 1e9) / groups as f64;
+                let part = |(id, weight): &(ReplicaId, f64)| (id.clone(), weight.max(0.0) / all);
+                share.parts = if all > 0.0 { standing.iter().map(part).collect() } else { Vec::new() };
+            });
+        }
+    }
+
+    pub fn left(&mut self, proxy: ProxyId) {
+        let keys: Vec<_> = self.shares.range((proxy, 0)..=(proxy, usize::MAX)).map(|(key, _)| *key).collect();
+        for key in keys {
+            self.book(key, -1.0);
+            self.shares.remove(&key);
+        }
+        self.lasting.retain(|(of, _, _), _| *of != proxy);
+    }
+
+    /// Flows that came to a proxy, as it reports. Half of a new word counts at once, so that one odd report
+    /// does not turn the account over.
+    pub fn came(&mut self, proxy: ProxyId, group: usize, flows: u64, span: Duration) {
+        let rate = flows as f64 / span.as_secs_f64().max(0.1);
+        if self.shares.contains_key(&(proxy, group)) {
+            self.set((proxy, group), |share| share.flows = 0.5 * (share.flows + rate));
+        }
+    }
+
+    /// What was delivered at a replica, as the proxies of a zone report.
+    pub fn met(&mut self, now: Duration, replica: &ReplicaId, zone: usize, delivered: u64, span: Duration) {
+        let rate = delivered as f64 / span.as_secs_f64().max(0.1);
+        let seen = self.seen.entry((replica.clone(), zone)).or_insert((0.0, now));
+        if rate >= aged(*seen, now) {
+            *seen = (rate, now);
+        }
+    }
+
+    /// The list has changed: what is not on it any more is forgotten, and the account is made anew, so that
+    /// rounding does not add up.
+    pub fn listed(&mut self, roster: &Roster) {
+        self.seen.retain(|(id, _), _| roster.get(id).is_some_and(|one| one.phase != Phase::Gone));
+        self.account.clear();
+        let keys: Vec<_> = self.shares.keys().copied().collect();
+        keys.into_iter().for_each(|key| self.book(key, 1.0));
+    }
+
+    /// How much of its capacity a replica has by the settings' word of how one starts.
+    fn warmth(&self, now: Duration, roster: &Roster, id: &ReplicaId) -> f64 {
+        let Some(started) = roster.get(id).and_then(|one| one.started) else { return 1.0 };
+        let age = now.saturating_sub(started).as_secs_f64();
+        let whole = self.limits.warm_after.as_secs_f64();
+        if age >= whole {
+            return 1.0;
+        }
+        self.limits.cold_share + (1.0 - self.limits.cold_share) * age / whole
+    }
+
+    /// Flows a second that a warm replica of weight 1 is known to take: the most that any was seen to deliver
+    /// lately, or what falls to each if all is spread evenly, whichever is more. So neither a fleet that was
+    /// never under load nor one that grows makes refusals by itself.
+    fn unit(&self, now: Duration, roster: &Roster, withdrawn: &impl Fn(&ReplicaId) -> bool) -> f64 {
+        let mut seen: BTreeMap<&ReplicaId, f64> = BTreeMap::new();
+        for ((id, _), one) in &self.seen {
+            *seen.entry(id).or_default() += aged(*one, now);
+        }
+        let weight = |id: &ReplicaId| roster.get(id).map_or(1.0, |one| one.weight.max(1e-9));
+        let proven = seen.iter().map(|(id, rate)| rate / weight(id)).fold(0.0, f64::max);
+        let ready = roster.iter().filter(|(id, one)| one.phase == Phase::Ready && !withdrawn(id));
+        let able: f64 = ready.map(|(id, one)| one.weight.max(0.0) * self.warmth(now, roster, id)).sum();
+        let all: f64 = self.shares.values().map(|share| share.flows).sum();
+        proven.max(if able > 0.0 { all / able } else { f64::INFINITY })
+    }
+
+    // ---- the judgement
+
+    /// Judges a change as the state that all proxies are in after it: the tables that may go out, in order.
+    ///
+    /// `asked`: its cause asks for as many moves as it takes (the list changed, a proxy came or went, something
+    /// was withdrawn, an operator spoke).
+    pub fn judge(
+        &mut self,
+        now: Duration,
+        roster: &Roster,
+        withdrawn: impl Fn(&ReplicaId) -> bool,
+        asked: bool,
+        changes: Vec<Change>,
+    ) -> Vec<Table> {
+        if self.off {
+            return changes.into_iter().map(|change| change.wanted).collect();
+        }
+        let mut refused: Vec<Refused> = Vec::new();
+        let open =
+            |id: &ReplicaId| roster.get(id).is_some_and(|one| one.phase == Phase::Ready) && !withdrawn(id);
+        let mut tables: Vec<Table> = Vec::with_capacity(changes.len());
+        for (place, change) in changes.iter().enumerate() {
+            let own_zone = self.limits.own_zone.get(change.group).copied().unwrap_or(false);
+            tables.push(single(change, own_zone, roster, &open, |reason, done, replica, asked, allowed| {
+                refused.push((place, reason, done, replica, asked, allowed));
+            }));
+        }
+        let lines: usize = tables.iter().map(|table| table.lines.len()).sum();
+        if lines as f64 > self.limits.lines_most && tables.len() > 1 {
+            // What does not fit waits: the first are carried out, the rest keep what they hold.
+            let mut room = self.limits.lines_most;
+            for (place, change) in changes.iter().enumerate() {
+                room -= tables[place].lines.len() as f64;
+                let held = change.held.map(|held| shut(held, &open)).filter(is_open);
+                if let Some(held) = held.filter(|_| room < 0.0) {
+                    refused.push((
+                        place,
+                        Reason::Lines,
+                        Done::Kept,
+                        None,
+                        lines as f64,
+                        self.limits.lines_most,
+                    ));
+                    tables[place] = held;
+                }
+            }
+        }
+        let moved = self.moved(&changes, &tables);
+        if !asked && moved > AT_ONCE {
+            for (place, change) in changes.iter().enumerate() {
+                let since = self.lasting.get(&(change.proxy, change.group, Reason::Sweep));
+                let lasted = since.is_some_and(|since| now >= *since + HELD_FOR);
+                let held = change.held.map(|held| shut(held, &open)).filter(is_open);
+                let done = if lasted || held.is_none() { Done::LetThrough } else { Done::Kept };
+                refused.push((place, Reason::Sweep, done, None, moved, AT_ONCE));
+                if let (Done::Kept, Some(held)) = (done, held) {
+                    tables[place] = held;
+                }
+            }
+        }
+        for (change, table) in changes.iter().zip(&tables) {
+            self.set((change.proxy, change.group), |share| share.parts = parts(table));
+        }
+        self.caps(now, roster, &open, &changes, &mut tables, &mut refused);
+        self.remember(now, &changes, refused);
+        tables
+    }
+
+    /// The part of all flows that a change moves to other replicas.
+    fn moved(&self, changes: &[Change], tables: &[Table]) -> f64 {
+        let all: f64 = self.shares.values().map(|share| share.flows).sum();
+        let mut moved = 0.0;
+        for (change, table) in changes.iter().zip(tables) {
+            let Some(share) = self.shares.get(&(change.proxy, change.group)) else { continue };
+            let before: BTreeMap<&ReplicaId, f64> =
+                share.parts.iter().map(|(id, part)| (id, *part)).collect();
+            // A first word moves nothing that was put there by a word.
+            if before.is_empty() || change.held.is_none() {
+                continue;
+            }
+            let gained: f64 = parts(table)
+                .iter()
+                .map(|(id, part)| (part - before.get(id).copied().unwrap_or(0.0)).max(0.0))
+                .sum();
+            moved += share.flows * gained;
+        }
+        if all > 0.0 { moved / all } else { 0.0 }
+    }
+
+    /// Makes shares of replicas smaller that would be sent too much, in the tables that change.
+    fn caps(
+        &mut self,
+        now: Duration,
+        roster: &Roster,
+        open: &impl Fn(&ReplicaId) -> bool,
+        changes: &[Change],
+        tables: &mut [Table],
+        refused: &mut Vec<Refused>,
+    ) {
+        let unit = self.unit(now, roster, &|id: &ReplicaId| !open(id));
+        // A table that is kept was made smaller before: what is left of a line is by the others, not by itself.
+        let mean = |table: &Table| {
+            let open = table.lines.iter().filter(|line| line.open);
+            open.clone().map(|line| line.weight).sum::<f64>() / open.count().max(1) as f64
+        };
+        let least: Vec<f64> = tables.iter().map(|table| LEAST * mean(table)).collect();
+        for pass in 0..PASSES {
+            let lines = tables.iter().flat_map(|table| &table.lines).filter(|line| line.open);
+            let touched: BTreeSet<ReplicaId> = lines.map(|line| line.replica.clone()).collect();
+            let cap = |id: &ReplicaId| Some((id.clone(), self.cap(now, roster, unit, id)?));
+            let caps: BTreeMap<ReplicaId, (Reason, f64, f64)> = touched.iter().filter_map(cap).collect();
+            if caps.is_empty() {
+                return;
+            }
+            let mut any = false;
+            for (place, change) in changes.iter().enumerate() {
+                let table = &mut tables[place];
+                let lines = table.lines.iter().filter(|line| line.open);
+                let over = lines.clone().filter(|line| caps.contains_key(&line.replica)).count();
+                if over == 0 {
+                    continue;
+                }
+                let all = over == lines.count();
+                for line in table.lines.iter_mut().filter(|line| line.open) {
+                    let Some((reason, sent, can)) = caps.get(&line.replica) else { continue };
+                    // With nothing else to send to, over is better than bare.
+                    let done = if all { Done::LetThrough } else { Done::Corrected };
+                    if pass == 0 {
+                        refused.push((place, *reason, done, Some(line.replica.clone()), *sent, *can));
+                    }
+                    // Where others send it too much, to give up all here would not mend that.
+                    let weight = (line.weight * stepped(can / sent)).max(least[place]);
+                    if !all && weight < line.weight {
+                        line.weight = weight;
+                        any = true;
+                    }
+                }
+                let parts = parts(table);
+                self.set((change.proxy, change.group), |share| share.parts = parts);
+            }
+            if !any {
+                return;
+            }
+        }
+    }
+
+    fn remember(&mut self, now: Duration, changes: &[Change], refused: Vec<Refused>) {
+        let places: BTreeSet<usize> = refused.iter().map(|(place, ..)| *place).collect();
+        self.passed += (changes.len() - places.len()) as u64;
+        let still: BTreeSet<(ProxyId, usize, Reason)> = refused
+            .iter()
+            .map(|(place, reason, ..)| (changes[*place].proxy, changes[*place].group, *reason))
+            .collect();
+        for change in changes {
+            let of = |key: &(ProxyId, usize, Reason)| (key.0, key.1) == (change.proxy, change.group);
+            self.lasting.retain(|key, _| !of(key) || still.contains(key));
+        }
+        for (place, reason, done, replica, asked, allowed) in refused {
+            let Change { proxy, group, .. } = changes[place];
+            let since = *self.lasting.entry((proxy, group, reason)).or_insert(now);
+            if done == Done::LetThrough && reason == Reason::Sweep && now >= since + HELD_FOR {
+                self.lasting.remove(&(proxy, group, reason));
+            }
+            *self.counts.entry(reason).or_default() += 1;
+            let (at, proxy) = (now, Some(proxy));
+            self.keep(Refusal { at, proxy, group, reason, done, replica, asked, allowed, since });
+        }
+    }
+
+    /// The next refusal that is news; one that goes on is none.
+    pub fn news(&mut self) -> Option<Refusal> {
+        self.news.pop_front()
+    }
+
+    fn keep(&mut self, refusal: Refusal) {
+        if refusal.since == refusal.at && self.news.len() < KEPT {
+            self.news.push_back(refusal.clone());
+        }
+        if self.refusals.len() == KEPT {
+            self.refusals.pop_front();
+        }
+        self.refusals.push_back(refusal);
+    }
+
+    /// Something that is about no one proxy is refused.
+    pub fn refuse(&mut self, now: Duration, group: usize, reason: Reason, asked: f64, allowed: f64) {
+        *self.counts.entry(reason).or_default() += 1;
+        let (at, since, done) = (now, now, Done::Corrected);
+        self.keep(Refusal { at, proxy: None, group, reason, done, replica: None, asked, allowed, since });
+    }
+
+    /// What proxies may do about further tries in each group of a set: a try that may have run is never
+    /// followed by another where its effect must not happen twice.
+    pub fn tries(
+        &mut self,
+        now: Duration,
+        groups: GroupSet,
+        tries: FurtherTries,
+    ) -> Vec<(GroupSet, FurtherTries)> {
+        let bars = |group: &usize| self.limits.once_only.get(*group).copied().unwrap_or(false);
+        let barred: Vec<usize> = (0..64).filter(|group| groups >> group & 1 == 1).filter(bars).collect();
+        if self.off || tries != FurtherTries::Once || barred.is_empty() {
+            return vec![(groups, tries)];
+        }
+        let set: GroupSet = barred.iter().map(|group| 1 << group).sum();
+        barred.into_iter().for_each(|group| self.refuse(now, group, Reason::Tries, 2.0, 1.0));
+        vec![(groups & !set, tries), (set, FurtherTries::IfNeverRan)]
+    }
+
+    /// A proxy's group holds what is wanted: nothing of it is refused any more.
+    pub fn settled(&mut self, proxy: ProxyId, group: usize) {
+        self.lasting.retain(|(of, at, _), _| (*of, *at) != (proxy, group));
+    }
+
+    /// Replicas that are sent more than they may be by the tables that stand, as when one starts anew cold, or
+    /// demand grows.
+    pub fn troubled(
+        &self,
+        now: Duration,
+        roster: &Roster,
+        withdrawn: impl Fn(&ReplicaId) -> bool,
+    ) -> BTreeSet<ReplicaId> {
+        if self.off {
+            return BTreeSet::new();
+        }
+        let unit = self.unit(now, roster, &withdrawn);
+        let over = |(id, _): &(&ReplicaId, &f64)| self.cap(now, roster, unit, id).is_some();
+        self.account.iter().filter(over).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// What other governors send is on neither side: what a replica was seen to take and what falls to each are
+    /// by the flows of the proxies here. *Harm:* where others send a replica more than their even part, nobody
+    /// sees all of it.
+    ///
+    /// Why a replica is sent too much, what it is sent, and what it may be; none if it is not.
+    fn cap(&self, now: Duration, roster: &Roster, unit: f64, id: &ReplicaId) -> Option<(Reason, f64, f64)> {
+        let known = roster.get(id).filter(|one| one.phase == Phase::Ready)?;
+        let (warmth, sent) = (self.warmth(now, roster, id), self.account.get(id).copied().unwrap_or(0.0));
+        let (reason, margin) =
+            if warmth < 1.0 { (Reason::Cold, COLD_MARGIN) } else { (Reason::Over, WARM_MARGIN) };
+        let can = (unit * known.weight.max(0.0) * warmth * margin).max(1.0);
+        (can.is_finite() && sent > can).then_some((reason, sent, can))
+    }
+
+    // ---- what operators read
+
+    /// Proxies something of whose tables is being refused: they are to be judged again now and then.
+    pub fn held(&self) -> BTreeSet<ProxyId> {
+        self.lasting.keys().map(|(proxy, ..)| *proxy).collect()
+    }
+
+    /// Refusals that have lasted for [`ALARM`].
+    pub fn alarms(&self, now: Duration) -> usize {
+        self.lasting.values().filter(|since| now >= **since + ALARM).count()
+    }
+
+    /// Oldest first.
+    pub fn refusals(&self) -> impl DoubleEndedIterator<Item = &Refusal> {
+        self.refusals.iter()
+    }
+
+    /// By reason; and tables that passed as they were.
+    pub fn tally(&self) -> (&BTreeMap<Reason, u64>, u64) {
+        (&self.counts, self.passed)
+    }
+
+    /// Flows a second that a replica is sent by proxies here, by the account.
+    pub fn sent_to(&self, replica: &ReplicaId) -> f64 {
+        self.account.get(replica).copied().unwrap_or(0.0).max(0.0)
+    }
+}
+
+fn aged((rate, at): (f64, Duration), now: Duration) -> f64 {
+    rate * 0.5f64.powf(now.saturating_sub(at).as_secs_f64() / HALF_LIFE)
+}
+
+/// Rounded down to steps of a tenth or so: a cap that moves a little with each report must not make a new table
+/// each time.
+fn stepped(factor: f64) -> f64 {
+    1.1f64.powf((factor.clamp(1e-3, 1.0).ln() / 1.1f64.ln()).floor())
+}
+
+fn is_open(table: &Table) -> bool {
+    table.lines.iter().any(|line| line.open)
+}
+
+/// A table as it was told, less what drains, is gone or is withdrawn by now.
+fn shut(held: &Table, open: &impl Fn(&ReplicaId) -> bool) -> Table {
+    let mut table = held.clone();
+    table.lines.iter_mut().for_each(|line| line.open &= open(&line.replica));
+    table
+}
+
+/// What a table must be in itself, whatever the others are.
+fn single(
+    change: &Change,
+    own_zone: bool,
+    roster: &Roster,
+    open: &impl Fn(&ReplicaId) -> bool,
+    mut refuse: impl FnMut(Reason, Done, Option<ReplicaId>, f64, f64),
+) -> Table {
+    let mut table = change.wanted.clone();
+    if !(0.0..=1.0).contains(&table.level) {
+        refuse(Reason::Level, Done::Corrected, None, table.level, 1.0);
+        table.level = change.held.map_or(1.0, |held| held.level);
+    }
+    let asked = table.lines.iter().filter(|line| line.open).count();
+    let sound = |line: &Line| line.weight.is_finite() && line.weight > 0.0;
+    for line in table.lines.iter().filter(|line| line.open && !sound(line)) {
+        refuse(Reason::Weight, Done::Corrected, Some(line.replica.clone()), line.weight, f64::MAX);
+    }
+    // A shut line says only that nothing is to be sent there: its weight is never used.
+    table.lines.retain(|line| !line.open || sound(line));
+    table.lines.iter_mut().filter(|line| !sound(line)).for_each(|line| line.weight = 1.0);
+    let largest = table.lines.iter().filter(|line| line.open).map(|line| line.weight).fold(0.0, f64::max);
+    for line in table.lines.iter_mut().filter(|line| line.open && line.weight * APART < largest) {
+        refuse(Reason::Wire, Done::Corrected, Some(line.replica.clone()), line.weight / largest, 1.0 / APART);
+        line.weight = largest / APART;
+    }
+    let draining = table.lines.iter().filter(|line| line.open && !open(&line.replica)).count();
+    if draining > 0 && draining == table.lines.iter().filter(|line| line.open).count() {
+        refuse(Reason::Draining, Done::Kept, None, draining as f64, 0.0);
+    }
+    table.lines.iter_mut().for_each(|line| line.open &= open(&line.replica));
+    if own_zone {
+        let away = |line: &Line| line.open && line.zone != change.zone;
+        for line in table.lines.iter_mut().filter(|line| away(line)) {
+            refuse(Reason::OutOfZone, Done::Corrected, Some(line.replica.clone()), 0.0, 0.0);
+            line.open = false;
+        }
+    }
+    if is_open(&table) {
+        return table;
+    }
+    let near_enough = |id: &ReplicaId| !own_zone || roster.get(id).is_some_and(|one| one.zone == change.zone);
+    let is_ready = |id: &ReplicaId| roster.get(id).is_some_and(|one| one.phase == Phase::Ready);
+    // A module that has all of them withdrawn is not followed in that: one that may be bad is better than none.
+    let any_open = roster.iter().any(|(id, _)| open(id) && near_enough(id));
+    let fits = |id: &ReplicaId| near_enough(id) && if any_open { open(id) } else { is_ready(id) };
+    if !roster.iter().any(|(id, _)| fits(id)) {
+        // Nobody is there: as asked, less what is shut.
+        return table;
+    }
+    let reason = if own_zone { Reason::ZoneBare } else { Reason::Bare };
+    let mut held = change.held.cloned();
+    if let Some(held) = held.as_mut().filter(|_| !any_open) {
+        held.lines.iter_mut().for_each(|line| line.open = true);
+    }
+    let held = held.map(|held| shut(&held, &fits)).filter(is_open);
+    if let Some(held) = held {
+        refuse(reason, Done::Kept, None, asked as f64, 1.0);
+        return held;
+    }
+    refuse(reason, Done::LastResort, None, asked as f64, 1.0);
+    let line = |id: &ReplicaId, weight: f64| {
+        let known = roster.get(id).filter(|_| fits(id))?;
+        let (replica, address, zone) = (id.clone(), known.address.clone(), known.zone);
+        Some(Line { replica, address, zone, weight: if weight > 0.0 { weight } else { 1.0 }, open: true })
+    };
+    let mut lines: Vec<Line> = change.standing.iter().filter_map(|(id, weight)| line(id, *weight)).collect();
+    if lines.is_empty() {
+        // In the proxy's zone, if somebody is there.
+        let near = |id: &ReplicaId| roster.get(id).is_some_and(|one| one.zone == change.zone);
+        let any_near = roster.iter().any(|(id, _)| fits(id) && near(id));
+        let ready = roster.iter().filter(|(id, _)| !any_near || near(id));
+        lines = ready.filter_map(|(id, one)| line(id, one.weight)).collect();
+    }
+    lines.sort_by(|one, other| one.replica.cmp(&other.replica));
+    Table { lines, level: table.level }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::roster::Entry;
+
+    const fn s(seconds: u64) -> Duration {
+        Duration::from_secs(seconds)
+    }
+
+    /// Replicas a to f in zone 0 and g in zone 1; what drains, and what started a second ago.
+    fn roster(draining: &[&str], cold: &[&str]) -> Roster {
+        let mut roster = Roster::new(s(30));
+        let entry = |id: &str| Entry {
+            id: id.into(),
+            address: format!("{id}:1").into(),
+            zone: usize::from(id == "g"),
+            weight: 1.0,
+            phase: if draining.contains(&id) { Phase::Draining } else { Phase::Ready },
+            started: cold.contains(&id).then_some(s(99)),
+        };
+        roster.take(s(100), ["a", "b", "c", "d", "e", "f", "g"].map(entry).into());
+        roster
+    }
+
+    fn guard(own_zone: bool) -> Guard {
+        let mut guard = Guard::new(Limits {
+            cold_share: 0.25,
+            warm_after: s(20),
+            lines_most: 20.0,
+            own_zone: vec![own_zone],
+            once_only: vec![true],
+        });
+        for proxy in 0..4 {
+            guard.joined(proxy, 30.0, &["a", "b", "c", "d", "e", "f"].map(|id| (id.into(), 1.0)));
+        }
+        guard
+    }
+
+    fn table(lines: &[(&str, f64)]) -> Table {
+        let line = |(id, weight): &(&str, f64)| Line {
+            replica: (*id).into(),
+            address: format!("{id}:1").into(),
+            zone: usize::from(*id == "g"),
+            weight: *weight,
+            open: true,
+        };
+        Table { lines: lines.iter().map(line).collect(), level: 1.0 }
+    }
+
+    fn change(proxy: ProxyId, held: Option<&Table>, wanted: Table) -> Change<'_> {
+        Change { proxy, zone: 0, group: 0, held, standing: &[], wanted }
+    }
+
+    /// Judges one change of proxy 0: what goes out, and what was refused.
+    fn judged(
+        guard: &mut Guard,
+        roster: &Roster,
+        held: Option<&Table>,
+        wanted: Table,
+    ) -> (Table, Vec<(Reason, Done)>) {
+        let before = guard.refusals().count();
+        let out = guard.judge(s(100), roster, |_| false, true, vec![change(0, held, wanted)]).remove(0);
+        (out, guard.refusals().skip(before).map(|one| (one.reason, one.done)).collect())
+    }
+
+    fn open(table: &Table) -> Vec<(String, f64)> {
+        let lines = table.lines.iter().filter(|line| line.open);
+        lines.map(|line| (line.replica.to_string(), line.weight)).collect()
+    }
+
+    #[test]
+    fn who_would_be_bare_keeps_what_is_good_of_the_last_or_is_given_its_own_or_all_that_are_ready() {
+        let (mut guard, roster) = (guard(false), roster(&["b"], &[]));
+        let held = table(&[("a", 2.0), ("b", 1.0), ("c", 1.0)]);
+        let (out, why) = judged(&mut guard, &roster, Some(&held), table(&[]));
+        assert_eq!(open(&out), [("a".to_string(), 2.0), ("c".into(), 1.0)]);
+        assert_eq!(why, [(Reason::Bare, Done::Kept)]);
+        let (out, why) = judged(&mut guard, &roster, None, table(&[("b", 1.0)]));
+        assert_eq!(why, [(Reason::Draining, Done::Kept), (Reason::Bare, Done::LastResort)]);
+        assert_eq!(open(&out).len(), 5, "all that are ready in its zone");
+        let standing = [("b".into(), 1.0), ("d".into(), 3.0)];
+        let own = Change { standing: &standing, ..change(0, None, table(&[])) };
+        assert_eq!(
+            open(&guard.judge(s(100), &roster, |_| false, true, vec![own])[0]),
+            [("d".to_string(), 3.0)]
+        );
+        // All withdrawn: one that may be bad is better than none. All draining: nobody is there.
+        let change = change(0, Some(&held), table(&[("a", 1.0)]));
+        let out = guard.judge(s(100), &roster, |_| true, true, vec![change.clone()]).remove(0);
+        assert_eq!(open(&out).len(), 2);
+        let nobody = super::tests::roster(&["a", "b", "c", "d", "e", "f", "g"], &[]);
+        assert!(open(&guard.judge(s(100), &nobody, |_| false, true, vec![change])[0]).is_empty());
+    }
+
+    #[test]
+    fn lines_out_of_the_zone_and_numbers_that_mean_nothing_do_not_go_out() {
+        let (mut own, roster) = (guard(true), roster(&[], &[]));
+        let (out, why) = judged(&mut own, &roster, None, table(&[("a", 1.0), ("g", 1.0)]));
+        assert_eq!((open(&out).len(), why), (1, vec![(Reason::OutOfZone, Done::Corrected)]));
+        let (out, why) = judged(&mut own, &roster, None, table(&[("g", 1.0)]));
+        assert!(why.contains(&(Reason::ZoneBare, Done::LastResort)) && open(&out).len() == 6);
+        let mut guard = guard(false);
+        let odd = [("a", f64::NAN), ("b", f64::INFINITY), ("c", -1.0), ("d", 1.0), ("e", 2.0)];
+        let (out, why) = judged(&mut guard, &roster, None, table(&odd));
+        assert_eq!(open(&out), [("d".to_string(), 1.0), ("e".into(), 2.0)]);
+        assert_eq!(why, [(Reason::Weight, Done::Corrected); 3]);
+        let (out, why) = judged(&mut guard, &roster, None, table(&[("a", 1.0), ("b", 1.0), ("c", 1e-9)]));
+        assert_eq!((open(&out)[2].1, why), (1.0 / APART, vec![(Reason::Wire, Done::Corrected)]));
+        for level in [f64::NAN, -0.1, 1.1] {
+            let wanted = Table { level, ..table(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]) };
+            let held = Table { level: 0.4, ..wanted.clone() };
+            let (out, why) = judged(&mut guard, &roster, Some(&held), wanted);
+            assert_eq!((out.level, why), (0.4, vec![(Reason::Level, Done::Corrected)]));
+        }
+    }
+
+    #[test]
+    fn what_may_have_run_is_not_tried_again_where_it_must_not_run_twice() {
+        let mut guard = guard(false);
+        let split = vec![(0b10, FurtherTries::Once), (0b01, FurtherTries::IfNeverRan)];
+        assert_eq!(guard.tries(s(1), 0b11, FurtherTries::Once), split);
+        let kept = vec![(0b11, FurtherTries::IfNeverRan)];
+        assert_eq!(guard.tries(s(1), 0b11, FurtherTries::IfNeverRan), kept);
+        assert_eq!(guard.tally().0[&Reason::Tries], 1);
+    }
+
+    #[test]
+    fn a_cold_replica_gets_no_more_than_its_part_of_all_proxies_together_and_a_warm_one_what_it_can_take() {
+        let (mut guard, cold) = (guard(false), roster(&[], &["a"]));
+        // 120 flows over 6.3 replicas: 19 each, 5.4 for the cold one, twice that at the most.
+        let heavy = || table(&[("a", 10.0), ("b", 1.0), ("c", 1.0), ("d", 1.0)]);
+        let changes = (0..4).map(|proxy| change(proxy, None, heavy())).collect();
+        let out = guard.judge(s(100), &cold, |_| false, true, changes);
+        let sent: f64 = out
+            .iter()
+            .map(|out| 30.0 * open(out)[0].1 / open(out).iter().map(|one| one.1).sum::<f64>())
+            .sum();
+        assert!(sent < 12.5 && sent > 4.0, "{sent}");
+        assert!(guard.refusals().all(|one| one.reason == Reason::Cold));
+        assert!((guard.sent_to(&"a".into()) - sent).abs() < 1e-6, "the account is of what goes out");
+        // The same one warm: 17 each, three times that at the most.
+        let warm = roster(&[], &[]);
+        let changes = (0..4).map(|proxy| change(proxy, None, heavy())).collect();
+        guard.judge(s(100), &warm, |_| false, true, changes);
+        assert!(guard.sent_to(&"a".into()) < 52.0, "{}", guard.sent_to(&"a".into()));
+        assert!(guard.tally().0[&Reason::Over] > 0);
+        // Unless it was seen to take more; or there is nothing else in the table: bare is worse than over.
+        guard.met(s(100), &"a".into(), 0, 100, s(1));
+        let (_, why) = judged(&mut guard, &warm, None, heavy());
+        assert_eq!(why, []);
+        let mut fresh = super::tests::guard(false);
+        let changes = (0..4).map(|proxy| change(proxy, None, table(&[("a", 1.0)]))).collect();
+        assert!(fresh.judge(s(100), &warm, |_| false, true, changes).iter().all(|out| open(out).len() == 1));
+        assert!(fresh.refusals().all(|one| one.done == Done::LetThrough));
+        // What stands is looked at again when it starts anew, or demand grows.
+        assert!(guard.troubled(s(100), &cold, |_| false).contains("a"));
+        assert!(guard.troubled(s(100), &warm, |_| false).is_empty());
+    }
+
+    #[test]
+    fn a_sweep_without_a_cause_is_held_for_a_while_and_too_many_lines_wait() {
+        let (mut guard, roster) = (guard(false), roster(&[], &[]));
+        let held = table(&[("a", 1.0), ("b", 1.0), ("c", 1.0)]);
+        let first = (0..4).map(|proxy| change(proxy, None, held.clone())).collect();
+        guard.judge(s(100), &roster, |_| false, false, first);
+        assert!(guard.tally().0.is_empty(), "a first word moves nothing");
+        let wanted = table(&[("d", 1.0), ("e", 1.0), ("f", 1.0)]);
+        let sweep = || (0..4).map(|proxy| change(proxy, Some(&held), wanted.clone())).collect();
+        let mut at =
+            |seconds, asked| guard.judge(s(seconds), &roster, |_| false, asked, sweep())[0] == wanted;
+        assert!(!at(101, false) && !at(104, false));
+        assert!(at(106, false), "a guard that is wrong must not freeze a fleet");
+        let mut asked = super::tests::guard(false);
+        asked.judge(
+            s(100),
+            &roster,
+            |_| false,
+            false,
+            (0..4).map(|p| change(p, None, held.clone())).collect(),
+        );
+        assert!(asked.judge(s(101), &roster, |_| false, true, sweep())[0] == wanted, "its cause asks for it");
+        // Twenty lines at a time: six tables of three.
+        let many = (0..8).map(|proxy| change(proxy, Some(&held), wanted.clone())).collect();
+        let out = asked.judge(s(102), &roster, |_| false, true, many);
+        assert_eq!(out.iter().filter(|out| **out == wanted).count(), 6);
+        assert_eq!(asked.held().len(), 2, "the rest are judged again");
+        assert_eq!((asked.alarms(s(102)), asked.alarms(s(113))), (0, 2));
+        asked.settled(6, 0);
+        asked.left(7);
+        assert_eq!(asked.alarms(s(113)), 0);
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,13 +12,15 @@
 //! | [`tables`] | what the module's decisions make of each proxy's tables |
 //! | [`pace`] | which proxy may be written to next, and what waits |
 //! | [`reports`] | load reports, folded to what the module hears |
+//! | [`guard`] | what may not reach a proxy, whoever made it |
 //! | [`history`], [`versions`] | what was told, in versions, and the deltas between them |
-//! | [`holds`] | tables that operators stepped back to |
-//! | [`takeover`] | whose care a proxy is in, where nobody can be asked (not yet used) |
+//! | [`holds`] | tables that operators stepped back to, or that another governor handed over |
+//! | [`takeover`] | whose care a proxy is in, where nobody can be asked |
 //! | [`weights`] | weights as whole numbers, without losing a line |
 
 pub mod engine;
 pub mod fleet;
+pub mod guard;
 pub mod history;
 pub mod holds;
 pub mod pace;
--- a/crates/daemon/benches/takeover.rs
+++ b/crates/daemon/benches/takeover.rs
@@ -14,18 +14,18 @@
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use tokio::task::LocalSet;
 use wrenthread_client::keeper::Keeper;
-use wrenthread_client::{Error, Ordered, Watch, Who, answers, grpc};
+use wrenthread_client::{Error, Watch, Who, answers, grpc};
 use wrenthread_core::takeover::Dialer;
 
 const HOME: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(4));
 
 #[derive(Default)]
 struct Relay {
-    /// Where it has orders from, and since when.
+    /// Where its stream is, and since when.
     at: Cell<Option<(usize, Instant)>>,
     /// When its last stream ended.
     lost: Cell<Option<Instant>>,
-    /// The time from the last stream's end to the first order on the next.
+    /// The time from the last stream's end to the next one.
     gap: Cell<Option<Duration>>,
     joins: Cell<usize>,
 }
@@ -33,7 +33,8 @@
 struct Watched<'a>(&'a Relay, usize);
 
 impl Watch for Watched<'_> {
-    fn ordered(&self, _mark: &str, _lines: usize, _tables: &Ordered) {
+    // Not its first order: who holds to the letter what the next governor would tell is told nothing.
+    fn joined(&self) {
         if self.0.at.get().is_none() {
             self.0.at.set(Some((self.1, Instant::now())));
             self.0.gap.set(self.0.lost.get().map(|lost| lost.elapsed()));
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -11,6 +11,7 @@
 use wrenthread::interface::{Phase, ProxyId};
 use wrenthread_core::engine::{Engine, NoStepBack, Note, Scope, Setup, Step, What};
 use wrenthread_core::fleet::{Kind, Proxy, Refused};
+use wrenthread_core::guard::Refusal;
 use wrenthread_core::roster::Entry;
 use wrenthread_core::takeover::{self, Key};
 use wrenthread_core::versions;
@@ -672,6 +673,17 @@
                 let group = self.wire.groups.get(*group).map_or("?", |group| &group.name);
                 tracing::warn!(%proxy, group, %over, "a hold is over; the module's tables are told again");
             }
+            Note::Refused(one) => {
+                metrics::counter!("wrenthread_refusals_total", "reason" => format!("{:?}", one.reason))
+                    .increment(1);
+                let proxy = one.proxy.and_then(|number| self.engine.proxy(number));
+                let proxy = proxy.map_or("", |proxy| &proxy.name);
+                let group = self.wire.groups.get(one.group).map_or("?", |group| &group.name);
+                let (why, done) = (one.reason.to_string(), format!("{:?}", one.done).to_lowercase());
+                let (replica, asked, allowed) =
+                    (one.replica.as_deref().unwrap_or(""), one.asked, one.allowed);
+                tracing::warn!(proxy, group, replica, why, asked, allowed, done, "the guard refuses");
+            }
             Note::Lobby(waiting) => tracing::info!(waiting, "proxies wait to be let in: the channel is full"),
         }
     }
@@ -763,6 +775,12 @@
                 })
             })
             .collect();
+        let (refused, passed) = self.engine.guard().tally();
+        let refused: BTreeMap<String, u64> =
+            refused.iter().map(|(why, times)| (why.to_string(), *times)).collect();
+        let guard = json!({
+            "passed": passed, "refused": refused, "alarms": self.engine.guard().alarms(now),
+        });
         let (discarded, counted) = self.engine.reports();
         let discarded: BTreeMap<String, u64> =
             discarded.iter().map(|(why, times)| (why.to_string(), *times)).collect();
@@ -775,7 +793,7 @@
                 "roster_doubted": figures.roster_doubted,
                 "reports": {"counted": counted, "waiting": figures.reports_waiting, "discarded": discarded},
             },
-            "groups": groups, "proxies": proxies, "replicas": replicas, "holds": holds,
+            "groups": groups, "proxies": proxies, "replicas": replicas, "holds": holds, "guard": guard,
         })
     }
 
@@ -803,6 +821,34 @@
         }))
     }
 
+    /// What was refused about a proxy or a replica, newest first, and where it stands; none if nobody knows it.
+    pub fn why(&self, now: Duration, name: &str) -> Option<Value> {
+        let number = self.engine.fleet().named(name).map(|(number, _)| number);
+        let known = self.engine.replicas().find(|(id, _)| &***id == name);
+        if number.is_none() && known.is_none() {
+            return None;
+        }
+        let guard = self.engine.guard();
+        let about = |one: &&Refusal| {
+            number.is_some() && one.proxy == number || known.is_some() && one.replica.as_deref() == Some(name)
+        };
+        let refusals = guard.refusals().rev().filter(about).take(50).map(|one| {
+            let proxy = one.proxy.and_then(|number| self.engine.proxy(number));
+            json!({
+                "age_s": now.saturating_sub(one.at).as_secs_f64(),
+                "lasts_s": one.at.saturating_sub(one.since).as_secs_f64(),
+                "proxy": proxy.map(|proxy| &*proxy.name), "replica": one.replica.as_deref(),
+                "group": self.wire.groups.get(one.group).map(|group| &group.name),
+                "why": one.reason.to_string(), "asked": one.asked, "allowed": one.allowed,
+                "done": format!("{:?}", one.done).to_lowercase(),
+            })
+        });
+        let refusals: Vec<Value> = refusals.collect();
+        let out = known.and_then(|(id, _)| self.engine.why_out(id));
+        let sent = known.map(|(id, _)| guard.sent_to(id));
+        Some(json!({"name": name, "out": out, "sent_per_s": sent, "refusals": refusals}))
+    }
+
     /// The kept versions of a proxy's tables; none if it is not joined.
     pub fn history(&self, now: Duration, name: &str) -> Option<Value> {
         let (number, proxy) = self.engine.fleet().named(name)?;
@@ -889,6 +935,8 @@
         metrics::gauge!("wrenthread_proxies_in_lobby").set(figures.lobby as f64);
         metrics::gauge!("wrenthread_lines_waiting").set(figures.lines_waiting as f64);
         metrics::gauge!("wrenthread_history_lines").set(figures.history_lines as f64);
+        metrics::gauge!("wrenthread_guard_alarms").set(self.engine.guard().alarms(now) as f64);
+        metrics::gauge!("wrenthread_guard_passed").set(self.engine.guard().tally().1 as f64);
         metrics::gauge!("wrenthread_holds").set(figures.holds as f64);
         let tally = self.talk.tally();
         metrics::gauge!("wrenthread_governors_there").set(self.talk.members().there() as f64);
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -20,6 +20,7 @@
     Diff(String, u64, u64, oneshot::Sender<Result<Value, String>>),
     Rollback(Value, oneshot::Sender<Result<Value, String>>),
     Governors(oneshot::Sender<Value>),
+    Why(String, oneshot::Sender<Option<Value>>),
     Drain(bool, oneshot::Sender<Value>),
     Release(Value, oneshot::Sender<Result<Value, String>>),
 }
@@ -35,6 +36,7 @@
         .route("/tables/{proxy}", get(tables))
         .route("/tables/{proxy}/history", get(history))
         .route("/tables/{proxy}/diff/{one}/{other}", get(diff))
+        .route("/why/{name}", get(why))
         .route("/governors", get(governors))
         .route("/drain", post(drain))
         .route("/rollback", post(rollback))
@@ -98,6 +100,15 @@
     ask(&asked, |reply| Query::Rollback(body, reply)).await.map_or_else(|response| response, plain)
 }
 
+async fn why(State(asked): State<Asked>, Path(name): Path<String>) -> Response {
+    ask(&asked, |reply| Query::Why(name.clone(), reply)).await.map_or_else(
+        |response| response,
+        |found| {
+            plain(found.ok_or_else(|| format!("no proxy is joined and no replica is listed as `{name}`")))
+        },
+    )
+}
+
 async fn governors(State(asked): State<Asked>) -> Response {
     ask(&asked, Query::Governors).await.map_or_else(|response| response, |seen| Json(seen).into_response())
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -110,6 +110,17 @@
         #[arg(long)]
         undo: bool,
     },
+    /// Ask a running governor why a proxy or a replica is told, or sent, what it is: refusals of the guard
+    #[command(after_help = "Example: wrenthread why relay-3")]
+    Why {
+        /// A proxy's or a replica's name
+        name: String,
+        /// The governor's HTTP port
+        #[arg(long, default_value = "127.0.0.1:15011")]
+        at: String,
+        #[arg(long, value_enum, default_value = "text")]
+        output: Output,
+    },
     /// Ask a running governor for one proxy's tables, their versions, and what differs between two
     #[command(after_help = "Examples:\n  wrenthread tables relay-3\n  wrenthread tables relay-3 history\n  \
         wrenthread tables relay-3 diff 41 57")]
@@ -204,6 +215,10 @@
             let seen = show::fetch(&at, "/governors", None)?;
             print(output, &seen, || show::governors(&seen));
         }
+        Command::Why { name, at, output } => {
+            let why = show::fetch(&at, &format!("/why/{name}"), None)?;
+            print(output, &why, || show::why(&why));
+        }
         Command::DrainGovernor { at, wait, undo } => show::drain(&at, wait, undo)?,
         Command::Status { at, governors: false, output } => {
             let status = show::fetch(&at, "/status", None)?;
--- a/crates/daemon/src/show.rs
+++ b/crates/daemon/src/show.rs
@@ -74,6 +74,9 @@
         cell(&governor["lines_waiting"]),
         if governor["roster_doubted"] == true { "; THE ROSTER IS EMPTY and not believed yet" } else { "" },
     );
+    if let Some(alarms) = status["guard"]["alarms"].as_u64().filter(|alarms| *alarms > 0) {
+        let _ = writeln!(text, "ALARM: {alarms} refusals of the guard last (see `why`, and the log)\n");
+    }
     text += &listed(&status["groups"], &["name", "level", "tries"]);
     text.push('\n');
     let heads = ["name", "zone", "kind", "newest", "sent", "acked", "lag_s", "nacked"];
@@ -206,3 +209,19 @@
     println!("governor {} has handed over {had} proxies in {took:.1} s", cell(&seen["name"]));
     Ok(())
 }
+
+pub fn why(why: &Value) -> String {
+    let mut text = cell(&why["name"]);
+    if let Some(sent) = why["sent_per_s"].as_f64() {
+        let _ = write!(text, ": sent {sent:.1} flows a second by the account of proxies here");
+    }
+    if let Some(out) = why["out"].as_str() {
+        let _ = write!(text, ", held back by the module: {out}");
+    }
+    text.push('\n');
+    if why["refusals"].as_array().is_some_and(|refusals| refusals.is_empty()) {
+        return text + "nothing about it was refused lately\n";
+    }
+    let heads = ["age_s", "lasts_s", "proxy", "group", "replica", "asked", "allowed", "done", "why"];
+    text + &listed(&why["refusals"], &heads)
+}
--- a/crates/daemon/tests/polling.rs
+++ b/crates/daemon/tests/polling.rs
@@ -92,6 +92,14 @@
     let (code, said) = program(&governor, &["rollback", "999999", "--all", "--why", "x"]);
     assert!(code == Some(1) && said.contains("not given out yet"), "{said}");
     assert!(governor.log().contains("an operator steps back"));
+    let (code, said) = program(&governor, &["why", "w2"]);
+    assert!(
+        code == Some(0) && said.contains("flows a second") && said.contains("nothing about it"),
+        "{said}"
+    );
+    let (code, said) = program(&governor, &["why", "nobody"]);
+    assert!(code == Some(1) && said.contains("no replica is listed"), "{said}");
+    assert_eq!(governor.status()["guard"]["refused"], serde_json::json!({}));
 }
 
 #[tokio::test]
--- a/crates/talk/benches/gossip.rs
+++ b/crates/talk/benches/gossip.rs
@@ -21,16 +21,17 @@
     (0..proxies).map(draw).collect()
 }
 
-/// How evenly 1,000 proxies are spread before and after one of some governors dies, and how many change hands at
+/// How evenly 60 and 1,000 proxies are spread before and after one of some governors dies, and how many change hands at
 /// its death and at its return, by each way of saying who belongs where.
 fn spreads() {
     println!(
-        "| governors | way | fullest before, of its even part | after | moves at a death | at the return |"
+        "| proxies | governors | way | fullest before, of its even part | after | moves at a death | \
+        at the return | the returned one has |"
     );
-    println!("| --- | --- | --- | --- | --- | --- |");
-    let proxies: Vec<String> = (0..1000).map(|n| format!("relay-{n}")).collect();
-    let proxies: Vec<&str> = proxies.iter().map(String::as_str).collect();
-    for count in [3, 5, 8] {
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for (many, count) in [(60, 3), (60, 5), (60, 8), (1000, 3), (1000, 5), (1000, 8)] {
+        let proxies: Vec<String> = (0..many).map(|n| format!("relay-{n}")).collect();
+        let proxies: Vec<&str> = proxies.iter().map(String::as_str).collect();
         let names: Vec<String> = (0..count).map(|n| format!("g{n}")).collect();
         let all: Vec<&str> = names.iter().map(String::as_str).collect();
         let ranked = |among: &[usize]| -> Vec<usize> {
@@ -48,20 +49,21 @@
             most as f64 * among as f64 / proxies.len() as f64
         };
         let moved = |one: &[usize], other: &[usize]| one.iter().zip(other).filter(|(a, b)| a != b).count();
-        let mut say = |way: &str, before: Vec<usize>, after: Vec<usize>, then: Vec<usize>| {
+        let say = |way: &str, before: Vec<usize>, after: Vec<usize>, then: Vec<usize>| {
             println!(
-                "| {count} | {way} | {:.2} | {:.2} | {} | {} |",
+                "| {many} | {count} | {way} | {:.2} | {:.2} | {} | {} | {} |",
                 full(&before, count),
                 full(&after, count - 1),
                 moved(&before, &after),
-                moved(&after, &then)
+                moved(&after, &then),
+                then.iter().filter(|at| **at == 0).count()
             );
         };
         say("rendezvous", ranked(&everyone), ranked(&others), ranked(&everyone));
         say("rendezvous, bounded", bounded(&everyone), bounded(&others), bounded(&everyone));
         // By chance the dead one's redial anywhere, and nobody comes home.
-        let before = by_chance(1000, &everyone, 1);
-        let again = by_chance(1000, &others, 2);
+        let before = by_chance(many, &everyone, 1);
+        let again = by_chance(many, &others, 2);
         let after: Vec<usize> =
             before.iter().zip(&again).map(|(at, again)| if *at == 0 { *again } else { *at }).collect();
         say("redial by chance", before, after.clone(), after);
--- a/crates/talk/src/handover.rs
+++ b/crates/talk/src/handover.rs
@@ -100,6 +100,11 @@
             || self.resting.get(proxy).is_some_and(|until| now < *until)
     }
 
+    /// Whether a proxy is offered to somebody, and not answered yet.
+    pub fn is_offered(&self, proxy: &str) -> bool {
+        self.offered.values().any(|one| one.proxy == proxy)
+    }
+
     /// Offers a proxy, with what is known of it. Too much of that, and it goes without.
     pub fn offer(&mut self, now: Duration, proxy: &str, to: &str, mut bytes: Vec<u8>) {
         if bytes.len() > PART * MOST_PARTS {
--- a/crates/talk/src/lib.rs
+++ b/crates/talk/src/lib.rs
@@ -290,11 +290,9 @@
             self.moved += 1;
             return self.move_made(now);
         }
-        let here = self.here.iter().map(|(proxy, one)| Here {
-            proxy,
-            ranked: &one.ranked,
-            movable: movable(proxy, one),
-        });
+        let staying = self.here.iter().filter(|(proxy, _)| !self.handover.is_offered(proxy));
+        let here =
+            staying.map(|(proxy, one)| Here { proxy, ranked: &one.ranked, movable: movable(proxy, one) });
         let rooms = rooms(&self.open, &self.members, &self.handover);
         let joined = self.here.len().saturating_sub(self.handover.on_way()) + self.handover.expected();
         let Some((proxy, to)) = sharing::next_move(&rooms, joined, self.draining, here) else { return false };
--- a/crates/talk/src/sharing.rs
+++ b/crates/talk/src/sharing.rs
@@ -68,14 +68,14 @@
     pub proxy: &'a str,
     /// Places in `rooms`, best first; the place `rooms.len()` is this governor.
     pub ranked: &'a [usize],
-    /// It may be moved: it has been here for [`SETTLE`], and is not on its way already.
+    /// It may be moved: it has been here for [`SETTLE`], and no offer of it came to nothing a moment ago.
     pub movable: bool,
 }
 
 /// The next proxy to move, and where to.
 ///
-/// `rooms`: the others that are there and are not draining; `joined`: how many are here that are not on their
-/// way; `draining`: this governor hands all over.
+/// `rooms`: the others that are there and are not draining; `here`, and `joined`, their number: those that are
+/// not on their way out; `draining`: this governor hands all over.
 pub fn next_move<'a>(
     rooms: &[Room<'a>],
     joined: usize,
@@ -88,11 +88,15 @@
     let all: usize = joined + rooms.iter().map(|room| room.joined).sum::<usize>();
     let most = bound(all, rooms.len() + usize::from(!draining));
     let has_room = |place: &usize| rooms.get(*place).is_some_and(|room| room.joined < most);
-    let over = joined > most;
-    // Of those over the bound, the one that ranks this governor lowest goes first.
-    let mut lowest: Option<(usize, &str, usize)> = None;
-    for one in here.filter(|one| one.movable) {
+    // Of those over the bound, the one that ranks this governor lowest goes first. Who will go elsewhere as soon
+    // as it may be moved is no reason to send others away meanwhile: they would only come back.
+    let (mut lowest, mut leaving): (Option<(usize, &str, usize)>, usize) = (None, 0);
+    for one in here {
         let mine = one.ranked.iter().position(|place| *place == rooms.len()).unwrap_or(one.ranked.len());
+        if !one.movable {
+            leaving += usize::from(one.ranked.iter().take(mine).any(&has_room));
+            continue;
+        }
         if draining {
             let least = (0..rooms.len()).min_by_key(|place| rooms[*place].joined);
             let to = one.ranked.iter().copied().find(has_room).or(least)?;
@@ -101,14 +105,15 @@
         if let Some(to) = one.ranked.iter().take(mine).copied().find(has_room) {
             return Some((one.proxy, rooms[to].name));
         }
-        if over
+        if joined > most
             && let Some(to) = one.ranked.iter().skip(mine + 1).copied().find(has_room)
             && lowest.is_none_or(|(worst, _, _)| mine > worst)
         {
             lowest = Some((mine, one.proxy, to));
         }
     }
-    lowest.map(|(_, proxy, to)| (proxy, rooms[to].name))
+    let over = joined.saturating_sub(leaving) > most;
+    lowest.filter(|_| over).map(|(_, proxy, to)| (proxy, rooms[to].name))
 }
 
 /// Whether a governor lets a proxy come that another offers: not while it drains; and not beyond the bound,
@@ -216,6 +221,20 @@
         assert!(joined[1] == 0 && joined.iter().all(|count| *count <= bound(90, 3)), "{joined:?}");
     }
 
+    #[test]
+    fn who_has_just_come_and_belongs_elsewhere_is_no_reason_to_send_others_away() {
+        let rooms = [Room { name: "back", joined: 0 }, Room { name: "other", joined: 25 }];
+        let here = |newcomers: usize| {
+            (0..31).map(move |n| match n < newcomers {
+                true => Here { proxy: "new", ranked: &[0, 2, 1], movable: false },
+                false => Here { proxy: "own", ranked: &[2, 0, 1], movable: true },
+            })
+        };
+        // At most 24 of 56 belong here.
+        assert_eq!(next_move(&rooms, 31, false, here(7)), None);
+        assert_eq!(next_move(&rooms, 31, false, here(6)), Some(("own", "back")));
+    }
+
     #[test]
     fn a_draining_governor_puts_its_proxies_somewhere_and_takes_none() {
         let room = |name, joined| Room { name, joined };
