The guard judges again only what a change of the list concerns; its cost measured

Tables that stand are judged again if they name a replica that is shut by now or sent too much, or something of them was refused.

--- /dev/null
+++ b/crates/core/benches/guard.rs
@@ -0,0 +1,92 @@
+//! What the guard costs: an engine with many proxies on tables of their own, with it and without, in one run. A
+//! roster event (one replica drains or is back: all tables are judged), and a beat in which nothing changed.
+
+use std::time::{Duration, Instant};
+
+use wrenthread::interface::Phase;
+use wrenthread_core::engine::{Engine, Setup, Step};
+use wrenthread_core::fleet::Join;
+use wrenthread_core::roster::Entry;
+
+const REPLICAS: usize = 48;
+const EVENTS: u32 = 40;
+
+fn list(draining: Option<usize>) -> Vec<Entry> {
+    let entry = |n: usize| Entry {
+        id: format!("r{n:02}").into(),
+        address: format!("10.0.0.{n}:80").into(),
+        zone: n % 3,
+        weight: 1.0,
+        phase: if draining == Some(n) { Phase::Draining } else { Phase::Ready },
+        started: None,
+    };
+    (0..REPLICAS).map(entry).collect()
+}
+
+fn run(engine: &mut Engine, now: Duration) {
+    while let Some(step) = engine.step(now) {
+        if let Step::Flush(number) = step {
+            engine.sent(now, number, 12, 1);
+            let proxy = engine.proxy(number).map(|proxy| (proxy.stream, proxy.newest()));
+            if let Some((stream, newest)) = proxy {
+                engine.acked(now, stream, newest);
+            }
+        }
+    }
+}
+
+/// Microseconds a roster event, and a beat; what passed, and what was refused.
+fn measure(proxies: usize, guarded: bool) -> (f64, f64, u64, u64) {
+    let mut setup = Setup::example(3);
+    (setup.module.proxies, setup.proxies) = (proxies as u64, proxies);
+    (setup.module.lines_per_s, setup.module.waiting_most) = (1e6, 1e6);
+    let mut now = Duration::from_secs(100);
+    let mut engine = Engine::new(setup, now);
+    if !guarded {
+        engine.switch_guard_off();
+    }
+    engine.roster(now, list(None));
+    for n in 0..proxies {
+        let (name, standing) = (format!("relay-{n}").into(), vec![]);
+        let join = Join { name, zone: n % 3, usual: 5.0, standing, holds_orders: true, claim: None };
+        engine.joined(now, n as u64, &join).expect("there is room");
+    }
+    for _ in 0..100 {
+        now += Duration::from_millis(100);
+        run(&mut engine, now);
+    }
+    let (mut events, mut beats) = (Duration::ZERO, Duration::ZERO);
+    for event in 0..EVENTS {
+        engine.roster(now, list((event % 2 == 0).then_some(event as usize % REPLICAS)));
+        let began = Instant::now();
+        run(&mut engine, now);
+        events += began.elapsed();
+        for _ in 0..10 {
+            now += Duration::from_millis(100);
+            run(&mut engine, now);
+        }
+        now += Duration::from_millis(500);
+        let began = Instant::now();
+        run(&mut engine, now);
+        beats += began.elapsed();
+    }
+    let (refused, passed) = engine.guard().tally();
+    let micros = |span: Duration| span.as_secs_f64() * 1e6 / f64::from(EVENTS);
+    (micros(events), micros(beats), passed, refused.values().sum())
+}
+
+fn main() {
+    println!(
+        "| relays | roster event, us: guarded | without | ratio | a beat, us: guarded | without | \
+        tables passed | refused |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for proxies in [24, 200, 1000] {
+        let (event, beat, passed, refused) = measure(proxies, true);
+        let (event_off, beat_off, ..) = measure(proxies, false);
+        println!(
+            "| {proxies} | {event:.0} | {event_off:.0} | {:.2} | {beat:.0} | {beat_off:.0} | {passed} | {refused} |",
+            event / event_off
+        );
+    }
+}
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -349,9 +349,9 @@
         Ok(joined)
     }
 
-    /// A proxy that has just joined was handed over by another governor: until the module speaks for it, it is
-    /// told what it was told there, less what the rules forbid here now; and what it met last is heard. How
-    /// many of its tables that keeps. A proxy that the module has spoken for is left as it is.
+    /// A proxy that has just joined was handed over by another governor: until the module speaks for it, it
+    /// is told what it was told there, less what the rules forbid here now; and what it met last is heard.
+    /// How many of its tables that keeps. A proxy that the module has spoken for is left as it is.
     pub fn handed(&mut self, now: Duration, number: ProxyId, handed: Handed) -> usize {
         let Some(proxy) = self.fleet.get(number) else { return 0 };
         if proxy.fresh || proxy.kind() == Kind::Own {
@@ -679,6 +679,16 @@
         }
     }
 
+    /// Replicas for whose sake a table that stands is judged again: they are shut by now, or sent too much.
+    fn suspects(&self, now: Duration) -> BTreeSet<ReplicaId> {
+        let tables = &self.tables;
+        let shut =
+            |(id, known): &(&ReplicaId, &Known)| known.phase != Phase::Ready || tables.is_withdrawn(id);
+        let mut suspects = self.guard.troubled(now, &self.roster, |id| tables.is_withdrawn(id));
+        suspects.extend(self.roster.iter().filter(shut).map(|(id, _)| id.clone()));
+        suspects
+    }
+
     /// Judges again what was refused, and, if some replica is sent too much by tables that stand, those.
     fn recheck(&mut self, now: Duration) {
         let tables = &self.tables;
@@ -803,8 +813,8 @@
         self.rules.decide(now)
     }
 
-    /// Puts something between the module and what becomes of its decisions: for tests and rehearsals of a module
-    /// that has gone wrong. It is asked as the module would be.
+    /// Puts something between the module and what becomes of its decisions: for tests and rehearsals of a
+    /// module that has gone wrong. It is asked as the module would be.
     #[cfg(any(test, feature = "suspect"))]
     pub fn suspect(&mut self, decider: Suspect) {
         self.suspect = Some(decider);
@@ -833,8 +843,8 @@
         self.refresh_as(now, numbers, marked, true, false);
     }
 
-    /// What a proxy's group should hold, as the module and those who hold its tables have it; none where there
-    /// is nothing to say.
+    /// What a proxy's group should hold, as the module and those who hold its tables have it; none where
+    /// there is nothing to say.
     fn wanted(&self, number: ProxyId, group: usize) -> Option<(Table, bool)> {
         let proxy = self.fleet.get(number)?;
         let (follows, told) = (proxy.follows[group], proxy.tables[group].is_some());
@@ -848,8 +858,8 @@
         }
     }
 
-    /// As [`Engine::refresh`]. `asked`: the cause asks for as many moves as it takes. `recheck`: tables that did
-    /// not change are judged again, too, as what they are judged by has.
+    /// As [`Engine::refresh`]. `asked`: the cause asks for as many moves as it takes. `recheck`: tables that
+    /// did not change are judged again, too, as what they are judged by has.
     fn refresh_as(
         &mut self,
         now: Duration,
@@ -859,6 +869,8 @@
         recheck: bool,
     ) {
         let version = self.version + 1;
+        let suspects = if recheck { self.suspects(now) } else { BTreeSet::new() };
+        let held = if recheck { self.guard.held() } else { BTreeSet::new() };
         let mut wanted: Vec<(ProxyId, usize, Table)> = Vec::new();
         for (number, group) in numbers.iter().flat_map(|number| (0..self.groups).map(move |at| (*number, at)))
         {
@@ -873,7 +885,9 @@
             if same {
                 self.guard.settled(number, group);
             }
-            if (!same || recheck) && (kept.is_some() || !table.lines.is_empty()) {
+            let suspect = |line: &crate::tables::Line| line.open && suspects.contains(&line.replica);
+            let again = recheck && (held.contains(&number) || table.lines.iter().any(suspect));
+            if (!same || again) && (kept.is_some() || !table.lines.is_empty()) {
                 wanted.push((number, group, table));
             }
         }
--- a/crates/core/src/engine/hostile.rs
+++ b/crates/core/src/engine/hostile.rs
@@ -211,8 +211,8 @@
             }
         }
     }
-    // Of what the module says nothing is refused. Tables that stand are judged again when a replica starts anew:
-    // there the guard is earlier than the module, by a beat.
+    // Of what the module says nothing is refused. Tables that stand are judged again when a replica starts
+    // anew: there the guard is earlier than the module, by a beat.
     let early = |one: &crate::guard::Refusal| {
         one.reason == Reason::Cold && one.replica.as_deref() == Some(COLD) && one.at < at(9500)
     };
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -447,14 +447,16 @@
                 engines[of].roster(ms(now), list);
             }
             // It changes hands: what is known goes ahead of it.
-            let known = engines[at].known_of(ms(now), number).map(|(newest, _)| (newest.whole.clone(), newest.at));
+            let known = engines[at].known_of(ms(now), number);
+            let known = known.map(|(newest, _)| (newest.whole.clone(), newest.at));
             engines[at].left(ms(now), stream);
             (at, stream) = (1 - at, stream + 1);
             let holds = Join { holds_orders: true, ..join("p", &[]) };
             number = engines[at].joined(ms(now), stream, &holds).unwrap().number;
             if let Some((whole, told_at)) = known {
                 let whole = (*whole).clone();
-                engines[at].handed(ms(now), number, Handed { from: "g".into(), whole, told_at, report: None });
+                let from = "g".into();
+                engines[at].handed(ms(now), number, Handed { from, whole, told_at, report: None });
             }
         }
     }
--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -1,15 +1,15 @@
-//! What may not reach a proxy, whoever made it: the module by a fault, an operator, another governor, a front's
-//! bug. See `docs/design/guard.md`.
+//! What may not reach a proxy, whoever made it: the module by a fault, an operator, another governor, a
+//! front's bug. See `docs/design/guard.md`.
 //!
 //! The guard keeps its own account: the flows that each replica would be sent by all proxies here, by their
 //! demand and their tables' shares, and what each can take. A change is judged as the state that all proxies
 //! would be in after it. What passes is left as it is, to the letter. What does not is brought to the nearest
 //! that does: a line that means nothing is left out, a share that is too large is made smaller, a change that
-//! can't be is not carried out and the last good table stands, less what drains or is withdrawn. It never opens
-//! a line that nobody asked for, but where a proxy would be left with none.
+//! can't be is not carried out and the last good table stands, less what drains or is withdrawn. It never
+//! opens a line that nobody asked for, but where a proxy would be left with none.
 //!
-//! When two rules pull apart, the earlier holds: no proxy without a line; drains and withdrawals; no cold replica
-//! over its part; no warm one over what it can take; no more at once than was asked for.
+//! When two rules pull apart, the earlier holds: no proxy without a line; drains and withdrawals; no cold
+//! replica over its part; no warm one over what it can take; no more at once than was asked for.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -19,8 +19,8 @@
 use crate::roster::Roster;
 use crate::tables::{Line, Table};
 
-/// A cold replica may be brought so many times its present part, by this account: the account is of means, and
-/// half a second old. Where it falls is beyond that (the rehearsals' workers: at 2.5).
+/// A cold replica may be brought so many times its present part, by this account: the account is of means,
+/// and half a second old. Where it falls is beyond that (the rehearsals' workers: at 2.5).
 pub const COLD_MARGIN: f64 = 2.0;
 /// And a warm one so many times what is known that it can take, if the others have room.
 pub const WARM_MARGIN: f64 = 3.0;
@@ -282,8 +282,8 @@
 
     /// Judges a change as the state that all proxies are in after it: the tables that may go out, in order.
     ///
-    /// `asked`: its cause asks for as many moves as it takes (the list changed, a proxy came or went, something
-    /// was withdrawn, an operator spoke).
+    /// `asked`: its cause asks for as many moves as it takes (the list changed, a proxy came or went,
+    /// something was withdrawn, an operator spoke).
     pub fn judge(
         &mut self,
         now: Duration,
@@ -378,7 +378,8 @@
         refused: &mut Vec<Refused>,
     ) {
         let unit = self.unit(now, roster, &|id: &ReplicaId| !open(id));
-        // A table that is kept was made smaller before: what is left of a line is by the others, not by itself.
+        // A table that is kept was made smaller before: what is left of a line is by the others, not by
+        // itself.
         let mean = |table: &Table| {
             let open = table.lines.iter().filter(|line| line.open);
             open.clone().map(|line| line.weight).sum::<f64>() / open.count().max(1) as f64
@@ -492,8 +493,8 @@
         self.lasting.retain(|(of, at, _), _| (*of, *at) != (proxy, group));
     }
 
-    /// Replicas that are sent more than they may be by the tables that stand, as when one starts anew cold, or
-    /// demand grows.
+    /// Replicas that are sent more than they may be by the tables that stand, as when one starts anew cold,
+    /// or demand grows.
     pub fn troubled(
         &self,
         now: Duration,
@@ -508,9 +509,9 @@
         self.account.iter().filter(over).map(|(id, _)| id.clone()).collect()
     }
 
-    /// What other governors send is on neither side: what a replica was seen to take and what falls to each are
-    /// by the flows of the proxies here. *Harm:* where others send a replica more than their even part, nobody
-    /// sees all of it.
+    /// What other governors send is on neither side: what a replica was seen to take and what falls to each
+    /// are by the flows of the proxies here. *Harm:* where others send a replica more than their even part,
+    /// nobody sees all of it.
     ///
     /// Why a replica is sent too much, what it is sent, and what it may be; none if it is not.
     fn cap(&self, now: Duration, roster: &Roster, unit: f64, id: &ReplicaId) -> Option<(Reason, f64, f64)> {
@@ -554,8 +555,8 @@
     rate * 0.5f64.powf(now.saturating_sub(at).as_secs_f64() / HALF_LIFE)
 }
 
-/// Rounded down to steps of a tenth or so: a cap that moves a little with each report must not make a new table
-/// each time.
+/// Rounded down to steps of a tenth or so: a cap that moves a little with each report must not make a new
+/// table each time.
 fn stepped(factor: f64) -> f64 {
     1.1f64.powf((factor.clamp(1e-3, 1.0).ln() / 1.1f64.ln()).floor())
 }
@@ -614,7 +615,8 @@
     }
     let near_enough = |id: &ReplicaId| !own_zone || roster.get(id).is_some_and(|one| one.zone == change.zone);
     let is_ready = |id: &ReplicaId| roster.get(id).is_some_and(|one| one.phase == Phase::Ready);
-    // A module that has all of them withdrawn is not followed in that: one that may be bad is better than none.
+    // A module that has all of them withdrawn is not followed in that: one that may be bad is better than
+    // none.
     let any_open = roster.iter().any(|(id, _)| open(id) && near_enough(id));
     let fits = |id: &ReplicaId| near_enough(id) && if any_open { open(id) } else { is_ready(id) };
     if !roster.iter().any(|(id, _)| fits(id)) {
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -73,7 +73,8 @@
     }
 }
 
-/// What governors say to each other, sealed: `LENGTH NAME MAC BODY`. It shows who may speak, and hides nothing.
+/// What governors say to each other, sealed: `LENGTH NAME MAC BODY`. It shows who may speak, and hides
+/// nothing.
 pub fn seal(key: &Key, body: &[u8]) -> Vec<u8> {
     let mut sealed = Vec::with_capacity(33 + key.id.len() + body.len());
     sealed.push(key.id.len() as u8);
@@ -183,7 +184,8 @@
 
 impl Fence {
     /// From now on this governor's orders count, and no other's; a new stream of its begins. What it said on
-    /// an older one doesn't count again: each join gets a version of its own, beyond all that was said before.
+    /// an older one doesn't count again: each join gets a version of its own, beyond all that was said
+    /// before.
     pub fn follow(&mut self, governor: &str) {
         self.before = self.newest.get(governor).copied();
         self.following = Some(governor.into());
--- a/crates/daemon/benches/takeover.rs
+++ b/crates/daemon/benches/takeover.rs
@@ -1,7 +1,8 @@
-//! How long relays are without a governor after one of three is killed, or drained; how evenly the others have them
-//! then; how many move on its return. Beside it, in the same run, relays that redial by chance.
+//! How long relays are without a governor after one of three is killed, or drained; how evenly the others
+//! have them then; how many move on its return. Beside it, in the same run, relays that redial by chance.
 //!
-//! Relays follow by the client library (gRPC, delta) and pause for 0.1 to 0.3 s between two dials, either way.
+//! Relays follow by the client library (gRPC, delta) and pause for 0.1 to 0.3 s between two dials, either
+//! way.
 
 mod common;
 
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -218,8 +218,9 @@
         }
     }
 
-    /// Whose orders a proxy says that it holds, if that is proven. No table hangs on it: whoever came with orders
-    /// is given a whole state by the module, so neither a stale claim nor a forged one brings old orders back.
+    /// Whose orders a proxy says that it holds, if that is proven. No table hangs on it: whoever came with
+    /// orders is given a whole state by the module, so neither a stale claim nor a forged one brings old
+    /// orders back.
     fn claimed(&mut self, now: Duration, proxy: &str, claim: Option<&str>) -> Option<String> {
         match takeover::prove(&self.keys, proxy, claim?) {
             Ok(claim) if claim.governor == self.wire.governor && claim.epoch <= self.wire.epoch => {
@@ -244,8 +245,8 @@
         }
     }
 
-    /// An earlier life of this governor had a later calendar: its proxies would not heed this one. It takes up a
-    /// later epoch, and has all come anew.
+    /// An earlier life of this governor had a later calendar: its proxies would not heed this one. It takes
+    /// up a later epoch, and has all come anew.
     ///
     /// Once in a life: two governors of one name would drive each other up for ever, and their proxies about.
     fn outlive(&mut self, now: Duration, epoch: u64) {
@@ -688,8 +689,8 @@
         }
     }
 
-    /// Ends all streams, with a word; proxies keep their tables. Other governors hear of it: what is to be said
-    /// to them is handed to `say`.
+    /// Ends all streams, with a word; proxies keep their tables. Other governors hear of it: what is to be
+    /// said to them is handed to `say`.
     pub fn stop(&mut self, now: Duration, mut say: impl FnMut(SocketAddr, &[u8])) {
         self.talk.leave();
         while let Some(step) = self.talk.step(now) {
@@ -821,7 +822,8 @@
         }))
     }
 
-    /// What was refused about a proxy or a replica, newest first, and where it stands; none if nobody knows it.
+    /// What was refused about a proxy or a replica, newest first, and where it stands; none if nobody knows
+    /// it.
     pub fn why(&self, now: Duration, name: &str) -> Option<Value> {
         let number = self.engine.fleet().named(name).map(|(number, _)| number);
         let known = self.engine.replicas().find(|(id, _)| &***id == name);
--- a/crates/daemon/tests/sharing.rs
+++ b/crates/daemon/tests/sharing.rs
@@ -31,7 +31,8 @@
         let path = governor.folder.join("settings.star");
         let settings = std::fs::read_to_string(&path).unwrap();
         let more = format!(
-            "governor(name = \"g{place}\", keys = [\"fleet.key\"], talk = \"127.0.0.1:{at}\", peers = {peers:?})"
+            "governor(name = \"g{place}\", keys = [\"fleet.key\"], \
+             talk = \"127.0.0.1:{at}\", peers = {peers:?})"
         );
         std::fs::write(&path, format!("{settings}\n{more}\n")).unwrap();
         governor.spawn().await;
--- a/crates/rehearsal/src/links.rs
+++ b/crates/rehearsal/src/links.rs
@@ -15,7 +15,8 @@
 }
 
 impl Links {
-    /// A link by which one governor reaches another, which is heard at `heard_at`; where the first is to send.
+    /// A link by which one governor reaches another, which is heard at `heard_at`; where the first is to
+    /// send.
     pub async fn lay(self: &Rc<Self>, from: usize, to: usize, heard_at: SocketAddr) -> Result<SocketAddr> {
         let socket = UdpSocket::bind(("127.0.0.1", 0)).await?;
         let (at, this) = (socket.local_addr()?, self.clone());
--- a/crates/talk/benches/gossip.rs
+++ b/crates/talk/benches/gossip.rs
@@ -1,5 +1,5 @@
-//! What gossip costs a governor as their number grows, and how soon a dead one is known to all: in made-up time,
-//! on a made-up network, at the pace that governors keep.
+//! What gossip costs a governor as their number grows, and how soon a dead one is known to all: in made-up
+//! time, on a made-up network, at the pace that governors keep.
 
 #[path = "../tests/net/mod.rs"]
 mod net;
@@ -21,8 +21,8 @@
     (0..proxies).map(draw).collect()
 }
 
-/// How evenly 60 and 1,000 proxies are spread before and after one of some governors dies, and how many change hands at
-/// its death and at its return, by each way of saying who belongs where.
+/// How evenly 60 and 1,000 proxies are spread before and after one of some governors dies, and how many
+/// change hands at its death and at its return, by each way of saying who belongs where.
 fn spreads() {
     println!(
         "| proxies | governors | way | fullest before, of its even part | after | moves at a death | \
@@ -101,7 +101,8 @@
             let last = known.iter().copied().fold(0.0, f64::max);
             assert!(known.len() >= governors - 1, "{} of {governors} know", known.len());
             println!(
-                "| {governors} | {} | {bytes:.0} | {datagrams:.1} | {} | {first:.1} | {last:.1} | {wrongly} |",
+                "| {governors} | {} | {bytes:.0} | {datagrams:.1} | {} | \
+                 {first:.1} | {last:.1} | {wrongly} |",
                 lost / 10,
                 net.longest,
             );
--- a/crates/talk/src/lib.rs
+++ b/crates/talk/src/lib.rs
@@ -1,11 +1,12 @@
-//! Governors among themselves: who is there, who has which proxy, and how one changes hands. No I/O, no clock.
+//! Governors among themselves: who is there, who has which proxy, and how one changes hands. No I/O, no
+//! clock.
 //!
 //! [`Talk`] is one governor's part. A host tells it of each datagram, and of each proxy that comes or goes;
 //! it pulls [`Talk::step`] until `None`, carries out each step, and comes back at [`Talk::next_due`] at the
 //! latest.
 //!
-//! Nothing here decides a table, and nothing is agreed on between governors: see `docs/design/takeover.md` for
-//! which of what they do could conflict, and why that does no harm.
+//! Nothing here decides a table, and nothing is agreed on between governors: see `docs/design/takeover.md`
+//! for which of what they do could conflict, and why that does no harm.
 //!
 //! ```
 //! use std::time::Duration;
--- a/crates/talk/src/members.rs
+++ b/crates/talk/src/members.rs
@@ -1,11 +1,11 @@
 //! Which governors are there: SWIM, as published (Das, Gupta and Motivala, 2002). Each asks one other a
-//! period, in a shuffled round; who doesn't answer is asked through some others; who still doesn't is suspect,
-//! says so itself with a higher incarnation if it hears of it, and is dead otherwise after a while. Words travel
-//! on these messages, each so many times as it takes to reach all.
+//! period, in a shuffled round; who doesn't answer is asked through some others; who still doesn't is
+//! suspect, says so itself with a higher incarnation if it hears of it, and is dead otherwise after a while.
+//! Words travel on these messages, each so many times as it takes to reach all.
 //!
 //! Added to what was published, each against something met: a word about the receiver always travels to it if
-//! it is not well spoken of, so that it can say otherwise at once; the dead are asked again now and then, as a
-//! split heals without a word; and who finds that it stalled itself blames nobody for it.
+//! it is not well spoken of, so that it can say otherwise at once; the dead are asked again now and then, as
+//! a split heals without a word; and who finds that it stalled itself blames nobody for it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/talk/src/sharing.rs
+++ b/crates/talk/src/sharing.rs
@@ -74,8 +74,8 @@
 
 /// The next proxy to move, and where to.
 ///
-/// `rooms`: the others that are there and are not draining; `here`, and `joined`, their number: those that are
-/// not on their way out; `draining`: this governor hands all over.
+/// `rooms`: the others that are there and are not draining; `here`, and `joined`, their number: those that
+/// are not on their way out; `draining`: this governor hands all over.
 pub fn next_move<'a>(
     rooms: &[Room<'a>],
     joined: usize,
@@ -88,8 +88,8 @@
     let all: usize = joined + rooms.iter().map(|room| room.joined).sum::<usize>();
     let most = bound(all, rooms.len() + usize::from(!draining));
     let has_room = |place: &usize| rooms.get(*place).is_some_and(|room| room.joined < most);
-    // Of those over the bound, the one that ranks this governor lowest goes first. Who will go elsewhere as soon
-    // as it may be moved is no reason to send others away meanwhile: they would only come back.
+    // Of those over the bound, the one that ranks this governor lowest goes first. Who will go elsewhere as
+    // soon as it may be moved is no reason to send others away meanwhile: they would only come back.
     let (mut lowest, mut leaving): (Option<(usize, &str, usize)>, usize) = (None, 0);
     for one in here {
         let mine = one.ranked.iter().position(|place| *place == rooms.len()).unwrap_or(one.ranked.len());
--- a/crates/talk/tests/model.rs
+++ b/crates/talk/tests/model.rs
@@ -1,6 +1,7 @@
-//! Every way in which a small world can go: two governors, two relays, orders and words between governors lost,
-//! doubled and reordered, crashes, streams that break, a governor that wakes with old orders in its queue. What
-//! decides is the real thing: [`Fence`] and [`Dialer`] at the relay, [`Handover`] at the governor.
+//! Every way in which a small world can go: two governors, two relays, orders and words between governors
+//! lost, doubled and reordered, crashes, streams that break, a governor that wakes with old orders in its
+//! queue. What decides is the real thing: [`Fence`] and [`Dialer`] at the relay, [`Handover`] at the
+//! governor.
 //!
 //! A message stays in flight once it is sent: that it may be delivered at any time, again, or never, is loss,
 //! doubling and reordering in one.
--- a/crates/talk/tests/net/mod.rs
+++ b/crates/talk/tests/net/mod.rs
@@ -1,5 +1,5 @@
-//! Governors on a made-up network in made-up time: datagrams take a while, get lost, come twice, and links are
-//! cut. By seed, the same every time.
+//! Governors on a made-up network in made-up time: datagrams take a while, get lost, come twice, and links
+//! are cut. By seed, the same every time.
 #![allow(dead_code)] // each of those that share this uses a part of it
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -23,8 +23,8 @@
     pub use service::status::v3::client_status_discovery_service_client as csds;
 }
 
-/// In the metadata of a stream's end: the governor that the proxy is to go to, empty for whoever is next in its
-/// own order. Proxies of the public kind don't read it, and come back by their own.
+/// In the metadata of a stream's end: the governor that the proxy is to go to, empty for whoever is next in
+/// its own order. Proxies of the public kind don't read it, and come back by their own.
 pub const GO_TO: &str = "wrenthread-go-to";
 
 /// What the front needs to know of the settings to name things on the wire.
