--- a/crates/core/benches/guard.rs
+++ b/crates/core/benches/guard.rs
@@ -1,5 +1,6 @@
-//! What the guard costs: an engine with many proxies on tables of their own, with it and without, in one run. A
-//! roster event (one replica drains or is back: all tables are judged), and a beat in which nothing changed.
+//! What the guard costs: an engine with many proxies on tables of their own, with it and without, in one run.
+//! A roster event (one replica drains or is back: all tables are judged), and a beat in which nothing
+//! changed.
 
 use std::time::{Duration, Instant};
 
@@ -85,7 +86,8 @@
         let (event, beat, passed, refused) = measure(proxies, true);
         let (event_off, beat_off, ..) = measure(proxies, false);
         println!(
-            "| {proxies} | {event:.0} | {event_off:.0} | {:.2} | {beat:.0} | {beat_off:.0} | {passed} | {refused} |",
+            "| {proxies} | {event:.0} | {event_off:.0} | {:.2} | {beat:.0} | {beat_off:.0} | \
+             {passed} | {refused} |",
             event / event_off
         );
     }
--- a/crates/core/src/engine/hostile.rs
+++ b/crates/core/src/engine/hostile.rs
@@ -1,13 +1,12 @@
 //! The real engine under a module that has gone wrong, in every way that we could think of. With the guard no
 //! table that breaks a rule stands; without it each of these breaks one, so that none of them is idle.
 
-use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
-use std::rc::Rc;
+use std::collections::BTreeMap;
 
 use super::*;
 use crate::guard::COLD_MARGIN;
 use crate::roster::Entry;
+use crate::suspect::{KINDS, Wrong, decider};
 
 const REPLICAS: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 /// It starts anew, cold, in the midst.
@@ -29,45 +28,6 @@
     REPLICAS.iter().map(entry).collect()
 }
 
-type Laid = BTreeMap<TableId, BTreeMap<ReplicaId, f64>>;
-/// What a module that has gone wrong makes of a decision; all tables that were ever laid, and how many beats
-/// there were, are at hand.
-type Wrong = fn(Decision, &Laid, u64) -> Vec<Decision>;
-
-fn decider(wrong: Wrong) -> Suspect {
-    let laid: Rc<RefCell<Laid>> = Rc::default();
-    let (mut ahead, mut beats) = (VecDeque::new(), 0u64);
-    Box::new(move |now, rules| {
-        if let Some(decision) = ahead.pop_front() {
-            return Some(decision);
-        }
-        let decision = rules.decide(now)?;
-        if let Decision::Lines(table, lines) = &decision {
-            laid.borrow_mut().entry(*table).or_default().extend(lines.iter().cloned());
-        }
-        beats += u64::from(matches!(decision, Decision::Wake(_)));
-        ahead.extend(wrong(decision, &laid.borrow(), beats));
-        ahead.pop_front()
-    })
-}
-
-/// With each beat, lines for every table that was laid.
-fn every_table(decision: Decision, laid: &Laid, weight: impl Fn(&ReplicaId) -> f64) -> Vec<Decision> {
-    let mut all = vec![decision.clone()];
-    if matches!(decision, Decision::Wake(_)) {
-        for table in laid.keys() {
-            let ids = REPLICAS.iter().map(|id| ReplicaId::from(*id));
-            all.push(Decision::Lines(*table, ids.map(|id| (id.clone(), weight(&id))).collect()));
-        }
-    }
-    all
-}
-
-fn with_each_beat(decision: Decision, more: Vec<Decision>) -> Vec<Decision> {
-    let more = if matches!(decision, Decision::Wake(_)) { more } else { Vec::new() };
-    more.into_iter().chain([decision]).collect()
-}
-
 /// Runs four proxies through a drain and a cold start; the rules that were broken, and how often.
 fn broken(wrong: Wrong, guarded: bool) -> BTreeMap<&'static str, usize> {
     let mut setup = Setup::example(2);
@@ -127,71 +87,41 @@
     broken
 }
 
-/// Kinds of wrong, by what they are and the rule that each breaks where nothing guards it.
-const KINDS: [(&str, &str, Wrong); 12] = [
-    ("empty tables", "bare", |decision, laid, _| every_table(decision, laid, |_| 0.0)),
-    ("all onto a drain, undone", "a drain", |decision, laid, _| match decision {
-        Decision::Withdraw(id, _) => vec![Decision::Withdraw(id, false)],
-        other => every_table(other, laid, |id| f64::from(u8::from(&**id == "a"))),
-    }),
-    ("all onto a cold one", "a cold one", |decision, laid, _| {
-        every_table(decision, laid, |id| if &**id == COLD { 1e3 } else { 1.0 })
-    }),
-    ("flapping, drains undone", "a drain", |decision, laid, beats| match decision {
-        Decision::Withdraw(id, _) => vec![Decision::Withdraw(id, false)],
-        other => every_table(other, laid, |id| {
-            f64::from(u8::from((u64::from(id.as_bytes()[0]) + beats).is_multiple_of(2)))
-        }),
-    }),
-    ("infinite weights", "a weight", |decision, laid, _| {
-        every_table(decision, laid, |id| if &**id == "c" { f64::INFINITY } else { 1.0 })
-    }),
-    ("weights apart", "the wire", |decision, laid, _| {
-        every_table(decision, laid, |id| if &**id == "c" { 1e200 } else { 1e-200 })
-    }),
-    ("levels out of bounds", "a level", |decision, _, _| {
-        with_each_beat(decision, vec![Decision::Level(3, 7.0, FurtherTries::Never)])
-    }),
-    ("levels that are no numbers", "a level", |decision, _, _| {
-        with_each_beat(decision, vec![Decision::Level(1, f64::NAN, FurtherTries::Never)])
-    }),
-    ("further tries of what must not run twice", "an effect twice", |decision, _, _| {
-        with_each_beat(decision, vec![Decision::Level(3, 1.0, FurtherTries::Once)])
-    }),
-    ("all withdrawn", "bare", |decision, _, _| {
-        let out = REPLICAS.iter().map(|id| Decision::Withdraw((*id).into(), true));
-        with_each_beat(decision, out.collect())
-    }),
-    ("tables that nobody laid", "bare", |decision, _, _| {
-        with_each_beat(decision, (0..4).map(|proxy| Decision::Follow(proxy, 60_000, 3)).collect())
-    }),
-    ("replicas that nobody listed", "bare", |decision, _, _| match decision {
-        Decision::Lines(table, lines) => {
-            let made_up = |(place, (_, weight))| (ReplicaId::from(format!("made up {place}")), weight);
-            vec![Decision::Lines(table, lines.into_iter().enumerate().map(made_up).collect())]
-        }
-        other => vec![other],
-    }),
+/// The rule that each kind breaks where nothing guards it; a flood only costs.
+const BREAKS: [(&str, &str); 12] = [
+    ("empty-tables", "bare"),
+    ("all-onto-a-drain", "a drain"),
+    ("all-onto-the-last", "a cold one"),
+    ("flapping", "a drain"),
+    ("infinite-weights", "a weight"),
+    ("weights-apart", "the wire"),
+    ("levels-out-of-bounds", "a level"),
+    ("levels-not-a-number", "a level"),
+    ("tries-twice", "an effect twice"),
+    ("all-withdrawn", "bare"),
+    ("tables-not-laid", "bare"),
+    ("replicas-not-listed", "bare"),
 ];
 
 #[test]
 fn no_decider_however_wrong_has_a_table_stand_that_breaks_a_rule() {
-    for (kind, _, wrong) in KINDS {
+    for (kind, wrong) in KINDS {
         assert_eq!(broken(wrong, true), BTreeMap::new(), "{kind}");
     }
 }
 
 #[test]
 fn each_of_these_breaks_its_rule_where_nothing_guards_it() {
-    for (kind, rule, wrong) in KINDS {
-        let broken = broken(wrong, false);
+    for (kind, rule) in BREAKS {
+        let (_, wrong) = KINDS.iter().find(|(name, _)| *name == kind).expect("a kind of that name");
+        let broken = broken(*wrong, false);
         assert!(broken.contains_key(rule), "{kind}: {broken:?}");
     }
 }
 
 #[test]
 fn the_module_as_it_is_passes_unchanged() {
-    assert_eq!(broken(|decision, _, _| vec![decision], true), BTreeMap::new());
+    assert_eq!(broken(|decision, _| vec![decision], true), BTreeMap::new());
     let mut engine = Engine::new(Setup::example(2), at(0));
     engine.roster(at(0), list(&[], None));
     for n in 0..8 {
--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -142,6 +142,13 @@
     parts: Vec<(ReplicaId, f64)>,
 }
 
+/// As [`Guard::unit`] says.
+#[derive(Debug, Clone, Copy)]
+struct Unit {
+    even: f64,
+    known: f64,
+}
+
 #[derive(Debug)]
 pub struct Guard {
     limits: Limits,
@@ -262,10 +269,12 @@
         self.limits.cold_share + (1.0 - self.limits.cold_share) * age / whole
     }
 
-    /// Flows a second that a warm replica of weight 1 is known to take: the most that any was seen to deliver
-    /// lately, or what falls to each if all is spread evenly, whichever is more. So neither a fleet that was
-    /// never under load nor one that grows makes refusals by itself.
-    fn unit(&self, now: Duration, roster: &Roster, withdrawn: &impl Fn(&ReplicaId) -> bool) -> f64 {
+    /// Flows a second for a warm replica of weight 1. What it is known to take is the most that any was seen
+    /// to deliver lately, or what falls to each if all is spread evenly, whichever is more: so neither a
+    /// fleet that was never under load nor one that grows makes refusals by itself. A cold one is judged by
+    /// the even part alone: the most that was seen comes in bursts, and a cold one has nothing to bear them
+    /// with.
+    fn unit(&self, now: Duration, roster: &Roster, withdrawn: &impl Fn(&ReplicaId) -> bool) -> Unit {
         let mut seen: BTreeMap<&ReplicaId, f64> = BTreeMap::new();
         for ((id, _), one) in &self.seen {
             *seen.entry(id).or_default() += aged(*one, now);
@@ -275,7 +284,8 @@
         let ready = roster.iter().filter(|(id, one)| one.phase == Phase::Ready && !withdrawn(id));
         let able: f64 = ready.map(|(id, one)| one.weight.max(0.0) * self.warmth(now, roster, id)).sum();
         let all: f64 = self.shares.values().map(|share| share.flows).sum();
-        proven.max(if able > 0.0 { all / able } else { f64::INFINITY })
+        let even = if able > 0.0 { all / able } else { f64::INFINITY };
+        Unit { even, known: proven.max(even) }
     }
 
     // ---- the judgement
@@ -384,7 +394,7 @@
             let open = table.lines.iter().filter(|line| line.open);
             open.clone().map(|line| line.weight).sum::<f64>() / open.count().max(1) as f64
         };
-        let least: Vec<f64> = tables.iter().map(|table| LEAST * mean(table)).collect();
+        let mut least: Vec<f64> = tables.iter().map(|table| LEAST * mean(table)).collect();
         for pass in 0..PASSES {
             let lines = tables.iter().flat_map(|table| &table.lines).filter(|line| line.open);
             let touched: BTreeSet<ReplicaId> = lines.map(|line| line.replica.clone()).collect();
@@ -401,7 +411,34 @@
                 if over == 0 {
                     continue;
                 }
-                let all = over == lines.count();
+                let mut all = over == lines.count();
+                let cold = |line: &Line| caps.get(&line.replica).is_some_and(|cap| cap.0 == Reason::Cold);
+                let cold = table.lines.iter().any(|line| line.open && cold(line));
+                // All of it is too much, and for a cold one: what is good of the last table, or of its own
+                // lines, has others, too. What is too much for warm ones only goes out as it was asked.
+                if let Some(other) = Some(()).filter(|()| all && cold && pass == 0).and_then(|()| {
+                    let held = change.held.map(|held| shut(held, open));
+                    let own = || Some(standing(change, roster, open)).filter(is_open);
+                    let more = |table: &Table| {
+                        table.lines.iter().any(|line| line.open && !caps.contains_key(&line.replica))
+                    };
+                    held.filter(more).or_else(own).filter(more)
+                }) {
+                    for line in table.lines.iter().filter(|line| line.open) {
+                        if let Some((reason, sent, can)) = caps.get(&line.replica) {
+                            refused.push((
+                                place,
+                                *reason,
+                                Done::Kept,
+                                Some(line.replica.clone()),
+                                *sent,
+                                *can,
+                            ));
+                        }
+                    }
+                    (least[place], all) = (LEAST * mean(&other), false);
+                    *table = Table { level: table.level, ..other };
+                }
                 for line in table.lines.iter_mut().filter(|line| line.open) {
                     let Some((reason, sent, can)) = caps.get(&line.replica) else { continue };
                     // With nothing else to send to, over is better than bare.
@@ -413,9 +450,9 @@
                     let weight = (line.weight * stepped(can / sent)).max(least[place]);
                     if !all && weight < line.weight {
                         line.weight = weight;
-                        any = true;
                     }
                 }
+                any |= !all;
                 let parts = parts(table);
                 self.set((change.proxy, change.group), |share| share.parts = parts);
             }
@@ -514,12 +551,14 @@
     /// nobody sees all of it.
     ///
     /// Why a replica is sent too much, what it is sent, and what it may be; none if it is not.
-    fn cap(&self, now: Duration, roster: &Roster, unit: f64, id: &ReplicaId) -> Option<(Reason, f64, f64)> {
+    fn cap(&self, now: Duration, roster: &Roster, unit: Unit, id: &ReplicaId) -> Option<(Reason, f64, f64)> {
         let known = roster.get(id).filter(|one| one.phase == Phase::Ready)?;
         let (warmth, sent) = (self.warmth(now, roster, id), self.account.get(id).copied().unwrap_or(0.0));
-        let (reason, margin) =
-            if warmth < 1.0 { (Reason::Cold, COLD_MARGIN) } else { (Reason::Over, WARM_MARGIN) };
-        let can = (unit * known.weight.max(0.0) * warmth * margin).max(1.0);
+        let (reason, most) = match warmth < 1.0 {
+            true => (Reason::Cold, unit.even * warmth * COLD_MARGIN),
+            false => (Reason::Over, unit.known * WARM_MARGIN),
+        };
+        let can = (most * known.weight.max(0.0)).max(1.0);
         (can.is_finite() && sent > can).then_some((reason, sent, can))
     }
 
@@ -634,6 +673,11 @@
         return held;
     }
     refuse(reason, Done::LastResort, None, asked as f64, 1.0);
+    Table { level: table.level, ..standing(change, roster, &fits) }
+}
+
+/// A proxy's own lines, as far as they fit; else all that do, in its zone if somebody is there.
+fn standing(change: &Change, roster: &Roster, fits: &impl Fn(&ReplicaId) -> bool) -> Table {
     let line = |id: &ReplicaId, weight: f64| {
         let known = roster.get(id).filter(|_| fits(id))?;
         let (replica, address, zone) = (id.clone(), known.address.clone(), known.zone);
@@ -641,14 +685,13 @@
     };
     let mut lines: Vec<Line> = change.standing.iter().filter_map(|(id, weight)| line(id, *weight)).collect();
     if lines.is_empty() {
-        // In the proxy's zone, if somebody is there.
         let near = |id: &ReplicaId| roster.get(id).is_some_and(|one| one.zone == change.zone);
         let any_near = roster.iter().any(|(id, _)| fits(id) && near(id));
         let ready = roster.iter().filter(|(id, _)| !any_near || near(id));
         lines = ready.filter_map(|(id, one)| line(id, one.weight)).collect();
     }
     lines.sort_by(|one, other| one.replica.cmp(&other.replica));
-    Table { lines, level: table.level }
+    Table { lines, level: 1.0 }
 }
 
 #[cfg(test)]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,8 @@
 pub mod pace;
 pub mod reports;
 pub mod roster;
+#[cfg(any(test, feature = "suspect"))]
+pub mod suspect;
 pub mod tables;
 pub mod takeover;
 pub mod versions;
--- /dev/null
+++ b/crates/core/src/suspect.rs
@@ -0,0 +1,125 @@
+//! Deciders in the module's place that have gone wrong, for tests and rehearsals of what stands behind it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use wrenthread::interface::{Decision, FurtherTries, ReplicaId, TableId};
+
+use crate::engine::Suspect;
+
+/// What was seen of the module's decisions so far.
+#[derive(Debug, Default)]
+pub struct Seen {
+    laid: BTreeMap<TableId, BTreeMap<ReplicaId, f64>>,
+    replicas: BTreeSet<ReplicaId>,
+    out: BTreeSet<ReplicaId>,
+    beats: u64,
+}
+
+/// What one that has gone wrong makes of a decision.
+pub type Wrong = fn(Decision, &Seen) -> Vec<Decision>;
+
+/// A decider that asks the module, and does not do as it says.
+pub fn decider(wrong: Wrong) -> Suspect {
+    let (mut seen, mut ahead) = (Seen::default(), VecDeque::new());
+    Box::new(move |now, rules| {
+        if let Some(decision) = ahead.pop_front() {
+            return Some(decision);
+        }
+        let decision = rules.decide(now)?;
+        match &decision {
+            Decision::Lines(table, lines) => {
+                seen.replicas.extend(lines.iter().map(|(id, _)| id.clone()));
+                seen.laid.entry(*table).or_default().extend(lines.iter().cloned());
+            }
+            Decision::Withdraw(id, true) => drop(seen.out.insert(id.clone())),
+            Decision::Withdraw(id, false) => drop(seen.out.remove(id)),
+            Decision::Wake(_) => seen.beats += 1,
+            _ => {}
+        }
+        ahead.extend(wrong(decision, &seen));
+        ahead.pop_front()
+    })
+}
+
+/// With each beat, lines for every table that was laid; by a replica's place among all.
+fn every_table(decision: Decision, seen: &Seen, weight: impl Fn(usize, &ReplicaId) -> f64) -> Vec<Decision> {
+    let mut all = vec![decision.clone()];
+    if matches!(decision, Decision::Wake(_)) {
+        for table in seen.laid.keys() {
+            let lines = seen.replicas.iter().enumerate().map(|(at, id)| (id.clone(), weight(at, id)));
+            all.push(Decision::Lines(*table, lines.collect()));
+        }
+    }
+    all
+}
+
+fn with_each_beat(decision: Decision, more: Vec<Decision>) -> Vec<Decision> {
+    let more = if matches!(decision, Decision::Wake(_)) { more } else { Vec::new() };
+    more.into_iter().chain([decision]).collect()
+}
+
+fn one(is: bool) -> f64 {
+    f64::from(u8::from(is))
+}
+
+/// Kinds of wrong, by what they are.
+pub const KINDS: [(&str, Wrong); 13] = [
+    ("empty-tables", |decision, seen| every_table(decision, seen, |_, _| 0.0)),
+    ("all-onto-a-drain", |decision, seen| match decision {
+        Decision::Withdraw(id, _) => vec![Decision::Withdraw(id, false)],
+        other => {
+            let drain = seen.out.first().or(seen.replicas.first()).cloned();
+            every_table(other, seen, |_, id| one(Some(id) == drain.as_ref()))
+        }
+    }),
+    ("all-onto-the-last", |decision, seen| {
+        let last = seen.replicas.last().cloned();
+        every_table(decision, seen, |_, id| if Some(id) == last.as_ref() { 1e3 } else { 1.0 })
+    }),
+    ("flapping", |decision, seen| match decision {
+        Decision::Withdraw(id, _) => vec![Decision::Withdraw(id, false)],
+        other => every_table(other, seen, |at, _| one((at as u64 + seen.beats).is_multiple_of(2))),
+    }),
+    ("infinite-weights", |decision, seen| {
+        every_table(decision, seen, |at, _| if at == 2 { f64::INFINITY } else { 1.0 })
+    }),
+    ("weights-apart", |decision, seen| {
+        every_table(decision, seen, |at, _| if at == 2 { 1e200 } else { 1e-200 })
+    }),
+    ("levels-out-of-bounds", |decision, _| {
+        with_each_beat(decision, vec![Decision::Level(3, 7.0, FurtherTries::Never)])
+    }),
+    ("levels-not-a-number", |decision, _| {
+        with_each_beat(decision, vec![Decision::Level(1, f64::NAN, FurtherTries::Never)])
+    }),
+    ("tries-twice", |decision, _| {
+        with_each_beat(decision, vec![Decision::Level(u64::MAX, 1.0, FurtherTries::Once)])
+    }),
+    ("all-withdrawn", |decision, seen| {
+        let out = seen.replicas.iter().map(|id| Decision::Withdraw(id.clone(), true));
+        with_each_beat(decision, out.collect())
+    }),
+    ("tables-not-laid", |decision, _| {
+        with_each_beat(decision, (0..64).map(|proxy| Decision::Follow(proxy, 60_000, u64::MAX)).collect())
+    }),
+    ("replicas-not-listed", |decision, _| match decision {
+        Decision::Lines(table, lines) => {
+            let made_up = |(at, (_, weight))| (ReplicaId::from(format!("made up {at}")), weight);
+            vec![Decision::Lines(table, lines.into_iter().enumerate().map(made_up).collect())]
+        }
+        other => vec![other],
+    }),
+    ("flood", |decision, seen| {
+        let mut all = every_table(decision, seen, |at, _| 1.0 + (at as u64 + seen.beats) as f64 / 1e3);
+        if let [_, more @ ..] = all.as_slice() {
+            let more: Vec<Decision> = more.iter().cycle().take(more.len() * 30).cloned().collect();
+            all.extend(more);
+        }
+        all
+    }),
+];
+
+/// The decider of a kind, by its name.
+pub fn of(kind: &str) -> Option<Suspect> {
+    KINDS.iter().find(|(name, _)| *name == kind).map(|(_, wrong)| decider(*wrong))
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -77,7 +77,13 @@
 enum Command {
     /// Run a governor: SIGHUP reloads its settings, SIGTERM stops it
     #[command(after_help = "Example: wrenthread run deploy/settings.star")]
-    Run { settings: PathBuf },
+    Run {
+        settings: PathBuf,
+        /// Put a decider that has gone wrong in the module's place, or (`none`) switch the guard off
+        #[cfg(feature = "suspect")]
+        #[arg(long)]
+        suspect: Vec<String>,
+    },
     /// Say what a settings script comes to, or all that is wrong with it
     #[command(after_help = "Example: wrenthread check deploy/settings.star --output json")]
     Check {
@@ -165,7 +171,7 @@
     ReadSettings { settings: PathBuf },
     /// Rehearse a bad day on stand-in relays and workers, and judge it by what crossed the sockets
     #[command(after_help = "Example: wrenthread rehearse bad-day --seed 3\nDays: bad-day, short, takeover, \
-        split, stall, roll, dark")]
+        split, stall, roll, dark, friday")]
     Rehearse {
         day: String,
         /// Seeds; each is a day of its own
@@ -174,6 +180,9 @@
         /// By which fronts the relays follow
         #[arg(long, value_enum, default_value = "grpc")]
         front: Fronts,
+        /// Have the governors decide wrongly; the program must have been built with the feature `suspect`
+        #[arg(long, hide = !cfg!(feature = "suspect"))]
+        suspect: Vec<String>,
         /// Keep the tape, one JSON line a message, in this folder
         #[arg(long)]
         tape: Option<PathBuf>,
@@ -201,7 +210,10 @@
 
 fn carry_out(command: Command) -> Result<ExitCode> {
     match command {
-        Command::Run { settings } => run::run(&settings)?,
+        #[cfg(not(feature = "suspect"))]
+        Command::Run { settings } => run::run(&settings, &[])?,
+        #[cfg(feature = "suspect")]
+        Command::Run { settings, suspect } => run::run(&settings, &suspect)?,
         Command::Check { settings, output } => {
             let settings = run::load(&settings)?;
             let text = show::settings(&settings)?;
@@ -251,8 +263,8 @@
             let released = show::fetch(&at, "/release", Some(&scope.said()))?;
             println!("{} tables are released", released["released"]);
         }
-        Command::Rehearse { day, seeds, front, tape, output } => {
-            return rehearse(&day, &seeds, front, tape, output);
+        Command::Rehearse { day, seeds, front, suspect, tape, output } => {
+            return rehearse(&day, &seeds, front, &suspect, tape, output);
         }
     }
     Ok(ExitCode::SUCCESS)
@@ -262,6 +274,7 @@
     day: &str,
     seeds: &[u64],
     front: Fronts,
+    suspect: &[String],
     tape: Option<PathBuf>,
     output: Output,
 ) -> Result<ExitCode> {
@@ -272,6 +285,8 @@
         Fronts::Mixed => wrenthread_rehearsal::Fronts::Mixed,
     };
     let mut passed = true;
+    let wrongs = suspect.iter().flat_map(|kind| ["--suspect".to_string(), kind.clone()]);
+    let program = wrenthread_rehearsal::Program { path: program, wrongs: wrongs.collect() };
     for seed in seeds {
         let verdict = wrenthread_rehearsal::rehearse(&program, day, *seed, fronts, tape.as_deref())?;
         passed &= verdict.passed();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -75,13 +75,15 @@
 /// Runs until a signal to stop.
 ///
 /// Errors: settings that can't be taken, sockets that can't be had.
-pub fn run(path: &Path) -> Result<()> {
+///
+/// `suspect`: what takes the module's place, in a program that is built for it.
+pub fn run(path: &Path, suspect: &[String]) -> Result<()> {
     let settings = load(path)?;
     let recorder = metrics_exporter_prometheus::PrometheusBuilder::new();
     let metrics = recorder.install_recorder().context("metrics")?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context("tokio")?;
     let local = LocalSet::new();
-    local.block_on(&runtime, governor(path.to_path_buf(), settings, metrics))
+    local.block_on(&runtime, governor(path.to_path_buf(), settings, metrics, suspect))
 }
 
 fn follow_roster(
@@ -118,6 +120,7 @@
     path: PathBuf,
     mut settings: Settings,
     metrics: metrics_exporter_prometheus::PrometheusHandle,
+    suspect: &[String],
 ) -> Result<()> {
     let clock = Clock::start();
     let keys = keys(&settings)?;
@@ -183,6 +186,7 @@
     };
     let talking = Talk::new(terms, clock.epoch(), clock.now());
     let mut host = Host::new(settings.setup(), wire.clone(), keys, settings.usual, talking, clock.now());
+    distrust(&mut host, suspect)?;
     let mut hangup = signal(SignalKind::hangup()).context("signals")?;
     let mut terminate = signal(SignalKind::terminate()).context("signals")?;
     let why = loop {
@@ -278,6 +282,23 @@
     Ok(())
 }
 
+/// Puts deciders that have gone wrong in the module's place, or switches the guard off.
+fn distrust(host: &mut Host, suspect: &[String]) -> Result<()> {
+    for kind in suspect {
+        #[cfg(feature = "suspect")]
+        match wrenthread_core::suspect::of(kind) {
+            Some(decider) => host.engine.suspect(decider),
+            None if kind == "none" => host.engine.switch_guard_off(),
+            None => {
+                let known: Vec<_> = wrenthread_core::suspect::KINDS.iter().map(|(name, _)| *name).collect();
+                anyhow::bail!("no decider `{kind}`; there are {}, and `none` for no guard", known.join(", "));
+            }
+        }
+        tracing::error!(kind, ready = host.is_ready(), "the module is not followed");
+    }
+    Ok(())
+}
+
 /// Settings read anew. What can't be taken, or can't be changed while running, is said and left as it is.
 fn taken(read: Result<Settings>, now: &Settings) -> Option<Settings> {
     let later = match read {
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -39,7 +39,7 @@
 use worker::{Mode, Worker};
 use wrenthread_client::Who;
 
-const DAYS: [(&str, &str); 7] = [
+const DAYS: [(&str, &str); 8] = [
     ("bad-day", include_str!("../days/bad-day.star")),
     ("short", include_str!("../days/short.star")),
     ("takeover", include_str!("../days/takeover.star")),
@@ -47,6 +47,7 @@
     ("stall", include_str!("../days/stall.star")),
     ("roll", include_str!("../days/roll.star")),
     ("dark", include_str!("../days/dark.star")),
+    ("friday", include_str!("../days/friday.star")),
 ];
 /// Lines of a standing table.
 const STANDING: usize = 8;
@@ -153,11 +154,19 @@
     }
 }
 
+/// The governor to run, and what it is told besides its settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Program {
+    pub path: PathBuf,
+    /// Arguments by which it decides wrongly.
+    pub wrongs: Vec<String>,
+}
+
 /// Rehearses a day: one of the kit's by name, or a script's path. `program` is the governor to run.
 ///
 /// Errors: no such day, faults in its script, or a rehearsal that can't be held (no sockets, no program).
 pub fn rehearse(
-    program: &Path,
+    program: &Program,
     day: &str,
     seed: u64,
     fronts: Fronts,
@@ -186,7 +195,7 @@
         let governed = Field::new(parsed.clone(), seed, fronts).await?;
         let standing = Field::new(parsed.clone(), seed, fronts).await?;
         let (one, other) =
-            tokio::join!(governed.hold(Some((program.to_path_buf(), folder.clone()))), standing.hold(None));
+            tokio::join!(governed.hold(Some((program.clone(), folder.clone()))), standing.hold(None));
         other?;
         let killed_after = one?;
         Ok::<_, anyhow::Error>((governed.tape.take(), standing.tape.take(), killed_after))
@@ -300,7 +309,7 @@
     }
 
     /// Holds the day; with a governor (its program, and a folder for its files) or without.
-    async fn hold(self: &Rc<Self>, governor: Option<(PathBuf, PathBuf)>) -> Result<Option<usize>> {
+    async fn hold(self: &Rc<Self>, governor: Option<(Program, PathBuf)>) -> Result<Option<usize>> {
         let mut governors = Vec::new();
         if let Some((program, folder)) = governor {
             std::fs::write(folder.join("fleet.key"), format!("{:032}", self.seed))?;
@@ -526,6 +535,18 @@
                     sleep(Duration::from_secs(3)).await;
                 }
             }
+            Trouble::StepBack => {
+                let version = |status: String| -> Result<u64> {
+                    let status: serde_json::Value = serde_json::from_str(&status)?;
+                    status["governor"]["version"].as_u64().context("a status without a version")
+                };
+                for governor in governors {
+                    let then = version(governor.operate(&["status", "--output", "json"]).await?)?;
+                    sleep(lasts).await;
+                    let back = ["rollback", &then.to_string(), "--all", "--why", "a mistake", "--for", "15"];
+                    governor.operate(&back).await?;
+                }
+            }
             Trouble::Cut { .. } | Trouble::Stale { .. } => {}
         }
         Ok(())
@@ -535,7 +556,7 @@
 /// The real program, as a process of its own.
 struct Governor {
     place: usize,
-    program: PathBuf,
+    program: Program,
     folder: PathBuf,
     dialled: wrenthread_client::Governor,
     http: String,
@@ -562,7 +583,7 @@
 }
 
 impl Governor {
-    fn new(program: PathBuf, folder: PathBuf, place: usize) -> Result<Self> {
+    fn new(program: Program, folder: PathBuf, place: usize) -> Result<Self> {
         let folder = folder.join(format!("g{place}"));
         std::fs::create_dir_all(&folder)?;
         let (grpc, http, poll) = (free_port()?, free_port()?, free_port()?);
@@ -627,15 +648,16 @@
     async fn start(&self, tape: &Tape) -> Result<()> {
         let log =
             std::fs::File::options().create(true).append(true).open(self.folder.join("governor.log"))?;
-        let child = Command::new(&self.program)
+        let child = Command::new(&self.program.path)
             .arg("run")
             .arg(self.folder.join("settings.star"))
+            .args(&self.program.wrongs)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .kill_on_drop(true)
             .spawn()
-            .with_context(|| format!("{}", self.program.display()))?;
+            .with_context(|| format!("{}", self.program.path.display()))?;
         *self.child.borrow_mut() = Some(child);
         self.dead.set(false);
         for _ in 0..200 {
@@ -656,13 +678,18 @@
 
     /// Has it hand its relays over, as an operator does.
     async fn drain(&self) -> Result<()> {
-        let drain = ["drain-governor", "--at", &self.http, "--wait", "20"];
-        let drained = Command::new(&self.program).args(drain).output().await?;
         // An operator would go on, too: what is left comes back by itself.
-        if !drained.status.success() {
-            eprintln!("{}", String::from_utf8_lossy(&drained.stderr).trim());
+        self.operate(&["drain-governor", "--wait", "20"]).await.map(drop)
+    }
+
+    /// Does what an operator does at the command line; what it prints.
+    async fn operate(&self, arguments: &[&str]) -> Result<String> {
+        let at = ["--at", &self.http];
+        let ran = Command::new(&self.program.path).args(arguments).args(at).output().await?;
+        if !ran.status.success() {
+            eprintln!("{}", String::from_utf8_lossy(&ran.stderr).trim());
         }
-        Ok(())
+        Ok(String::from_utf8(ran.stdout)?)
     }
 
     /// Waits for its end.
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -33,6 +33,8 @@
     Stale { governor: usize },
     /// All governors are drained, stopped and started again, one after another.
     Roll,
+    /// An operator has the version of now told again at the end, for fifteen seconds.
+    StepBack,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -64,7 +66,7 @@
     pub troubles: Vec<Planned>,
 }
 
-const KINDS: [&str; 11] = [
+const KINDS: [&str; 12] = [
     "silent",
     "quick_errors",
     "deploy",
@@ -76,6 +78,7 @@
     "one_way",
     "stale_roster",
     "roll_governors",
+    "step_back",
 ];
 
 /// Checks a day's script.
@@ -111,6 +114,7 @@
             "one_way" => Trouble::OneWay { governor },
             "stale_roster" => Trouble::Stale { governor },
             "roll_governors" => Trouble::Roll,
+            "step_back" => Trouble::StepBack,
             other => {
                 let near = schema::nearest(other, KINDS.into_iter());
                 let near = near.map_or_else(|| KINDS.join(", "), |near| format!("did you mean `{near}`?"));
