--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -281,8 +281,11 @@
         }
         let weight = |id: &ReplicaId| roster.get(id).map_or(1.0, |one| one.weight.max(1e-9));
         let proven = seen.iter().map(|(id, rate)| rate / weight(id)).fold(0.0, f64::max);
-        let ready = roster.iter().filter(|(id, one)| one.phase == Phase::Ready && !withdrawn(id));
-        let able: f64 = ready.map(|(id, one)| one.weight.max(0.0) * self.warmth(now, roster, id)).sum();
+        let ready = || roster.iter().filter(|(_, one)| one.phase == Phase::Ready);
+        // With all of them withdrawn, those that are ready are what is left to send to.
+        let all_out = ready().all(|(id, _)| withdrawn(id));
+        let there = ready().filter(|(id, _)| all_out || !withdrawn(id));
+        let able: f64 = there.map(|(id, one)| one.weight.max(0.0) * self.warmth(now, roster, id)).sum();
         let all: f64 = self.shares.values().map(|share| share.flows).sum();
         let even = if able > 0.0 { all / able } else { f64::INFINITY };
         Unit { even, known: proven.max(even) }
@@ -840,6 +843,12 @@
         guard.judge(s(100), &warm, |_| false, true, changes);
         assert!(guard.sent_to(&"a".into()) < 52.0, "{}", guard.sent_to(&"a".into()));
         assert!(guard.tally().0[&Reason::Over] > 0);
+        // Also where all are withdrawn, and what is ready is told all the same.
+        let mut out = super::tests::guard(false);
+        let held = heavy();
+        let changes = (0..4).map(|proxy| change(proxy, Some(&held), table(&[]))).collect();
+        out.judge(s(100), &cold, |_| true, true, changes);
+        assert!(out.sent_to(&"a".into()) < 12.5, "{}", out.sent_to(&"a".into()));
         // Unless it was seen to take more; or there is nothing else in the table: bare is worse than over.
         guard.met(s(100), &"a".into(), 0, 100, s(1));
         let (_, why) = judged(&mut guard, &warm, None, heavy());
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -101,6 +101,8 @@
     pub reports: usize,
     /// Relays that had the orders of the flush in which the governor was killed, of those joined.
     pub killed_after: Option<usize>,
+    /// Tables that the guard let pass, and what it refused, by why; of the governors' last lives.
+    pub guard: (u64, BTreeMap<String, u64>),
 }
 
 impl Verdict {
@@ -150,7 +152,13 @@
                 writeln!(to, "; the governor was killed when {relays} orders of its flush were out")
             }
             None => writeln!(to),
+        }?;
+        let (passed, refused) = &self.guard;
+        writeln!(to, "  {passed} tables passed the guard, {} were refused", refused.values().sum::<u64>())?;
+        for (why, times) in refused {
+            writeln!(to, "    {times:6} {why}")?;
         }
+        Ok(())
     }
 }
 
@@ -197,10 +205,10 @@
         let (one, other) =
             tokio::join!(governed.hold(Some((program.clone(), folder.clone()))), standing.hold(None));
         other?;
-        let killed_after = one?;
-        Ok::<_, anyhow::Error>((governed.tape.take(), standing.tape.take(), killed_after))
+        let (killed_after, guard) = one?;
+        Ok::<_, anyhow::Error>((governed.tape.take(), standing.tape.take(), killed_after, guard))
     });
-    let (governed, standing, killed_after) = held?;
+    let (governed, standing, killed_after, guard) = held?;
     if let Some(keep) = keep {
         std::fs::create_dir_all(keep)?;
         let lines: Result<Vec<String>, _> = governed.iter().map(serde_json::to_string).collect();
@@ -220,6 +228,7 @@
         orders: count(|what| matches!(what, What::Order { .. })),
         reports: count(|what| matches!(what, What::Report { .. })),
         killed_after,
+        guard,
     };
     if verdict.passed() {
         let _ = std::fs::remove_dir_all(&folder);
@@ -309,7 +318,10 @@
     }
 
     /// Holds the day; with a governor (its program, and a folder for its files) or without.
-    async fn hold(self: &Rc<Self>, governor: Option<(Program, PathBuf)>) -> Result<Option<usize>> {
+    async fn hold(
+        self: &Rc<Self>,
+        governor: Option<(Program, PathBuf)>,
+    ) -> Result<(Option<usize>, (u64, BTreeMap<String, u64>))> {
         let mut governors = Vec::new();
         if let Some((program, folder)) = governor {
             std::fs::write(folder.join("fleet.key"), format!("{:032}", self.seed))?;
@@ -366,13 +378,23 @@
         }
         sleep(Duration::from_secs_f64(self.day.seconds + AFTER)).await;
         let killed = governors.iter().find_map(|governor| governor.killed_after.get());
+        let (mut passed, mut refused) = (0, BTreeMap::new());
+        for governor in &governors {
+            // One that is down at the end has nothing to say.
+            let status = governor.operate(&["status", "--output", "json"]).await.unwrap_or_default();
+            let status: serde_json::Value = serde_json::from_str(&status).unwrap_or_default();
+            passed += status["guard"]["passed"].as_u64().unwrap_or(0);
+            for (why, times) in status["guard"]["refused"].as_object().into_iter().flatten() {
+                *refused.entry(why.clone()).or_default() += times.as_u64().unwrap_or(0);
+            }
+        }
         if !governors.is_empty() {
             governors.iter().for_each(|governor| governor.kill());
             // Orders on their way when the day ended are nobody's fault.
             self.relays.iter().for_each(|relay| self.tape.add(What::Broken { relay: relay.place }));
         }
         tasks.iter().for_each(tokio::task::JoinHandle::abort);
-        Ok(killed)
+        Ok((killed, (passed, refused)))
     }
 
     /// Replaces the governors' roster files by what holds now.
