--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -33,6 +33,8 @@
 pub const ALARM: Duration = Duration::from_secs(10);
 /// What was seen delivered counts half after so long.
 const HALF_LIFE: f64 = 60.0;
+/// What a module's withdrawals must leave of all that is ready.
+const LEFT: f64 = 0.2;
 /// Weights further apart than this can't be said on the wire without moving others ([`crate::weights`]).
 const APART: f64 = 4e6;
 /// Refusals kept for operators.
@@ -77,6 +79,8 @@
     Tries,
     #[error("more decisions at once than there can be")]
     Flood,
+    #[error("so much is withdrawn that the rest could not take the flows")]
+    Withdrawn,
     #[error("a replica that is not warm yet would be sent more than its present part")]
     Cold,
     #[error("a replica would be sent more than it can take, while others have room")]
@@ -236,7 +240,10 @@
     pub fn came(&mut self, proxy: ProxyId, group: usize, flows: u64, span: Duration) {
         let rate = flows as f64 / span.as_secs_f64().max(0.1);
         if self.shares.contains_key(&(proxy, group)) {
-            self.set((proxy, group), |share| share.flows = 0.5 * (share.flows + rate));
+            // What came while a stream was broken is told at once, as if it had come within one report.
+            self.set((proxy, group), |share| {
+                share.flows = 0.5 * (share.flows + rate.min(2.0 * share.flows + 1.0))
+            });
         }
     }
 
@@ -269,6 +276,19 @@
         self.limits.cold_share + (1.0 - self.limits.cold_share) * age / whole
     }
 
+    /// The capacity of ready replicas, as weights of warm ones.
+    fn able(&self, now: Duration, roster: &Roster, counts: impl Fn(&ReplicaId) -> bool) -> f64 {
+        let ready = roster.iter().filter(|(id, one)| one.phase == Phase::Ready && counts(id));
+        ready.map(|(id, one)| one.weight.max(0.0) * self.warmth(now, roster, id)).sum()
+    }
+
+    /// Whether the module is followed in what it has withdrawn. One that leaves less than [`LEFT`] of what is
+    /// ready is not: all flows would fall on the rest. *Harm:* where so many are really bad, they are sent to
+    /// until the module lets them back or the list drops them.
+    fn follows(&self, now: Duration, roster: &Roster, withdrawn: &impl Fn(&ReplicaId) -> bool) -> bool {
+        self.able(now, roster, |id| !withdrawn(id)) >= LEFT * self.able(now, roster, |_| true)
+    }
+
     /// Flows a second for a warm replica of weight 1. What it is known to take is the most that any was seen
     /// to deliver lately, or what falls to each if all is spread evenly, whichever is more: so neither a
     /// fleet that was never under load nor one that grows makes refusals by itself. A cold one is judged by
@@ -281,11 +301,7 @@
         }
         let weight = |id: &ReplicaId| roster.get(id).map_or(1.0, |one| one.weight.max(1e-9));
         let proven = seen.iter().map(|(id, rate)| rate / weight(id)).fold(0.0, f64::max);
-        let ready = || roster.iter().filter(|(_, one)| one.phase == Phase::Ready);
-        // With all of them withdrawn, those that are ready are what is left to send to.
-        let all_out = ready().all(|(id, _)| withdrawn(id));
-        let there = ready().filter(|(id, _)| all_out || !withdrawn(id));
-        let able: f64 = there.map(|(id, one)| one.weight.max(0.0) * self.warmth(now, roster, id)).sum();
+        let able = self.able(now, roster, |id| !withdrawn(id));
         let all: f64 = self.shares.values().map(|share| share.flows).sum();
         let even = if able > 0.0 { all / able } else { f64::INFINITY };
         Unit { even, known: proven.max(even) }
@@ -303,14 +319,23 @@
         roster: &Roster,
         withdrawn: impl Fn(&ReplicaId) -> bool,
         asked: bool,
-        changes: Vec<Change>,
+        mut changes: Vec<Change>,
     ) -> Vec<Table> {
         if self.off {
             return changes.into_iter().map(|change| change.wanted).collect();
         }
         let mut refused: Vec<Refused> = Vec::new();
-        let open =
-            |id: &ReplicaId| roster.get(id).is_some_and(|one| one.phase == Phase::Ready) && !withdrawn(id);
+        let follows = self.follows(now, roster, &withdrawn);
+        let open = |id: &ReplicaId| {
+            roster.get(id).is_some_and(|one| one.phase == Phase::Ready) && !(follows && withdrawn(id))
+        };
+        for (place, change) in changes.iter_mut().enumerate().filter(|_| !follows) {
+            let shut = change.wanted.lines.iter_mut().filter(|line| !line.open && open(&line.replica));
+            let again = shut.map(|line| line.open = true).count();
+            if again > 0 {
+                refused.push((place, Reason::Withdrawn, Done::Corrected, None, again as f64, 0.0));
+            }
+        }
         let mut tables: Vec<Table> = Vec::with_capacity(changes.len());
         for (place, change) in changes.iter().enumerate() {
             let own_zone = self.limits.own_zone.get(change.group).copied().unwrap_or(false);
@@ -544,7 +569,8 @@
         if self.off {
             return BTreeSet::new();
         }
-        let unit = self.unit(now, roster, &withdrawn);
+        let follows = self.follows(now, roster, &withdrawn);
+        let unit = self.unit(now, roster, &|id: &ReplicaId| follows && withdrawn(id));
         let over = |(id, _): &(&ReplicaId, &f64)| self.cap(now, roster, unit, id).is_some();
         self.account.iter().filter(over).map(|(id, _)| id.clone()).collect()
     }
@@ -786,7 +812,7 @@
         // All withdrawn: one that may be bad is better than none. All draining: nobody is there.
         let change = change(0, Some(&held), table(&[("a", 1.0)]));
         let out = guard.judge(s(100), &roster, |_| true, true, vec![change.clone()]).remove(0);
-        assert_eq!(open(&out).len(), 2);
+        assert_eq!(open(&out), [("a".to_string(), 1.0)]);
         let nobody = super::tests::roster(&["a", "b", "c", "d", "e", "f", "g"], &[]);
         assert!(open(&guard.judge(s(100), &nobody, |_| false, true, vec![change])[0]).is_empty());
     }
@@ -843,6 +869,14 @@
         guard.judge(s(100), &warm, |_| false, true, changes);
         assert!(guard.sent_to(&"a".into()) < 52.0, "{}", guard.sent_to(&"a".into()));
         assert!(guard.tally().0[&Reason::Over] > 0);
+        // Where all but a cold one are withdrawn, they are not.
+        let mut most = super::tests::guard(false);
+        let mut wanted = heavy();
+        wanted.lines.iter_mut().skip(1).for_each(|line| line.open = false);
+        let change_of = |proxy| change(proxy, None, wanted.clone());
+        let out = most.judge(s(100), &cold, |id| &**id != "a", true, (0..4).map(change_of).collect());
+        assert!(out.iter().all(|out| open(out).len() == 4) && most.sent_to(&"a".into()) < 12.5);
+        assert!(most.tally().0[&Reason::Withdrawn] > 0);
         // Also where all are withdrawn, and what is ready is told all the same.
         let mut out = super::tests::guard(false);
         let held = heavy();
--- a/crates/talk/src/handover.rs
+++ b/crates/talk/src/handover.rs
@@ -313,6 +313,18 @@
         assert_eq!(taker.came(ms(500), "p"), None);
     }
 
+    #[test]
+    fn who_is_declined_stays_and_is_left_alone_for_a_while() {
+        let (mut giver, mut taker) = (Handover::new(0), Handover::new(0));
+        giver.offer(ms(0), "p", "g1", vec![1]);
+        carry(steps(&mut giver, ms(0)), &mut taker, ms(1), false, |_| true);
+        let no = steps(&mut taker, ms(1));
+        assert!(matches!(no[..], [Out::Say(_, Body::Decline { .. })]) && taker.expected() == 0);
+        carry(no, &mut giver, ms(2), true, |_| true);
+        assert_eq!((steps(&mut giver, ms(2)), giver.on_way(), taker.came(ms(3), "p")), (vec![], 0, None));
+        assert!(giver.is_busy(ms(2), "p") && !giver.is_busy(ms(3100), "p"));
+    }
+
     #[test]
     fn an_answer_that_comes_late_or_from_another_moves_nobody() {
         let mut giver = Handover::new(0);
