--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -593,6 +593,21 @@
         assert_eq!(setup.module.sums_every, Duration::from_millis(500));
     }
 
+    #[test]
+    fn governors_that_talk_say_where_and_with_which_key() {
+        let talk =
+            "governor(name = 'g0', keys = ['k'], talk = '10.0.0.1:15012', peers = ['g1=10.0.0.2:15012'])";
+        let settings = parse("s.star", &format!("{GOOD}{talk}")).unwrap();
+        assert_eq!(settings.peers, [("g1".to_string(), "10.0.0.2:15012".parse().unwrap())]);
+        let why = |from: &str, to: &str| why(&format!("{GOOD}{}", talk.replace(from, to)));
+        assert!(why("10.0.0.1:15012", "here").contains("`talk` is \"here\"; it takes `address:port`"));
+        assert!(why("g1=", "").contains("it takes \"name=address:port\""));
+        assert!(why("g1=", "g0=").contains("peer `g0` is this governor, or twice there"));
+        for gone in ["keys = ['k'], ", "talk = '10.0.0.1:15012', ", "name = 'g0', "] {
+            assert!(why(gone, "").contains("need `name`, `keys` and `talk`"), "{gone}");
+        }
+    }
+
     #[test]
     fn faults_name_the_line_and_what_would_be_right_all_at_once() {
         let script = GOOD.replace("every = 0.5", "evry = 0.5").replace("utility", "utilty");
