A dry run: what the guard would refuse of tables in a file, against what runs

'wrenthread tables PROXY check FILE' has the running governor judge tables in the form in which it tells them, on a copy of the guard: what would be refused with figures, what would be told instead, exit code 3. Nothing takes effect.

Seen: the running table passes, one with a weight below 0 is refused, a broken file is named; nothing is left in the guard.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -1007,6 +1007,41 @@
         self.reports.tally()
     }
 
+    /// What would become of a table for a proxy's group, and what of it would be refused; nothing of it takes
+    /// effect. A replica that no list ever named is taken for one that is gone.
+    pub fn would(
+        &self,
+        now: Duration,
+        number: ProxyId,
+        group: usize,
+        lines: &[(ReplicaId, f64)],
+        level: f64,
+    ) -> Option<(Table, Vec<Refusal>)> {
+        let proxy = self.fleet.get(number).filter(|_| group < self.groups)?;
+        let line = |(replica, weight): &(ReplicaId, f64)| {
+            let known = self.roster.get(replica);
+            crate::tables::Line {
+                replica: replica.clone(),
+                address: known.map_or_else(|| "".into(), |known| known.address.clone()),
+                zone: known.map_or(proxy.zone, |known| known.zone),
+                weight: *weight,
+                open: !self.tables.is_withdrawn(replica),
+            }
+        };
+        let mut wanted = Table { lines: lines.iter().map(line).collect(), level };
+        wanted.lines.sort_by(|one, other| one.replica.cmp(&other.replica));
+        let held = proxy.tables[group].as_ref().map(|kept| &*kept.table);
+        let change =
+            Change { proxy: number, zone: proxy.zone, group, held, standing: &proxy.standing, wanted };
+        let mut guard = self.guard.clone();
+        while guard.news().is_some() {}
+        // Afresh, so that what goes on being refused is news here.
+        guard.settled(number, group);
+        let withdrawn = |id: &ReplicaId| self.tables.is_withdrawn(id);
+        let table = guard.judge(now, &self.roster, withdrawn, false, vec![change]).pop()?;
+        Some((table, std::iter::from_fn(|| guard.news()).collect()))
+    }
+
     /// What was refused, and the account that it is judged by.
     pub fn guard(&self) -> &Guard {
         &self.guard
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -382,6 +382,28 @@
     assert!(!engine.proxy(number).unwrap().has_word());
 }
 
+#[test]
+fn what_would_be_refused_is_said_and_nothing_of_it_takes_effect() {
+    let mut engine = engine(&["a", "b", "c"]);
+    let number = engine.joined(ms(1), 1, &join("p", &[])).unwrap().number;
+    run(&mut engine, ms(600));
+    let before = open(&engine, number);
+    let line = |id: &str, weight| (ReplicaId::from(id), weight);
+    let (table, refused) = engine.would(ms(700), number, 0, &[line("a", 1.0), line("b", -1.0)], 2.0).unwrap();
+    assert_eq!(table.lines.len(), 1);
+    let reasons: Vec<Reason> = refused.iter().map(|one| one.reason).collect();
+    assert_eq!(reasons, [Reason::Level, Reason::Weight]);
+    let (table, refused) = engine.would(ms(700), number, 0, &[line("never", 1.0)], 1.0).unwrap();
+    assert_eq!((table.lines.len(), refused.last().unwrap().reason), (3, Reason::Bare), "the last good one");
+    let (_, refused) = engine.would(ms(700), number, 1, &[line("a", 1.0), line("c", 1.0)], 1.0).unwrap();
+    assert_eq!(refused, []);
+    assert!(
+        engine.would(ms(700), number, 2, &[], 1.0).is_none()
+            && engine.would(ms(700), 9, 0, &[], 1.0).is_none()
+    );
+    assert_eq!((open(&engine, number), engine.guard().refusals().count()), (before, 0));
+}
+
 #[test]
 fn the_last_report_goes_with_a_proxy_and_is_heard_once() {
     let (mut one, mut other) = (engine(&["a", "b", "c"]), engine(&["a", "b", "c"]));
--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -153,7 +153,7 @@
     known: f64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Guard {
     limits: Limits,
     shares: BTreeMap<(ProxyId, usize), Share>,
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -834,23 +834,55 @@
         let about = |one: &&Refusal| {
             number.is_some() && one.proxy == number || known.is_some() && one.replica.as_deref() == Some(name)
         };
-        let refusals = guard.refusals().rev().filter(about).take(50).map(|one| {
-            let proxy = one.proxy.and_then(|number| self.engine.proxy(number));
-            json!({
-                "age_s": now.saturating_sub(one.at).as_secs_f64(),
-                "lasts_s": one.at.saturating_sub(one.since).as_secs_f64(),
-                "proxy": proxy.map(|proxy| &*proxy.name), "replica": one.replica.as_deref(),
-                "group": self.wire.groups.get(one.group).map(|group| &group.name),
-                "why": one.reason.to_string(), "asked": one.asked, "allowed": one.allowed,
-                "done": format!("{:?}", one.done).to_lowercase(),
-            })
-        });
+        let refusals = guard.refusals().rev().filter(about).take(50).map(|one| self.refusal(now, one));
         let refusals: Vec<Value> = refusals.collect();
         let out = known.and_then(|(id, _)| self.engine.why_out(id));
         let sent = known.map(|(id, _)| guard.sent_to(id));
         Some(json!({"name": name, "out": out, "sent_per_s": sent, "refusals": refusals}))
     }
 
+    fn refusal(&self, now: Duration, one: &Refusal) -> Value {
+        let proxy = one.proxy.and_then(|number| self.engine.proxy(number));
+        json!({
+            "age_s": now.saturating_sub(one.at).as_secs_f64(),
+            "lasts_s": one.at.saturating_sub(one.since).as_secs_f64(),
+            "proxy": proxy.map(|proxy| &*proxy.name), "replica": one.replica.as_deref(),
+            "group": self.wire.groups.get(one.group).map(|group| &group.name),
+            "why": one.reason.to_string(), "asked": one.asked, "allowed": one.allowed,
+            "done": format!("{:?}", one.done).to_lowercase(),
+        })
+    }
+
+    /// What would be refused of tables for a proxy, in the form in which `tables` tells them; nothing of them
+    /// takes effect.
+    pub fn would(&self, now: Duration, name: &str, asked: &Value) -> Result<Value, String> {
+        let named = self.engine.fleet().named(name);
+        let (number, _) = named.ok_or_else(|| format!("no proxy `{name}` is joined"))?;
+        let groups =
+            asked["groups"].as_array().ok_or("`groups` is a list, as `tables --output json` tells it")?;
+        let (mut refused, mut told) = (Vec::new(), Vec::new());
+        for said in groups.iter().filter(|said| !said["lines"].is_null()) {
+            let name = said["group"].as_str().ok_or("a group without its name, `group`")?;
+            let place = self.wire.groups.iter().position(|known| known.name == name);
+            let place = place.ok_or_else(|| format!("no group `{name}` in the settings"))?;
+            let lines = said["lines"].as_array().ok_or_else(|| format!("`lines` of `{name}` is a list"))?;
+            let line = |line: &Value| {
+                let weight = line["weight"].as_f64();
+                Some((line["replica"].as_str()?.into(), weight.unwrap_or(f64::NAN)))
+            };
+            let lines: Option<Vec<_>> = lines.iter().map(line).collect();
+            let lines = lines.ok_or_else(|| format!("a line of `{name}` without its `replica`"))?;
+            let level = said["level"].as_f64().unwrap_or(1.0);
+            let would = self.engine.would(now, number, place, &lines, level);
+            let (table, refusals) = would.ok_or_else(|| format!("no group `{name}` here"))?;
+            refused.extend(refusals.iter().map(|one| self.refusal(now, one)));
+            let lines = table.lines.iter().filter(|line| line.open);
+            let lines = lines.map(|line| json!({"replica": &*line.replica, "weight": line.weight}));
+            told.push(json!({"group": name, "level": table.level, "lines": lines.collect::<Vec<_>>()}));
+        }
+        Ok(json!({"name": name, "refused": refused, "told": told}))
+    }
+
     /// The kept versions of a proxy's tables; none if it is not joined.
     pub fn history(&self, now: Duration, name: &str) -> Option<Value> {
         let (number, proxy) = self.engine.fleet().named(name)?;
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -21,6 +21,7 @@
     Rollback(Value, oneshot::Sender<Result<Value, String>>),
     Governors(oneshot::Sender<Value>),
     Why(String, oneshot::Sender<Option<Value>>),
+    Would(String, Value, oneshot::Sender<Result<Value, String>>),
     Drain(bool, oneshot::Sender<Value>),
     Release(Value, oneshot::Sender<Result<Value, String>>),
 }
@@ -36,6 +37,7 @@
         .route("/tables/{proxy}", get(tables))
         .route("/tables/{proxy}/history", get(history))
         .route("/tables/{proxy}/diff/{one}/{other}", get(diff))
+        .route("/tables/{proxy}/check", post(would))
         .route("/why/{name}", get(why))
         .route("/governors", get(governors))
         .route("/drain", post(drain))
@@ -100,6 +102,10 @@
     ask(&asked, |reply| Query::Rollback(body, reply)).await.map_or_else(|response| response, plain)
 }
 
+async fn would(State(asked): State<Asked>, Path(proxy): Path<String>, Json(body): Json<Value>) -> Response {
+    ask(&asked, |reply| Query::Would(proxy, body, reply)).await.map_or_else(|response| response, plain)
+}
+
 async fn why(State(asked): State<Asked>, Path(name): Path<String>) -> Response {
     ask(&asked, |reply| Query::Why(name.clone(), reply)).await.map_or_else(
         |response| response,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -11,7 +11,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use anyhow::Result;
+use anyhow::{Context, Result};
 use clap::{Parser, Subcommand, ValueEnum};
 
 #[derive(Parser)]
@@ -19,7 +19,7 @@
     version,
     about,
     after_help = "Exit codes: 0 done; 1 it failed, with the reason on standard error; \
-    2 the command line or the settings are wrong; 3 a rehearsal did not pass."
+    2 the command line or the settings are wrong; 3 a rehearsal, or a check of tables, did not pass."
 )]
 struct Cli {
     /// How logs are written
@@ -54,6 +54,8 @@
     History,
     /// What differs between two of them
     Diff { one: u64, other: u64 },
+    /// What the guard would refuse of tables in a file, as `--output json` tells them; nothing takes effect
+    Check { file: PathBuf },
 }
 
 #[derive(clap::Args)]
@@ -129,7 +131,7 @@
     },
     /// Ask a running governor for one proxy's tables, their versions, and what differs between two
     #[command(after_help = "Examples:\n  wrenthread tables relay-3\n  wrenthread tables relay-3 history\n  \
-        wrenthread tables relay-3 diff 41 57")]
+        wrenthread tables relay-3 diff 41 57\n  wrenthread tables relay-3 check wanted.json")]
     Tables {
         proxy: String,
         #[command(subcommand)]
@@ -247,6 +249,16 @@
                     let history = fetch("/history")?;
                     print(output, &history, || show::history(&history));
                 }
+                Some(Versions::Check { file }) => {
+                    let name = file.display().to_string();
+                    let text = std::fs::read_to_string(&file).with_context(|| name.clone())?;
+                    let asked: serde_json::Value = serde_json::from_str(&text).with_context(|| name)?;
+                    let would = show::fetch(&at, &format!("/tables/{proxy}/check"), Some(&asked))?;
+                    print(output, &would, || show::would(&would));
+                    if would["refused"].as_array().is_none_or(|refused| !refused.is_empty()) {
+                        return Ok(ExitCode::from(3));
+                    }
+                }
                 Some(Versions::Diff { one, other }) => {
                     let diff = fetch(&format!("/diff/{one}/{other}"))?;
                     print(output, &diff, || show::diff(&diff));
--- a/crates/daemon/src/show.rs
+++ b/crates/daemon/src/show.rs
@@ -225,3 +225,21 @@
     let heads = ["age_s", "lasts_s", "proxy", "group", "replica", "asked", "allowed", "done", "why"];
     text + &listed(&why["refusals"], &heads)
 }
+
+pub fn would(would: &Value) -> String {
+    if would["refused"].as_array().is_some_and(|refused| refused.is_empty()) {
+        return format!("{}: nothing would be refused\n", cell(&would["name"]));
+    }
+    let heads = ["group", "replica", "asked", "allowed", "done", "why"];
+    let mut text = listed(&would["refused"], &heads);
+    for group in would["told"].as_array().into_iter().flatten() {
+        let lines = listed(&group["lines"], &["replica", "weight"]);
+        let _ = writeln!(
+            text,
+            "\n{} would be told, at level {}:\n{lines}",
+            cell(&group["group"]),
+            cell(&group["level"])
+        );
+    }
+    text
+}
--- a/crates/daemon/tests/polling.rs
+++ b/crates/daemon/tests/polling.rs
@@ -92,6 +92,17 @@
     let (code, said) = program(&governor, &["rollback", "999999", "--all", "--why", "x"]);
     assert!(code == Some(1) && said.contains("not given out yet"), "{said}");
     assert!(governor.log().contains("an operator steps back"));
+    let file = governor.folder.join("wanted.json");
+    let (_, running) = program(&governor, &["tables", "p", "--output", "json"]);
+    std::fs::write(&file, &running).unwrap();
+    let check = || program(&governor, &["tables", "p", "check", file.to_str().unwrap()]);
+    let (code, said) = check();
+    assert!(code == Some(0) && said.contains("nothing would be refused"), "{said}");
+    std::fs::write(&file, running.replace("\"weight\": 1", "\"weight\": -1")).unwrap();
+    let (code, said) = check();
+    assert!(code == Some(3) && said.contains("a weight is not finite"), "{said}");
+    std::fs::write(&file, "{").unwrap();
+    assert!(check().1.contains("wanted.json"));
     let (code, said) = program(&governor, &["why", "w2"]);
     assert!(
         code == Some(0) && said.contains("flows a second") && said.contains("nothing about it"),
