Operators' overrides: exclude, weight, pin, through the guard and for a while

'exclude REPLICA' shuts its lines in whatever table is wanted, also for proxies on standing tables; 'weight REPLICA FACTOR' multiplies them; 'pin' holds the tables of now. Each has an end and a reason, and shows in 'status'. What would leave nobody with a line is not followed.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -47,6 +47,7 @@
 use crate::guard::{Change, Guard, Limits, Reason, Refusal};
 use crate::history::{History, Version};
 use crate::holds::{self, Hold, LeftOut, Over};
+use crate::overrides::{NoOverride, Override, Overrides, What as Overridden};
 use crate::pace::{Channel, Pace};
 use crate::reports::{Discarded, Report, Reports, Told};
 use crate::roster::{Entry, Known, Roster, Taken};
@@ -144,6 +145,8 @@
     Nacked { proxy: Arc<str>, version: u64, words: String },
     /// So many proxies wait to be let in, as the channel is full.
     Lobby(usize),
+    /// What operators said of a replica is over.
+    OverrideOver(ReplicaId),
     /// Something is not sent as it was decided. What goes on being refused is said once.
     Refused(Refusal),
     /// A hold has ended.
@@ -219,6 +222,7 @@
     reports: Reports,
     history: History,
     holds: BTreeMap<(ProxyId, usize), Hold>,
+    overrides: Overrides,
     guard: Guard,
     recheck_all: bool,
     groups: usize,
@@ -273,6 +277,7 @@
             reports: Reports::new(module.sums_every, reports_per_s),
             history: History::new(history.0, history.1),
             holds: BTreeMap::new(),
+            overrides: Overrides::default(),
             guard: Guard::new(limits),
             recheck_all: false,
             groups,
@@ -558,6 +563,38 @@
         Ok(self.end_holds(now, Over::Released, |key, _| meant(key)))
     }
 
+    /// Operators say of a replica that nothing, or another part, is to be sent there, until a time.
+    ///
+    /// Errors: as [`NoOverride`].
+    pub fn override_replica(
+        &mut self,
+        now: Duration,
+        replica: &ReplicaId,
+        what: Overridden,
+        until: Duration,
+        why: &str,
+    ) -> Result<(), NoOverride> {
+        if self.roster.get(replica).is_none_or(|known| known.phase == Phase::Gone) {
+            return Err(NoOverride::NoReplica(replica.clone()));
+        }
+        let why = why.chars().take(500).collect::<String>().into();
+        self.overrides.set(replica.clone(), Override { what, since: now, until, why })?;
+        self.refresh(now, &self.fleet.numbers(), None);
+        Ok(())
+    }
+
+    /// Ends what operators said of a replica; whether they said anything.
+    pub fn end_override(&mut self, now: Duration, replica: &str) -> bool {
+        let ended = self.overrides.end(replica);
+        self.refresh(now, &self.fleet.numbers(), None);
+        ended
+    }
+
+    /// What operators say of replicas.
+    pub fn overrides(&self) -> &Overrides {
+        &self.overrides
+    }
+
     fn end_holds(
         &mut self,
         now: Duration,
@@ -621,7 +658,9 @@
     /// When to pull [`Engine::step`] again, if nothing else happens.
     pub fn next_due(&self, now: Duration) -> Duration {
         let holds = self.holds.values().map(|hold| hold.until).min();
-        let dues = [self.roster.next_due(), self.reports.next_due(), self.pace.next_due(now), holds];
+        let overrides = self.overrides.next_due();
+        let dues =
+            [self.roster.next_due(), self.reports.next_due(), self.pace.next_due(now), holds, overrides];
         dues.into_iter().flatten().fold(self.beat_at, Duration::min)
     }
 
@@ -632,6 +671,11 @@
         if self.holds.values().any(|hold| hold.until <= now) {
             self.end_holds(now, Over::Time, |_, hold| hold.until <= now);
         }
+        let over = self.overrides.due(now);
+        if !over.is_empty() {
+            self.out.extend(over.into_iter().map(|id| Step::Note(Note::OverrideOver(id))));
+            self.refresh(now, &self.fleet.numbers(), None);
+        }
         for told in self.reports.due(now) {
             self.causes.insert(Cause::Reports);
             match told {
@@ -681,18 +725,15 @@
 
     /// Replicas for whose sake a table that stands is judged again: they are shut by now, or sent too much.
     fn suspects(&self, now: Duration) -> BTreeSet<ReplicaId> {
-        let tables = &self.tables;
-        let shut =
-            |(id, known): &(&ReplicaId, &Known)| known.phase != Phase::Ready || tables.is_withdrawn(id);
-        let mut suspects = self.guard.troubled(now, &self.roster, |id| tables.is_withdrawn(id));
+        let shut = |(id, known): &(&ReplicaId, &Known)| known.phase != Phase::Ready || self.is_out(id);
+        let mut suspects = self.guard.troubled(now, &self.roster, |id| self.is_out(id));
         suspects.extend(self.roster.iter().filter(shut).map(|(id, _)| id.clone()));
         suspects
     }
 
     /// Judges again what was refused, and, if some replica is sent too much by tables that stand, those.
     fn recheck(&mut self, now: Duration) {
-        let tables = &self.tables;
-        let troubled = self.guard.troubled(now, &self.roster, |id| tables.is_withdrawn(id));
+        let troubled = self.guard.troubled(now, &self.roster, |id| self.is_out(id));
         let held = self.guard.held();
         let names = |proxy: &Proxy| {
             let lines = proxy.tables.iter().flatten().flat_map(|kept| &kept.table.lines);
@@ -847,15 +888,27 @@
     /// there is nothing to say.
     fn wanted(&self, number: ProxyId, group: usize) -> Option<(Table, bool)> {
         let proxy = self.fleet.get(number)?;
-        let (follows, told) = (proxy.follows[group], proxy.tables[group].is_some());
+        let overridden = proxy.standing.iter().any(|(id, _)| self.overrides.names(id));
+        let (follows, told) = (proxy.follows[group], proxy.tables[group].is_some() || overridden);
         let wanted = self.tables.wanted(&self.roster, group, follows, &proxy.standing, told);
-        let Some(hold) = self.holds.get(&(number, group)) else { return Some((wanted?, false)) };
         let nothing = Table { lines: Vec::new(), level: 1.0 };
-        let present = wanted.as_ref().unwrap_or(&nothing);
-        match holds::told(hold, present, &self.roster, |id| self.tables.is_withdrawn(id)) {
-            (Some(held), _) => Some((held, false)),
-            (None, _) => Some((wanted.unwrap_or(nothing), true)),
-        }
+        let (mut table, bare) = match self.holds.get(&(number, group)) {
+            None => (wanted?, false),
+            Some(hold) => {
+                let present = wanted.as_ref().unwrap_or(&nothing);
+                match holds::told(hold, present, &self.roster, |id| self.tables.is_withdrawn(id)) {
+                    (Some(held), _) => (held, false),
+                    (None, _) => (wanted.unwrap_or(nothing), true),
+                }
+            }
+        };
+        self.overrides.apply(&mut table);
+        Some((table, bare))
+    }
+
+    /// Whether nothing is to be sent to a replica: by the module, or by an operator.
+    fn is_out(&self, replica: &ReplicaId) -> bool {
+        self.tables.is_withdrawn(replica) || self.overrides.excludes(replica)
     }
 
     /// As [`Engine::refresh`]. `asked`: the cause asks for as many moves as it takes. `recheck`: tables that
@@ -893,14 +946,14 @@
         }
         let places: Vec<(ProxyId, usize)> =
             wanted.iter().map(|(number, group, _)| (*number, *group)).collect();
-        let (fleet, tables) = (&self.fleet, &self.tables);
+        let (fleet, tables, overrides) = (&self.fleet, &self.tables, &self.overrides);
         let change = |(number, group, wanted): (ProxyId, usize, Table)| {
             let proxy = fleet.get(number)?;
             let held = proxy.tables[group].as_ref().map(|kept| &*kept.table);
             Some(Change { proxy: number, zone: proxy.zone, group, held, standing: &proxy.standing, wanted })
         };
         let changes: Vec<Change> = wanted.into_iter().filter_map(change).collect();
-        let withdrawn = |id: &ReplicaId| tables.is_withdrawn(id);
+        let withdrawn = |id: &ReplicaId| tables.is_withdrawn(id) || overrides.excludes(id);
         let judged = self.guard.judge(now, &self.roster, withdrawn, asked, changes);
         let mut judged: BTreeMap<(ProxyId, usize), Table> = places.into_iter().zip(judged).collect();
         while let Some(refusal) = self.guard.news() {
@@ -922,7 +975,12 @@
                         // Who came with holdings that nobody knows, or may send to a drain, can't wait.
                         let drains = |(id, _): &(ReplicaId, f64)| self.tables.is_withdrawn(id);
                         urgent |= match &kept {
-                            Some(kept) => self.tables.outdates(&kept.table),
+                            Some(kept) => {
+                                let excluded = |line: &crate::tables::Line| {
+                                    line.open && self.overrides.excludes(&line.replica)
+                                };
+                                self.tables.outdates(&kept.table) || kept.table.lines.iter().any(excluded)
+                            }
                             None => !proxy.fresh || proxy.standing.iter().any(drains),
                         };
                         // Groups that follow one table share one copy.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`guard`] | what may not reach a proxy, whoever made it |
 //! | [`history`], [`versions`] | what was told, in versions, and the deltas between them |
 //! | [`holds`] | tables that operators stepped back to, or that another governor handed over |
+//! | [`overrides`] | what operators say of a replica for a while |
 //! | [`takeover`] | whose care a proxy is in, where nobody can be asked |
 //! | [`weights`] | weights as whole numbers, without losing a line |
 
@@ -23,6 +24,7 @@
 pub mod guard;
 pub mod history;
 pub mod holds;
+pub mod overrides;
 pub mod pace;
 pub mod reports;
 pub mod roster;
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -12,6 +12,7 @@
 use wrenthread_core::engine::{Engine, NoStepBack, Note, Scope, Setup, Step, What};
 use wrenthread_core::fleet::{Kind, Proxy, Refused};
 use wrenthread_core::guard::Refusal;
+use wrenthread_core::overrides::What as Overridden;
 use wrenthread_core::roster::Entry;
 use wrenthread_core::takeover::{self, Key};
 use wrenthread_core::versions;
@@ -54,6 +55,14 @@
 /// and join again wherever they were.
 const MOST_SENT_ON: usize = 1024;
 
+/// How long something asked for is to last, and why.
+fn lasting(asked: &Value) -> Result<(Duration, &str), String> {
+    let lasts = asked["for_s"].as_f64().and_then(|lasts| Duration::try_from_secs_f64(lasts).ok());
+    let lasts = lasts.filter(|lasts| !lasts.is_zero()).ok_or("`for_s` is a number of seconds above 0")?;
+    let why = asked["why"].as_str().filter(|why| !why.is_empty()).ok_or("`why` is needed")?;
+    Ok((lasts, why))
+}
+
 pub struct Host {
     pub engine: Engine,
     wire: Wire,
@@ -674,6 +683,7 @@
                 let group = self.wire.groups.get(*group).map_or("?", |group| &group.name);
                 tracing::warn!(%proxy, group, %over, "a hold is over; the module's tables are told again");
             }
+            Note::OverrideOver(replica) => tracing::warn!(%replica, "what an operator said of it is over"),
             Note::Refused(one) => {
                 metrics::counter!("wrenthread_refusals_total", "reason" => format!("{:?}", one.reason))
                     .increment(1);
@@ -776,6 +786,21 @@
                 })
             })
             .collect();
+        let overrides: Vec<Value> = self
+            .engine
+            .overrides()
+            .iter()
+            .map(|(replica, one)| {
+                let weight = match one.what {
+                    Overridden::Exclude => 0.0,
+                    Overridden::Weight(factor) => factor,
+                };
+                json!({
+                    "replica": &**replica, "weight": weight, "why": &*one.why,
+                    "left_s": one.until.saturating_sub(now).as_secs_f64(),
+                })
+            })
+            .collect();
         let (refused, passed) = self.engine.guard().tally();
         let refused: BTreeMap<String, u64> =
             refused.iter().map(|(why, times)| (why.to_string(), *times)).collect();
@@ -795,6 +820,7 @@
                 "reports": {"counted": counted, "waiting": figures.reports_waiting, "discarded": discarded},
             },
             "groups": groups, "proxies": proxies, "replicas": replicas, "holds": holds, "guard": guard,
+            "overrides": overrides,
         })
     }
 
@@ -932,9 +958,7 @@
     pub fn rollback(&mut self, now: Duration, asked: &Value) -> Result<Value, String> {
         let scope = self.scope(asked)?;
         let version = asked["version"].as_u64().ok_or("`version` is a number")?;
-        let lasts = asked["for_s"].as_f64().and_then(|lasts| Duration::try_from_secs_f64(lasts).ok());
-        let lasts = lasts.filter(|lasts| !lasts.is_zero()).ok_or("`for_s` is a number of seconds above 0")?;
-        let why = asked["why"].as_str().filter(|why| !why.is_empty()).ok_or("`why` is needed")?;
+        let (lasts, why) = lasting(asked)?;
         let until = now.saturating_add(lasts);
         let rolled = self.engine.rollback(now, &scope, version, why, until).map_err(|no| no.to_string())?;
         tracing::warn!(
@@ -956,6 +980,26 @@
         }))
     }
 
+    /// Says something of a replica for a while, or ends that, as an operator asks.
+    pub fn override_replica(&mut self, now: Duration, asked: &Value) -> Result<Value, String> {
+        let replica = asked["replica"].as_str().ok_or("`replica` is needed")?;
+        if asked["undo"].as_bool() == Some(true) {
+            tracing::warn!(replica, "an operator ends what was said of it");
+            return Ok(json!({"replica": replica, "ended": self.engine.end_override(now, replica)}));
+        }
+        let what = match asked["weight"].as_f64() {
+            Some(factor) => Overridden::Weight(factor),
+            None => Overridden::Exclude,
+        };
+        let (lasts, why) = lasting(asked)?;
+        let until = now.saturating_add(lasts);
+        let said = self.engine.override_replica(now, &replica.into(), what, until, why);
+        said.map_err(|no| no.to_string())?;
+        tracing::warn!(replica, ?what, ?lasts, why, "an operator overrides");
+        let refused = self.engine.guard().refusals().filter(|one| one.at == now).count();
+        Ok(json!({"replica": replica, "refused": refused}))
+    }
+
     /// Ends holds, as an operator asks.
     pub fn release(&mut self, now: Duration, asked: &Value) -> Result<Value, String> {
         let scope = self.scope(asked)?;
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -21,6 +21,7 @@
     Rollback(Value, oneshot::Sender<Result<Value, String>>),
     Governors(oneshot::Sender<Value>),
     Why(String, oneshot::Sender<Option<Value>>),
+    Override(Value, oneshot::Sender<Result<Value, String>>),
     Would(String, Value, oneshot::Sender<Result<Value, String>>),
     Drain(bool, oneshot::Sender<Value>),
     Release(Value, oneshot::Sender<Result<Value, String>>),
@@ -41,6 +42,7 @@
         .route("/why/{name}", get(why))
         .route("/governors", get(governors))
         .route("/drain", post(drain))
+        .route("/override", post(override_replica))
         .route("/rollback", post(rollback))
         .route("/release", post(release))
         .with_state(queries);
@@ -102,6 +104,10 @@
     ask(&asked, |reply| Query::Rollback(body, reply)).await.map_or_else(|response| response, plain)
 }
 
+async fn override_replica(State(asked): State<Asked>, Json(body): Json<Value>) -> Response {
+    ask(&asked, |reply| Query::Override(body, reply)).await.map_or_else(|response| response, plain)
+}
+
 async fn would(State(asked): State<Asked>, Path(proxy): Path<String>, Json(body): Json<Value>) -> Response {
     ask(&asked, |reply| Query::Would(proxy, body, reply)).await.map_or_else(|response| response, plain)
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -58,6 +58,42 @@
     Check { file: PathBuf },
 }
 
+/// How long an override lasts, and why.
+#[derive(clap::Args)]
+struct Said {
+    #[arg(long, required_unless_present = "undo")]
+    why: Option<String>,
+    /// How long, in seconds
+    #[arg(long = "for", default_value = "900")]
+    lasts: f64,
+    /// End what was said of it
+    #[arg(long)]
+    undo: bool,
+    /// The governor's HTTP port
+    #[arg(long, default_value = "127.0.0.1:15011")]
+    at: String,
+}
+
+impl Said {
+    fn say(&self, replica: &str, weight: Option<f64>) -> Result<()> {
+        let asked = serde_json::json!({
+            "replica": replica, "weight": weight, "why": self.why, "for_s": self.lasts, "undo": self.undo,
+        });
+        let told = show::fetch(&self.at, "/override", Some(&asked))?;
+        match (told["ended"].as_bool(), told["refused"].as_u64()) {
+            (Some(false), _) => println!("nothing was said of {replica}"),
+            (Some(true), _) => println!("{replica} is as the module has it again"),
+            (None, Some(0) | None) => println!("{replica} is overridden for {} s", self.lasts),
+            (None, Some(refused)) => println!(
+                "{replica} is overridden for {} s, but the guard refuses {refused} of what follows \
+                 (see `why`)",
+                self.lasts
+            ),
+        }
+        Ok(())
+    }
+}
+
 #[derive(clap::Args)]
 #[group(required = true, multiple = false)]
 struct Scope {
@@ -159,6 +195,36 @@
         #[arg(long, value_enum, default_value = "text")]
         output: Output,
     },
+    /// Have proxies keep the tables of now for a while, less what the rules forbid
+    #[command(after_help = "Example: wrenthread pin --proxy relay-3 --why 'its link is measured' --for 300")]
+    Pin {
+        #[command(flatten)]
+        scope: Scope,
+        #[arg(long)]
+        why: String,
+        /// How long, in seconds
+        #[arg(long = "for", default_value = "900")]
+        lasts: f64,
+        /// The governor's HTTP port
+        #[arg(long, default_value = "127.0.0.1:15011")]
+        at: String,
+    },
+    /// Have all proxies told here send nothing to a replica for a while
+    #[command(after_help = "Example: wrenthread exclude worker-07 --why 'its disk is full' --for 600")]
+    Exclude {
+        replica: String,
+        #[command(flatten)]
+        said: Said,
+    },
+    /// Have a replica's weights multiplied for a while, in whatever the module decides
+    #[command(after_help = "Example: wrenthread weight worker-07 0.5 --why 'half its cores are gone'")]
+    Weight {
+        replica: String,
+        /// From 0.01 to 100
+        factor: f64,
+        #[command(flatten)]
+        said: Said,
+    },
     /// End holds: the governor's present tables are told again
     #[command(after_help = "Example: wrenthread release --proxy relay-3")]
     Release {
@@ -271,6 +337,15 @@
             let rolled = show::fetch(&at, "/rollback", Some(&asked))?;
             print(output, &rolled, || show::rolled(&rolled));
         }
+        Command::Pin { scope, why, lasts, at } => {
+            let status = show::fetch(&at, "/status", None)?;
+            let mut asked = scope.said();
+            asked["version"] = status["governor"]["version"].clone();
+            (asked["why"], asked["for_s"]) = (why.into(), lasts.into());
+            print!("{}", show::rolled(&show::fetch(&at, "/rollback", Some(&asked))?));
+        }
+        Command::Exclude { replica, said } => said.say(&replica, None)?,
+        Command::Weight { replica, factor, said } => said.say(&replica, Some(factor))?,
         Command::Release { scope, at } => {
             let released = show::fetch(&at, "/release", Some(&scope.said()))?;
             println!("{} tables are released", released["released"]);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -331,6 +331,7 @@
     // Who asked may be gone; that is no concern of the governor's.
     match query {
         Query::Ready(reply) => drop(reply.send(host.is_ready() && !host.is_draining())),
+        Query::Override(asked, reply) => drop(reply.send(host.override_replica(now, &asked))),
         Query::Would(proxy, asked, reply) => drop(reply.send(host.would(now, &proxy, &asked))),
         Query::Why(name, reply) => drop(reply.send(host.why(now, &name))),
         Query::Governors(reply) => drop(reply.send(host.governors(now))),
--- a/crates/daemon/src/show.rs
+++ b/crates/daemon/src/show.rs
@@ -87,6 +87,11 @@
         text += &listed(&status["holds"], &["proxy", "group", "version", "left_s", "why"]);
         text.push('\n');
     }
+    if status["overrides"].as_array().is_some_and(|overrides| !overrides.is_empty()) {
+        text += "overridden by operators (a weight of 0: excluded):\n";
+        text += &listed(&status["overrides"], &["replica", "weight", "left_s", "why"]);
+        text.push('\n');
+    }
     text += &listed(&status["replicas"], &["id", "zone", "address", "weight", "state", "up_s", "why"]);
     text
 }
--- a/crates/daemon/tests/polling.rs
+++ b/crates/daemon/tests/polling.rs
@@ -92,6 +92,17 @@
     let (code, said) = program(&governor, &["rollback", "999999", "--all", "--why", "x"]);
     assert!(code == Some(1) && said.contains("not given out yet"), "{said}");
     assert!(governor.log().contains("an operator steps back"));
+    let (code, said) = program(&governor, &["pin", "--proxy", "p", "--why", "looked at"]);
+    assert!(code == Some(0) && said.contains("2 tables are held"), "{said}");
+    assert!(program(&governor, &["release", "--proxy", "p"]).1.contains("2 tables"));
+    let (code, said) = program(&governor, &["exclude", "w2", "--why", "its disk is full"]);
+    assert!(code == Some(0) && said.contains("w2 is overridden for 900 s"), "{said}");
+    follow(&session, &kept, 4).await;
+    assert_eq!(governor.status()["overrides"][0]["why"], "its disk is full");
+    assert!(program(&governor, &["exclude", "w2", "--undo"]).1.contains("as the module has it"));
+    follow(&session, &kept, 5).await;
+    let (code, said) = program(&governor, &["weight", "w2", "500", "--why", "x"]);
+    assert!(code == Some(1) && said.contains("from 0.01 to 100"), "{said}");
     let file = governor.folder.join("wanted.json");
     let (_, running) = program(&governor, &["tables", "p", "--output", "json"]);
     std::fs::write(&file, &running).unwrap();
