--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -145,9 +145,15 @@
         }
     }
 
+    /// A proxy's stream is over, or a new one has begun. What it was sent lately counts on: who comes back is the
+    /// same proxy, and would be sent up to twice as many messages within the span. *Harm:* one that comes back
+    /// with its share used up waits for the rest of the span, on the tables that it holds.
     pub fn forget(&mut self, proxy: ProxyId) {
         self.settle(proxy);
-        self.proxies.remove(&proxy);
+        let written = self.proxies.remove(&proxy).map(|line| line.written).filter(|one| !one.is_empty());
+        if let Some(written) = written {
+            self.proxies.insert(proxy, Line { written, ..Line::default() });
+        }
     }
 
     /// When [`Pace::next`] is worth asking again, if nothing else happens.
@@ -234,6 +240,24 @@
         Pace::new(Channel { lines_per_s, head_lines: 10.0, waiting_most: 100.0, messages_most }, ms(0))
     }
 
+    #[test]
+    fn a_proxy_that_comes_back_has_no_new_share_of_messages() {
+        let mut pace = pace(10_000.0, Some((6, Duration::from_secs(10))));
+        let mut sent = 0;
+        for at in 0..90 {
+            if at % 10 == 0 {
+                pace.forget(1);
+            }
+            pace.want(ms(100 * at), 1, 1, true);
+            while let Some(proxy) = pace.next(ms(100 * at)) {
+                pace.sent(ms(100 * at), proxy, 1, 1);
+                pace.answered(proxy);
+                sent += 1;
+            }
+        }
+        assert!((1..=6).contains(&sent), "{sent} within nine seconds");
+    }
+
     #[test]
     fn drains_go_first_and_the_longest_waiting_next() {
         let mut pace = pace(10_000.0, None);
