--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -259,6 +259,7 @@
         let limits = Limits {
             cold_share: module.cold_share,
             warm_after: module.warm_after,
+            proxies: usize::try_from(module.proxies).unwrap_or(usize::MAX),
             lines_most: module.waiting_most,
             own_zone: module.groups.iter().take(groups).map(|group| group.own_zone).collect(),
             once_only: module
--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -50,6 +50,8 @@
     /// A replica's share at its start, and how long until it has all.
     pub cold_share: f64,
     pub warm_after: Duration,
+    /// Proxies of all governors together.
+    pub proxies: usize,
     /// Lines that one change may have.
     pub lines_most: f64,
     /// By group: whether its flows may only go to replicas in the proxy's own zone.
@@ -304,7 +306,11 @@
         let able = self.able(now, roster, |id| !withdrawn(id));
         let all: f64 = self.shares.values().map(|share| share.flows).sum();
         let even = if able > 0.0 { all / able } else { f64::INFINITY };
-        Unit { even, known: proven.max(even) }
+        // A warm one can take its even part of what all governors' proxies bring. With a few proxies here, of
+        // one zone, their own lines alone come to several times the even part of theirs.
+        let here = self.shares.len() as f64 / self.limits.own_zone.len().max(1) as f64;
+        let all = (self.limits.proxies as f64 / here.max(1.0)).max(1.0);
+        Unit { even, known: proven.max(even * all) }
     }
 
     // ---- the judgement
@@ -751,6 +757,7 @@
         let mut guard = Guard::new(Limits {
             cold_share: 0.25,
             warm_after: s(20),
+            proxies: 4,
             lines_most: 20.0,
             own_zone: vec![own_zone],
             once_only: vec![true],
@@ -891,6 +898,12 @@
         let changes = (0..4).map(|proxy| change(proxy, None, table(&[("a", 1.0)]))).collect();
         assert!(fresh.judge(s(100), &warm, |_| false, true, changes).iter().all(|out| open(out).len() == 1));
         assert!(fresh.refusals().all(|one| one.done == Done::LetThrough));
+        // Four proxies of eighty here: what is much for them is little for a replica.
+        let mut few = super::tests::guard(false);
+        few.limits.proxies = 80;
+        let changes = (0..4).map(|proxy| change(proxy, None, heavy())).collect();
+        few.judge(s(100), &warm, |_| false, true, changes);
+        assert_eq!(few.refusals().count(), 0);
         // What stands is looked at again when it starts anew, or demand grows.
         assert!(guard.troubled(s(100), &cold, |_| false).contains("a"));
         assert!(guard.troubled(s(100), &warm, |_| false).is_empty());
--- a/crates/core/src/overrides.rs
+++ b/crates/core/src/overrides.rs
@@ -1,5 +1,6 @@
-//! What operators say of a replica for a while: that nothing is to be sent there, or a part of what the module
-//! gives it, or a multiple. It is applied to whatever table is wanted, and passes the guard like all else.
+//! What operators say of a replica for a while: that nothing is to be sent there, or a part of what the
+//! module gives it, or a multiple. It is applied to whatever table is wanted, and passes the guard like all
+//! else.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -145,9 +145,9 @@
         }
     }
 
-    /// A proxy's stream is over, or a new one has begun. What it was sent lately counts on: who comes back is the
-    /// same proxy, and would be sent up to twice as many messages within the span. *Harm:* one that comes back
-    /// with its share used up waits for the rest of the span, on the tables that it holds.
+    /// A proxy's stream is over, or a new one has begun. What it was sent lately counts on: who comes back is
+    /// the same proxy, and would be sent up to twice as many messages within the span. *Harm:* one that comes
+    /// back with its share used up waits for the rest of the span, on the tables that it holds.
     pub fn forget(&mut self, proxy: ProxyId) {
         self.settle(proxy);
         let written = self.proxies.remove(&proxy).map(|line| line.written).filter(|one| !one.is_empty());
