A drain goes on though the only other governor dies with all offers open

Found on reading the change again: proxies whose offers came to nothing were looked at again only when some governor said something, so that a drain whose only peer died stood still for ever. And the dry run did not know what operators exclude.

The end of an offer, and of the rest after it, is a time at which proxies are looked at again. The dry run judges as the engine does. Plainer: the other table for a cold one, one way to the members, a delay that was the lesser of two constants.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -827,7 +827,7 @@
             if decided.len() >= MOST_DECISIONS {
                 // A module that goes on for ever must not hold up drains: the rest is asked for next time.
                 self.guard.refuse(now, 0, Reason::Flood, decided.len() as f64, MOST_DECISIONS as f64);
-                self.beat_at = now + LATEST.min(Duration::from_millis(250));
+                self.beat_at = now + Duration::from_millis(250);
                 break;
             }
         }
@@ -1084,7 +1084,7 @@
                 address: known.map_or_else(|| "".into(), |known| known.address.clone()),
                 zone: known.map_or(proxy.zone, |known| known.zone),
                 weight: *weight,
-                open: !self.tables.is_withdrawn(replica),
+                open: !self.is_out(replica),
             }
         };
         let mut wanted = Table { lines: lines.iter().map(line).collect(), level };
@@ -1096,8 +1096,7 @@
         while guard.news().is_some() {}
         // Afresh, so that what goes on being refused is news here.
         guard.settled(number, group);
-        let withdrawn = |id: &ReplicaId| self.tables.is_withdrawn(id);
-        let table = guard.judge(now, &self.roster, withdrawn, false, vec![change]).pop()?;
+        let table = guard.judge(now, &self.roster, |id| self.is_out(id), false, vec![change]).pop()?;
         Some((table, std::iter::from_fn(|| guard.news()).collect()))
     }
 
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -397,6 +397,11 @@
     assert_eq!((table.lines.len(), refused.last().unwrap().reason), (3, Reason::Bare), "the last good one");
     let (_, refused) = engine.would(ms(700), number, 1, &[line("a", 1.0), line("c", 1.0)], 1.0).unwrap();
     assert_eq!(refused, []);
+    // What an operator excludes is out here, too.
+    engine.override_replica(ms(700), &"a".into(), Overridden::Exclude, ms(701), "x").unwrap();
+    let (table, _) = engine.would(ms(700), number, 0, &[line("a", 1.0), line("c", 1.0)], 1.0).unwrap();
+    assert_eq!(table.lines.iter().filter(|line| line.open).count(), 1);
+    engine.end_override(ms(700), "a");
     assert!(
         engine.would(ms(700), number, 2, &[], 1.0).is_none()
             && engine.would(ms(700), 9, 0, &[], 1.0).is_none()
--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -450,14 +450,15 @@
                 let cold = table.lines.iter().any(|line| line.open && cold(line));
                 // All of it is too much, and for a cold one: what is good of the last table, or of its own
                 // lines, has others, too. What is too much for warm ones only goes out as it was asked.
-                if let Some(other) = Some(()).filter(|()| all && cold && pass == 0).and_then(|()| {
+                let other = (all && cold && pass == 0).then(|| {
                     let held = change.held.map(|held| shut(held, open));
                     let own = || Some(standing(change, roster, open)).filter(is_open);
                     let more = |table: &Table| {
                         table.lines.iter().any(|line| line.open && !caps.contains_key(&line.replica))
                     };
                     held.filter(more).or_else(own).filter(more)
-                }) {
+                });
+                if let Some(other) = other.flatten() {
                     for line in table.lines.iter().filter(|line| line.open) {
                         if let Some((reason, sent, can)) = caps.get(&line.replica) {
                             refused.push((
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -352,6 +352,7 @@
         let tally = self.talk.tally();
         let others: Vec<Value> = self
             .talk
+            .members()
             .others()
             .map(|one| {
                 let standing = match one.heard {
--- a/crates/talk/src/lib.rs
+++ b/crates/talk/src/lib.rs
@@ -40,7 +40,7 @@
 use wrenthread_core::takeover::{Key, ranking};
 
 use handover::{Ahead, Handover};
-use members::{Member, Members, Pace};
+use members::{Members, Pace};
 use sharing::{Here, Room, SETTLE};
 use words::{Body, Standing, Unheard};
 
@@ -276,10 +276,14 @@
             return false;
         }
         if !self.handover.has_room() {
+            self.judge_at = self.handover.next_due().filter(|at| *at > now).unwrap_or(Duration::MAX);
             return false;
         }
-        let settled = self.here.values().map(|one| one.since + SETTLE).filter(|at| *at > now).min();
-        self.judge_at = settled.unwrap_or(Duration::MAX);
+        // Who can't be moved yet can once it has settled, or once its last offer is a while ago. Where nobody
+        // else says anything any more, nothing but this has it looked at again.
+        let settled = self.here.values().map(|one| one.since + SETTLE).filter(|at| *at > now);
+        let rested = self.handover.next_due().filter(|at| *at > now);
+        self.judge_at = settled.chain(rested).min().unwrap_or(Duration::MAX);
         let alone = self.draining && self.open.is_empty();
         let movable =
             |proxy: &str, one: &Proxy| now >= one.since + SETTLE && !self.handover.is_busy(now, proxy);
@@ -331,10 +335,6 @@
         &self.members
     }
 
-    pub fn others(&self) -> impl Iterator<Item = &Member> {
-        self.members.others()
-    }
-
     pub fn is_draining(&self) -> bool {
         self.draining
     }
--- a/crates/talk/tests/talk.rs
+++ b/crates/talk/tests/talk.rs
@@ -150,3 +150,19 @@
     net.run(1000);
     assert!(net.moves > before);
 }
+
+#[test]
+fn a_drain_goes_on_though_the_only_other_dies_with_all_offers_open() {
+    let mut net = Net::new(2, 9);
+    let all = proxies(10);
+    all.iter().for_each(|proxy| net.join(proxy, 0));
+    // Said before anybody may be moved, so that all are offered at once.
+    net.run(1900);
+    net.cut.extend([(0, 1), (1, 0)]);
+    let now = net.now;
+    net.talk(0).drain(now, true);
+    net.run(600);
+    net.kill(1);
+    net.run(12_000);
+    assert!(net.moves >= all.len(), "{} were sent on", net.moves);
+}
