Tables are tried against a running governor or a recording of one, many proxies at once

The guard's dry run judged one proxy's table at a time, at a running governor, on a way of its own through the HTTP port. A whole change, or the change that an operator plans for Friday, could not be tried.

Ages and not times are kept, and a recording that can't be meant is named with what is wrong in it.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -49,6 +49,7 @@
 use crate::holds::{self, Hold, LeftOut, Over};
 use crate::overrides::{NoOverride, Override, Overrides, What as Overridden};
 use crate::pace::{Channel, Pace};
+use crate::recording::{self, Recording};
 use crate::reports::{Discarded, Report, Reports, Told};
 use crate::roster::{Entry, Known, Roster, Taken};
 use crate::tables::{Kept, Table, Tables};
@@ -1066,38 +1067,51 @@
         self.reports.tally()
     }
 
-    /// What would become of a table for a proxy's group, and what of it would be refused; nothing of it takes
-    /// effect. A replica that no list ever named is taken for one that is gone.
-    pub fn would(
-        &self,
-        now: Duration,
-        number: ProxyId,
-        group: usize,
-        lines: &[(ReplicaId, f64)],
-        level: f64,
-    ) -> Option<(Table, Vec<Refusal>)> {
-        let proxy = self.fleet.get(number).filter(|_| group < self.groups)?;
-        let line = |(replica, weight): &(ReplicaId, f64)| {
-            let known = self.roster.get(replica);
-            crate::tables::Line {
-                replica: replica.clone(),
-                address: known.map_or_else(|| "".into(), |known| known.address.clone()),
-                zone: known.map_or(proxy.zone, |known| known.zone),
-                weight: *weight,
-                open: !self.is_out(replica),
+    /// What is known now, as far as the guard judges by it, for tables to be tried against. Names of zones and
+    /// groups are the caller's to fill in.
+    pub fn record(&self, now: Duration) -> Recording {
+        let replica = |(id, known): (&ReplicaId, &Known)| recording::Replica {
+            id: id.clone(),
+            address: known.address.clone(),
+            zone: known.zone,
+            weight: known.weight,
+            phase: known.phase.into(),
+            age_s: known.started.map(|started| now.saturating_sub(started).as_secs_f64()),
+            out: self.is_out(id),
+        };
+        let held = |(number, proxy): (ProxyId, &Proxy)| {
+            let table = |(group, kept): (usize, &Option<Kept>)| {
+                let table = kept.as_ref().map(|kept| &*kept.table);
+                let line = |line: &crate::tables::Line| (line.replica.clone(), line.weight, line.open);
+                recording::HeldTable {
+                    flows: self.guard.flows(number, group),
+                    level: table.map_or(1.0, |table| table.level),
+                    lines: table.map(|table| table.lines.iter().map(line).collect()),
+                }
+            };
+            recording::Held {
+                name: proxy.name.clone(),
+                zone: proxy.zone,
+                standing: proxy.standing.clone(),
+                groups: proxy.tables.iter().enumerate().map(table).collect(),
             }
         };
-        let mut wanted = Table { lines: lines.iter().map(line).collect(), level };
-        wanted.lines.sort_by(|one, other| one.replica.cmp(&other.replica));
-        let held = proxy.tables[group].as_ref().map(|kept| &*kept.table);
-        let change =
-            Change { proxy: number, zone: proxy.zone, group, held, standing: &proxy.standing, wanted };
-        let mut guard = self.guard.clone();
-        while guard.news().is_some() {}
-        // Afresh, so that what goes on being refused is news here.
-        guard.settled(number, group);
-        let table = guard.judge(now, &self.roster, |id| self.is_out(id), false, vec![change]).pop()?;
-        Some((table, std::iter::from_fn(|| guard.news()).collect()))
+        let seen = |(id, zone, per_s): (&ReplicaId, usize, f64)| recording::Seen {
+            replica: id.clone(),
+            zone,
+            per_s,
+        };
+        Recording {
+            form: recording::FORM,
+            governor: String::new(),
+            taken_at: 0.0,
+            zones: Vec::new(),
+            groups: Vec::new(),
+            limits: self.guard.limits().into(),
+            replicas: self.roster.iter().map(replica).collect(),
+            proxies: self.fleet.iter().map(held).collect(),
+            seen: self.guard.seen(now).map(seen).collect(),
+        }
     }
 
     /// What was refused, and the account that it is judged by.
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::recording::{Untried, Wanted};
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(100_000 + ms)
@@ -388,24 +389,28 @@
     let number = engine.joined(ms(1), 1, &join("p", &[])).unwrap().number;
     run(&mut engine, ms(600));
     let before = open(&engine, number);
-    let line = |id: &str, weight| (ReplicaId::from(id), weight);
-    let (table, refused) = engine.would(ms(700), number, 0, &[line("a", 1.0), line("b", -1.0)], 2.0).unwrap();
-    assert_eq!(table.lines.len(), 1);
-    let reasons: Vec<Reason> = refused.iter().map(|one| one.reason).collect();
-    assert_eq!(reasons, [Reason::Level, Reason::Weight]);
-    let (table, refused) = engine.would(ms(700), number, 0, &[line("never", 1.0)], 1.0).unwrap();
-    assert_eq!((table.lines.len(), refused.last().unwrap().reason), (3, Reason::Bare), "the last good one");
-    let (_, refused) = engine.would(ms(700), number, 1, &[line("a", 1.0), line("c", 1.0)], 1.0).unwrap();
-    assert_eq!(refused, []);
+    let would = |engine: &Engine, group, level, lines: &[(&str, f64)]| {
+        let named = Recording {
+            zones: vec!["z".into()],
+            groups: vec!["one".into(), "other".into()],
+            ..engine.record(ms(700))
+        };
+        let lines = lines.iter().map(|(id, weight)| ((*id).into(), *weight)).collect();
+        let tried = named.would(&[Wanted { proxy: "p".into(), group, lines, level }]).unwrap()?;
+        let reasons: Vec<Reason> = tried.refusals.iter().map(|one| one.refusal.reason).collect();
+        Ok::<_, Untried>((tried.tables[0].clone(), reasons))
+    };
+    let (table, reasons) = would(&engine, 0, 2.0, &[("a", 1.0), ("b", -1.0)]).unwrap();
+    assert_eq!((table.lines.len(), reasons), (1, vec![Reason::Level, Reason::Weight]));
+    let (table, reasons) = would(&engine, 0, 1.0, &[("never", 1.0)]).unwrap();
+    assert_eq!((table.lines.len(), reasons.last()), (3, Some(&Reason::Bare)), "the last good one");
+    assert_eq!(would(&engine, 1, 1.0, &[("a", 1.0), ("c", 1.0)]).unwrap().1, []);
     // What an operator excludes is out here, too.
     engine.override_replica(ms(700), &"a".into(), Overridden::Exclude, ms(701), "x").unwrap();
-    let (table, _) = engine.would(ms(700), number, 0, &[line("a", 1.0), line("c", 1.0)], 1.0).unwrap();
+    let (table, _) = would(&engine, 0, 1.0, &[("a", 1.0), ("c", 1.0)]).unwrap();
     assert_eq!(table.lines.iter().filter(|line| line.open).count(), 1);
     engine.end_override(ms(700), "a");
-    assert!(
-        engine.would(ms(700), number, 2, &[], 1.0).is_none()
-            && engine.would(ms(700), 9, 0, &[], 1.0).is_none()
-    );
+    assert_eq!(would(&engine, 2, 1.0, &[]), Err(Untried::NoGroup(2)));
     assert_eq!((open(&engine, number), engine.guard().refusals().count()), (before, 0));
 }
 
--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -20,8 +20,16 @@
 use crate::tables::{Line, Table};
 
 /// A cold replica may be brought so many times its present part, by this account: the account is of means,
-/// and half a second old. Where it falls is beyond that (the rehearsals' workers: at 2.5).
+/// and half a second old. Where it falls is beyond that.
 pub const COLD_MARGIN: f64 = 2.0;
+/// It falls at so many times its part (the rehearsals' workers do).
+const COLD_FALL: f64 = 2.5;
+/// Means say nothing of chance, and few flows come in bursts: of those that come in a second so many standard
+/// deviations more must stay below the fall. *Harm:* shares of a cold replica are cut that would have been
+/// borne, where its part is a few flows a second; never below [`COLD_LEAST`].
+const CHANCE: f64 = 2.0;
+/// So many times its part it may always be brought: the module works near that.
+const COLD_LEAST: f64 = 1.25;
 /// And a warm one so many times what is known that it can take, if the others have room.
 pub const WARM_MARGIN: f64 = 3.0;
 /// The part of all flows that may change replicas at once without a cause that asks for it.
@@ -258,6 +266,19 @@
         }
     }
 
+    /// What a replica was seen to deliver a second, as another account has it.
+    pub fn saw(&mut self, now: Duration, replica: &ReplicaId, zone: usize, per_s: f64) {
+        self.seen.insert((replica.clone(), zone), (per_s, now));
+    }
+
+    /// A proxy that has joined has so many flows of a group, and stands on a table that it was told.
+    pub fn stands(&mut self, proxy: ProxyId, group: usize, flows: f64, told: Option<&Table>) {
+        self.set((proxy, group), |share| {
+            share.flows = flows;
+            share.parts = told.map_or_else(|| std::mem::take(&mut share.parts), parts);
+        });
+    }
+
     /// The list has changed: what is not on it any more is forgotten, and the account is made anew, so that
     /// rounding does not add up.
     pub fn listed(&mut self, roster: &Roster) {
@@ -590,11 +611,12 @@
     fn cap(&self, now: Duration, roster: &Roster, unit: Unit, id: &ReplicaId) -> Option<(Reason, f64, f64)> {
         let known = roster.get(id).filter(|one| one.phase == Phase::Ready)?;
         let (warmth, sent) = (self.warmth(now, roster, id), self.account.get(id).copied().unwrap_or(0.0));
+        let weight = known.weight.max(0.0);
         let (reason, most) = match warmth < 1.0 {
-            true => (Reason::Cold, unit.even * warmth * COLD_MARGIN),
-            false => (Reason::Over, unit.known * WARM_MARGIN),
+            true => (Reason::Cold, bearable(unit.even * warmth * weight)),
+            false => (Reason::Over, unit.known * weight * WARM_MARGIN),
         };
-        let can = (most * known.weight.max(0.0)).max(1.0);
+        let can = most.max(1.0);
         (can.is_finite() && sent > can).then_some((reason, sent, can))
     }
 
@@ -620,12 +642,33 @@
         (&self.counts, self.passed)
     }
 
+    /// Flows a second that a proxy has of a group, by the account.
+    pub fn flows(&self, proxy: ProxyId, group: usize) -> f64 {
+        self.shares.get(&(proxy, group)).map_or(0.0, |share| share.flows)
+    }
+
+    /// The most that was delivered a second lately, by replica and zone, counting less with age.
+    pub fn seen(&self, now: Duration) -> impl Iterator<Item = (&ReplicaId, usize, f64)> {
+        self.seen.iter().map(move |((id, zone), one)| (id, *zone, aged(*one, now)))
+    }
+
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
     /// Flows a second that a replica is sent by proxies here, by the account.
     pub fn sent_to(&self, replica: &ReplicaId) -> f64 {
         self.account.get(replica).copied().unwrap_or(0.0).max(0.0)
     }
 }
 
+/// Flows a second that a cold replica may be brought whose part is `part`: with what chance adds they stay
+/// below its fall.
+fn bearable(part: f64) -> f64 {
+    let root = (CHANCE * CHANCE / 4.0 + COLD_FALL * part).sqrt() - CHANCE / 2.0;
+    (root * root).clamp(COLD_LEAST * part, COLD_MARGIN * part)
+}
+
 fn aged((rate, at): (f64, Duration), now: Duration) -> f64 {
     rate * 0.5f64.powf(now.saturating_sub(at).as_secs_f64() / HALF_LIFE)
 }
@@ -871,6 +914,9 @@
         assert!(sent < 12.5 && sent > 4.0, "{sent}");
         assert!(guard.refusals().all(|one| one.reason == Reason::Cold));
         assert!((guard.sent_to(&"a".into()) - sent).abs() < 1e-6, "the account is of what goes out");
+        // Few flows come in bursts; of many the means say enough.
+        let times = [1.0, 3.5, 20.0, 500.0].map(|part| (bearable(part) / part * 100.0).round());
+        assert_eq!(times, [125.0, 129.0, 189.0, 200.0]);
         // The same one warm: 17 each, three times that at the most.
         let warm = roster(&[], &[]);
         let changes = (0..4).map(|proxy| change(proxy, None, heavy())).collect();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`history`], [`versions`] | what was told, in versions, and the deltas between them |
 //! | [`holds`] | tables that operators stepped back to, or that another governor handed over |
 //! | [`overrides`] | what operators say of a replica for a while |
+//! | [`recording`] | what was known at one moment, and tables tried against it |
 //! | [`takeover`] | whose care a proxy is in, where nobody can be asked |
 //! | [`weights`] | weights as whole numbers, without losing a line |
 
@@ -26,6 +27,7 @@
 pub mod holds;
 pub mod overrides;
 pub mod pace;
+pub mod recording;
 pub mod reports;
 pub mod roster;
 #[cfg(any(test, feature = "suspect"))]
--- /dev/null
+++ b/crates/core/src/recording.rs
@@ -0,0 +1,429 @@
+//! What a governor knew at one moment, as far as the guard judges by it: taken from a running one, kept in a
+//! file, and tables tried against it. Nothing that is tried takes effect anywhere.
+//!
+//! Ages, not times, are kept: a recording is read on another clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wrenthread::interface::{Phase, ProxyId, ReplicaId};
+
+use crate::guard::{Change, Guard, Limits, Refusal};
+use crate::roster::{Entry, Roster};
+use crate::tables::{Line, Table};
+
+/// The form of recordings that this version writes, and the only one that it reads.
+pub const FORM: u32 = 1;
+/// More than this of proxies or replicas is no governor's recording.
+const MOST: usize = 100_000;
+/// The moment of a trial, on a clock of its own: replicas may have started before it.
+const NOW: Duration = Duration::from_secs(10 * 86_400);
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Recording {
+    pub form: u32,
+    pub governor: String,
+    /// Seconds of the calendar.
+    pub taken_at: f64,
+    pub zones: Vec<String>,
+    pub groups: Vec<String>,
+    pub limits: Bounds,
+    pub replicas: Vec<Replica>,
+    pub proxies: Vec<Held>,
+    pub seen: Vec<Seen>,
+}
+
+/// As [`Limits`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    pub cold_share: f64,
+    pub warm_after_s: f64,
+    pub proxies: usize,
+    pub lines_most: f64,
+    pub own_zone: Vec<bool>,
+    pub once_only: Vec<bool>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stage {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Replica {
+    pub id: Arc<str>,
+    pub address: Arc<str>,
+    pub zone: usize,
+    pub weight: f64,
+    pub phase: Stage,
+    /// How long ago it started; none for long ago.
+    pub age_s: Option<f64>,
+    /// Withdrawn by the module, or excluded by operators.
+    pub out: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Held {
+    pub name: Arc<str>,
+    pub zone: usize,
+    pub standing: Vec<(Arc<str>, f64)>,
+    /// In the order of the recording's groups.
+    pub groups: Vec<HeldTable>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HeldTable {
+    /// Flows a second, by the guard's account.
+    pub flows: f64,
+    pub level: f64,
+    /// Replica, weight, and whether the line is open; none where nothing was told.
+    pub lines: Option<Vec<(Arc<str>, f64, bool)>>,
+}
+
+/// What was delivered lately at a replica by the proxies of a zone.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Seen {
+    pub replica: Arc<str>,
+    pub zone: usize,
+    /// The most in a second, counting less with age already.
+    pub per_s: f64,
+}
+
+/// Why a recording can't be tried against.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum Unfit {
+    #[error("it is of form {0}, and this version reads form {FORM}")]
+    Form(u32),
+    #[error("it has more {0} than any governor's")]
+    Size(&'static str),
+    #[error("{0} `{1}` is in zone {2}, and there are {3}")]
+    Zone(&'static str, Arc<str>, usize, usize),
+    #[error("{0} `{1}` has `{2}`, which is not a number that it can be")]
+    Number(&'static str, Arc<str>, f64),
+    #[error("{0} `{1}` is named twice")]
+    Twice(&'static str, Arc<str>),
+    #[error("`{0}` has an entry for each of {1} groups, and there are {2}")]
+    Groups(Arc<str>, usize, usize),
+}
+
+/// A table to try.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Wanted {
+    pub proxy: Arc<str>,
+    pub group: usize,
+    pub lines: Vec<(ReplicaId, f64)>,
+    pub level: f64,
+}
+
+/// Why a table can't be tried.
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
+pub enum Untried {
+    #[error("no proxy `{0}` is joined there")]
+    NoProxy(Arc<str>),
+    #[error("no group number {0} is there")]
+    NoGroup(usize),
+    #[error("two tables for the same group of `{0}`")]
+    Twice(Arc<str>),
+}
+
+/// What would become of tables, and what of them would be refused.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tried {
+    /// In the order in which they were wanted.
+    pub tables: Vec<Table>,
+    pub refusals: Vec<Refused>,
+}
+
+/// One refusal, by the proxy's name.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Refused {
+    pub proxy: Option<Arc<str>>,
+    pub refusal: Refusal,
+}
+
+impl From<&Limits> for Bounds {
+    fn from(limits: &Limits) -> Self {
+        Bounds {
+            cold_share: limits.cold_share,
+            warm_after_s: limits.warm_after.as_secs_f64(),
+            proxies: limits.proxies,
+            lines_most: limits.lines_most,
+            own_zone: limits.own_zone.clone(),
+            once_only: limits.once_only.clone(),
+        }
+    }
+}
+
+fn span(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(NOW).min(NOW)
+}
+
+impl From<Phase> for Stage {
+    fn from(phase: Phase) -> Self {
+        match phase {
+            Phase::Ready => Stage::Ready,
+            Phase::Draining => Stage::Draining,
+            Phase::Gone => Stage::Gone,
+        }
+    }
+}
+
+impl Recording {
+    /// Whether it is whole and can be meant.
+    fn fit(&self) -> Result<(), Unfit> {
+        if self.form != FORM {
+            return Err(Unfit::Form(self.form));
+        }
+        if self.replicas.len() > MOST {
+            return Err(Unfit::Size("replicas"));
+        }
+        if self.proxies.len() > usize::from(ProxyId::MAX) {
+            return Err(Unfit::Size("proxies"));
+        }
+        let groups = self.groups.len();
+        let settings: Arc<str> = "limits".into();
+        for given in [self.limits.own_zone.len(), self.limits.once_only.len()] {
+            if given != groups || groups > 64 {
+                return Err(Unfit::Groups(settings, given, groups));
+            }
+        }
+        let limits = [self.limits.cold_share, self.limits.warm_after_s, self.limits.lines_most];
+        if let Some(odd) = limits.into_iter().find(|one| !(one.is_finite() && *one >= 0.0)) {
+            return Err(Unfit::Number("the recording's", settings, odd));
+        }
+        let zones = self.zones.len();
+        let zone = |what, name: &Arc<str>, zone| match zone < zones {
+            true => Ok(()),
+            false => Err(Unfit::Zone(what, name.clone(), zone, zones)),
+        };
+        let number = |what, name: &Arc<str>, number: f64| match number.is_finite() && number >= 0.0 {
+            true => Ok(()),
+            false => Err(Unfit::Number(what, name.clone(), number)),
+        };
+        let mut known = BTreeSet::new();
+        for replica in &self.replicas {
+            zone("replica", &replica.id, replica.zone)?;
+            number("replica", &replica.id, replica.weight)?;
+            number("replica", &replica.id, replica.age_s.unwrap_or(0.0))?;
+            if !known.insert(&replica.id) {
+                return Err(Unfit::Twice("replica", replica.id.clone()));
+            }
+        }
+        let mut known = BTreeSet::new();
+        for proxy in &self.proxies {
+            zone("proxy", &proxy.name, proxy.zone)?;
+            if proxy.groups.len() != groups {
+                return Err(Unfit::Groups(proxy.name.clone(), proxy.groups.len(), groups));
+            }
+            for group in &proxy.groups {
+                number("proxy", &proxy.name, group.flows)?;
+            }
+            if !known.insert(&proxy.name) {
+                return Err(Unfit::Twice("proxy", proxy.name.clone()));
+            }
+        }
+        self.seen.iter().try_for_each(|seen| number("replica", &seen.replica, seen.per_s))
+    }
+
+    /// Judges tables as one change against what the recording holds. `Err` within: one that can't be tried.
+    ///
+    /// A replica that the recording does not name is taken for one that is gone.
+    ///
+    /// Errors: a recording that can't be meant.
+    pub fn would(&self, wanted: &[Wanted]) -> Result<Result<Tried, Untried>, Unfit> {
+        self.fit()?;
+        let mut roster = Roster::new(Duration::ZERO);
+        let entry = |one: &Replica| Entry {
+            id: one.id.clone(),
+            address: one.address.clone(),
+            zone: one.zone,
+            weight: one.weight,
+            phase: match one.phase {
+                Stage::Ready => Phase::Ready,
+                Stage::Draining => Phase::Draining,
+                Stage::Gone => Phase::Gone,
+            },
+            started: one.age_s.map(|age| NOW - span(age)),
+        };
+        roster.take(NOW, self.replicas.iter().map(entry).collect());
+        let out: BTreeSet<&Arc<str>> =
+            self.replicas.iter().filter(|one| one.out).map(|one| &one.id).collect();
+        let mut guard = Guard::new(Limits {
+            cold_share: self.limits.cold_share,
+            warm_after: span(self.limits.warm_after_s),
+            proxies: self.limits.proxies,
+            lines_most: self.limits.lines_most,
+            own_zone: self.limits.own_zone.clone(),
+            once_only: self.limits.once_only.clone(),
+        });
+        for seen in &self.seen {
+            guard.saw(NOW, &seen.replica, seen.zone, seen.per_s);
+        }
+        let line = |zone: usize, (replica, weight, open): (&Arc<str>, f64, bool)| {
+            let known = roster.get(replica);
+            Line {
+                replica: replica.clone(),
+                address: known.map_or_else(|| "".into(), |known| known.address.clone()),
+                zone: known.map_or(zone, |known| known.zone),
+                weight,
+                open,
+            }
+        };
+        let mut held: BTreeMap<(usize, usize), Table> = BTreeMap::new();
+        let mut numbers: BTreeMap<&str, usize> = BTreeMap::new();
+        for (number, proxy) in self.proxies.iter().enumerate() {
+            numbers.insert(&proxy.name, number);
+            guard.joined(number as ProxyId, 0.0, &proxy.standing);
+            for (group, told) in proxy.groups.iter().enumerate() {
+                let lines = told.lines.as_ref().map(|lines| {
+                    lines.iter().map(|(id, weight, open)| line(proxy.zone, (id, *weight, *open))).collect()
+                });
+                let table = lines.map(|lines| Table { lines, level: told.level });
+                guard.stands(number as ProxyId, group, told.flows, table.as_ref());
+                held.extend(table.map(|table| ((number, group), table)));
+            }
+        }
+        let (mut places, mut changes) = (BTreeSet::new(), Vec::new());
+        for one in wanted {
+            let Some(number) = numbers.get(&*one.proxy).copied() else {
+                return Ok(Err(Untried::NoProxy(one.proxy.clone())));
+            };
+            if one.group >= self.groups.len() {
+                return Ok(Err(Untried::NoGroup(one.group)));
+            }
+            if !places.insert((number, one.group)) {
+                return Ok(Err(Untried::Twice(one.proxy.clone())));
+            }
+            let proxy = &self.proxies[number];
+            let open = |(id, weight): &(ReplicaId, f64)| line(proxy.zone, (id, *weight, !out.contains(id)));
+            let mut table = Table { lines: one.lines.iter().map(open).collect(), level: one.level };
+            table.lines.sort_by(|one, other| one.replica.cmp(&other.replica));
+            changes.push(Change {
+                proxy: number as ProxyId,
+                zone: proxy.zone,
+                group: one.group,
+                held: held.get(&(number, one.group)),
+                standing: &proxy.standing,
+                wanted: table,
+            });
+        }
+        let tables = guard.judge(NOW, &roster, |id| out.contains(id), false, changes);
+        let name = |number: ProxyId| self.proxies.get(usize::from(number)).map(|one| one.name.clone());
+        let refused = |refusal: Refusal| Refused { proxy: refusal.proxy.and_then(name), refusal };
+        let refusals = std::iter::from_fn(|| guard.news()).map(refused).collect();
+        Ok(Ok(Tried { tables, refusals }))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::guard::{Done, Reason};
+
+    /// Two proxies with ten flows a second each on four replicas, of which the last drains.
+    fn recording() -> Recording {
+        let id = |at: usize| Arc::<str>::from(["a", "b", "c", "d"][at]);
+        let replica = |at| Replica {
+            id: id(at),
+            address: format!("{}:1", id(at)).into(),
+            zone: 0,
+            weight: 1.0,
+            phase: if at == 3 { Stage::Draining } else { Stage::Ready },
+            age_s: None,
+            out: false,
+        };
+        let lines = Some((0..3).map(|at| (id(at), 1.0, true)).collect());
+        let group = HeldTable { flows: 10.0, level: 1.0, lines };
+        let proxy = |name: &str| Held {
+            name: name.into(),
+            zone: 0,
+            standing: vec![(id(0), 1.0)],
+            groups: vec![group.clone()],
+        };
+        Recording {
+            form: FORM,
+            governor: "g".into(),
+            taken_at: 0.0,
+            zones: vec!["z".into()],
+            groups: vec!["entry".into()],
+            limits: Bounds {
+                cold_share: 0.25,
+                warm_after_s: 20.0,
+                proxies: 2,
+                lines_most: 100.0,
+                own_zone: vec![false],
+                once_only: vec![true],
+            },
+            replicas: (0..4).map(replica).collect(),
+            proxies: vec![proxy("p"), proxy("q")],
+            seen: vec![],
+        }
+    }
+
+    fn wanted(proxy: &str, lines: &[(&str, f64)]) -> Wanted {
+        let lines = lines.iter().map(|(id, weight)| ((*id).into(), *weight)).collect();
+        Wanted { proxy: proxy.into(), group: 0, lines, level: 1.0 }
+    }
+
+    #[test]
+    fn tables_are_judged_together_against_what_was_held() {
+        let recording = recording();
+        let even = wanted("p", &[("a", 1.0), ("b", 1.0), ("c", 2.0)]);
+        assert_eq!(recording.would(std::slice::from_ref(&even)).unwrap().unwrap().refusals, []);
+        let drain = wanted("q", &[("d", 1.0)]);
+        let tried = recording.would(&[even.clone(), drain]).unwrap().unwrap();
+        assert_eq!(tried.tables[0].lines.len(), 3);
+        let said: Vec<_> =
+            tried.refusals.iter().map(|one| (one.proxy.as_deref(), one.refusal.reason)).collect();
+        assert_eq!(said, [(Some("q"), Reason::Draining), (Some("q"), Reason::Bare)]);
+        assert_eq!(tried.tables[1].lines.len(), 3, "the last good one stands");
+        // Each alone is well; together they would have all flows on a cold one.
+        let mut cold = recording;
+        cold.replicas[0].age_s = Some(1.0);
+        let heavy = |proxy| wanted(proxy, &[("a", 1.0), ("b", 1.0)]);
+        let tried = cold.would(&[heavy("p"), heavy("q")]).unwrap().unwrap();
+        assert!(tried.refusals.iter().all(|one| one.refusal.reason == Reason::Cold));
+        assert!(tried.refusals.iter().any(|one| one.refusal.done == Done::Corrected));
+        cold.replicas[0].out = true;
+        let tried = cold.would(&[heavy("p")]).unwrap().unwrap();
+        assert!(!tried.tables[0].lines[0].open, "what is out stays so");
+    }
+
+    #[test]
+    fn what_can_not_be_meant_is_said() {
+        let twice = [wanted("p", &[("a", 1.0)]), wanted("p", &[("b", 1.0)])];
+        assert_eq!(recording().would(&twice).unwrap(), Err(Untried::Twice("p".into())));
+        let nobody = recording().would(&[wanted("x", &[])]).unwrap();
+        assert_eq!(nobody, Err(Untried::NoProxy("x".into())));
+        let spoilt = |spoil: fn(&mut Recording)| {
+            let mut recording = recording();
+            spoil(&mut recording);
+            recording.would(&[]).unwrap_err().to_string()
+        };
+        assert_eq!(spoilt(|one| one.form = 9), "it is of form 9, and this version reads form 1");
+        assert_eq!(spoilt(|one| one.proxies[1].zone = 4), "proxy `q` is in zone 4, and there are 1");
+        assert!(spoilt(|one| one.replicas[0].age_s = Some(f64::NAN)).contains("replica `a` has `NaN`"));
+        assert!(spoilt(|one| one.replicas[1].id = "a".into()).contains("named twice"));
+        assert!(spoilt(|one| one.proxies[0].groups.clear()).contains("`p` has an entry for each of 0"));
+        assert!(spoilt(|one| one.limits.own_zone.clear()).contains("and there are 1"));
+    }
+
+    #[test]
+    fn a_recording_comes_back_from_its_file_as_it_was() {
+        let text = serde_json::to_string(&recording()).unwrap();
+        assert_eq!(serde_json::from_str::<Recording>(&text).unwrap(), recording());
+        let cut = serde_json::from_str::<Recording>(&text[..text.len() / 2]).unwrap_err().to_string();
+        assert!(cut.contains("line 1"), "{cut}");
+    }
+}
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -32,6 +32,11 @@
         Duration::try_from_secs_f64(calendar - self.calendar + BEFORE.as_secs_f64()).ok()
     }
 
+    /// The host's time as seconds of the calendar.
+    pub fn calendar(&self, at: Duration) -> f64 {
+        self.calendar + at.as_secs_f64() - BEFORE.as_secs_f64()
+    }
+
     pub fn instant(&self, at: Duration) -> Instant {
         self.start + at.saturating_sub(BEFORE)
     }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -13,6 +13,7 @@
 use wrenthread_core::fleet::{Kind, Proxy, Refused};
 use wrenthread_core::guard::Refusal;
 use wrenthread_core::overrides::What as Overridden;
+use wrenthread_core::recording::Recording;
 use wrenthread_core::roster::Entry;
 use wrenthread_core::takeover::{self, Key};
 use wrenthread_core::versions;
@@ -880,34 +881,15 @@
         })
     }
 
-    /// What would be refused of tables for a proxy, in the form in which `tables` tells them; nothing of them
-    /// takes effect.
-    pub fn would(&self, now: Duration, name: &str, asked: &Value) -> Result<Value, String> {
-        let named = self.engine.fleet().named(name);
-        let (number, _) = named.ok_or_else(|| format!("no proxy `{name}` is joined"))?;
-        let groups =
-            asked["groups"].as_array().ok_or("`groups` is a list, as `tables --output json` tells it")?;
-        let (mut refused, mut told) = (Vec::new(), Vec::new());
-        for said in groups.iter().filter(|said| !said["lines"].is_null()) {
-            let name = said["group"].as_str().ok_or("a group without its name, `group`")?;
-            let place = self.wire.groups.iter().position(|known| known.name == name);
-            let place = place.ok_or_else(|| format!("no group `{name}` in the settings"))?;
-            let lines = said["lines"].as_array().ok_or_else(|| format!("`lines` of `{name}` is a list"))?;
-            let line = |line: &Value| {
-                let weight = line["weight"].as_f64();
-                Some((line["replica"].as_str()?.into(), weight.unwrap_or(f64::NAN)))
-            };
-            let lines: Option<Vec<_>> = lines.iter().map(line).collect();
-            let lines = lines.ok_or_else(|| format!("a line of `{name}` without its `replica`"))?;
-            let level = said["level"].as_f64().unwrap_or(1.0);
-            let would = self.engine.would(now, number, place, &lines, level);
-            let (table, refusals) = would.ok_or_else(|| format!("no group `{name}` here"))?;
-            refused.extend(refusals.iter().map(|one| self.refusal(now, one)));
-            let lines = table.lines.iter().filter(|line| line.open);
-            let lines = lines.map(|line| json!({"replica": &*line.replica, "weight": line.weight}));
-            told.push(json!({"group": name, "level": table.level, "lines": lines.collect::<Vec<_>>()}));
+    /// What is known now, for tables to be tried against. `calendar`: what time it is.
+    pub fn record(&self, now: Duration, calendar: f64) -> Recording {
+        Recording {
+            governor: self.wire.governor.clone(),
+            taken_at: calendar,
+            zones: self.wire.zones.clone(),
+            groups: self.wire.groups.iter().map(|group| group.name.clone()).collect(),
+            ..self.engine.record(now)
         }
-        Ok(json!({"name": name, "refused": refused, "told": told}))
     }
 
     /// The kept versions of a proxy's tables; none if it is not joined.
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -3,11 +3,13 @@
 use axum::Router;
 use axum::extract::{Path, State};
 use axum::http::StatusCode;
+use axum::http::header::CONTENT_TYPE;
 use axum::response::{IntoResponse, Json, Response};
 use axum::routing::{get, post};
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
+use wrenthread_core::recording::Recording;
 
 /// A question to the task that owns all state.
 #[derive(Debug)]
@@ -22,7 +24,7 @@
     Governors(oneshot::Sender<Value>),
     Why(String, oneshot::Sender<Option<Value>>),
     Override(Value, oneshot::Sender<Result<Value, String>>),
-    Would(String, Value, oneshot::Sender<Result<Value, String>>),
+    Record(oneshot::Sender<Recording>),
     Drain(bool, oneshot::Sender<Value>),
     Release(Value, oneshot::Sender<Result<Value, String>>),
 }
@@ -38,7 +40,7 @@
         .route("/tables/{proxy}", get(tables))
         .route("/tables/{proxy}/history", get(history))
         .route("/tables/{proxy}/diff/{one}/{other}", get(diff))
-        .route("/tables/{proxy}/check", post(would))
+        .route("/recording", get(recording))
         .route("/why/{name}", get(why))
         .route("/governors", get(governors))
         .route("/drain", post(drain))
@@ -108,8 +110,16 @@
     ask(&asked, |reply| Query::Override(body, reply)).await.map_or_else(|response| response, plain)
 }
 
-async fn would(State(asked): State<Asked>, Path(proxy): Path<String>, Json(body): Json<Value>) -> Response {
-    ask(&asked, |reply| Query::Would(proxy, body, reply)).await.map_or_else(|response| response, plain)
+async fn recording(State(asked): State<Asked>) -> Response {
+    let recording = match ask(&asked, Query::Record).await {
+        Ok(recording) => recording,
+        Err(response) => return response,
+    };
+    // Many millions of bytes for a large fleet: decisions don't wait for them.
+    match tokio::task::spawn_blocking(move || serde_json::to_vec(&recording)).await {
+        Ok(Ok(text)) => ([(CONTENT_TYPE, "application/json")], text).into_response(),
+        _ => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
 }
 
 async fn why(State(asked): State<Asked>, Path(name): Path<String>) -> Response {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,6 +7,7 @@
 mod run;
 mod show;
 mod talk;
+mod trial;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -54,8 +55,14 @@
     History,
     /// What differs between two of them
     Diff { one: u64, other: u64 },
-    /// What the guard would refuse of tables in a file, as `--output json` tells them; nothing takes effect
-    Check { file: PathBuf },
+    /// What the guard would refuse of tables in a file, as `--output json` tells them (one proxy's, or a list of
+    /// such); nothing takes effect
+    Check {
+        file: PathBuf,
+        /// A governor's HTTP port, or a recording's file; the governor of `--at` otherwise
+        #[arg(long)]
+        against: Option<String>,
+    },
 }
 
 /// How long an override lasts, and why.
@@ -166,10 +173,13 @@
         output: Output,
     },
     /// Ask a running governor for one proxy's tables, their versions, and what differs between two
+    #[command(subcommand_precedence_over_arg = true)]
     #[command(after_help = "Examples:\n  wrenthread tables relay-3\n  wrenthread tables relay-3 history\n  \
-        wrenthread tables relay-3 diff 41 57\n  wrenthread tables relay-3 check wanted.json")]
+        wrenthread tables relay-3 diff 41 57\n  wrenthread tables relay-3 check wanted.json\n  \
+        wrenthread tables check all.json --against friday.json")]
     Tables {
-        proxy: String,
+        /// Left out only before `check`, where the file names them
+        proxy: Option<String>,
         #[command(subcommand)]
         what: Option<Versions>,
         /// The governor's HTTP port
@@ -178,6 +188,13 @@
         #[arg(long, global = true, value_enum, default_value = "text")]
         output: Output,
     },
+    /// Write what a running governor knows as one line of JSON, for tables to be tried against later
+    #[command(after_help = "Example: wrenthread record > friday.json")]
+    Record {
+        /// The governor's HTTP port
+        #[arg(long, default_value = "127.0.0.1:15011")]
+        at: String,
+    },
     /// Step back: have proxies told what they were told as of a version, less what the rules forbid now
     #[command(after_help = "Example: wrenthread rollback 41 --all --why 'hall north is overrun' --for 900")]
     Rollback {
@@ -251,6 +268,9 @@
         /// Have the governors decide wrongly; the program must have been built with the feature `suspect`
         #[arg(long, hide = !cfg!(feature = "suspect"))]
         suspect: Vec<String>,
+        /// Fail where the guard refused anything: with the module as it is, on a day that it can bear, nothing is
+        #[arg(long)]
+        no_refusals: bool,
         /// Keep the tape, one JSON line a message, in this folder
         #[arg(long)]
         tape: Option<PathBuf>,
@@ -305,32 +325,34 @@
             print(output, &status, || show::status(&status));
         }
         Command::Tables { proxy, what, at, output } => {
+            if let Some(Versions::Check { file, against }) = what {
+                let would = trial::tried(&file, proxy.as_deref(), against.as_deref().unwrap_or(&at))?;
+                print(output, &would, || show::would(&would));
+                if would["refused"].as_array().is_none_or(|refused| !refused.is_empty()) {
+                    return Ok(ExitCode::from(3));
+                }
+                return Ok(ExitCode::SUCCESS);
+            }
+            let proxy = proxy.context("whose tables? `wrenthread tables PROXY`")?;
             let fetch = |more: &str| show::fetch(&at, &format!("/tables/{proxy}{more}"), None);
             match what {
-                None => {
-                    let tables = fetch("")?;
-                    print(output, &tables, || show::tables(&tables));
-                }
                 Some(Versions::History) => {
                     let history = fetch("/history")?;
                     print(output, &history, || show::history(&history));
                 }
-                Some(Versions::Check { file }) => {
-                    let name = file.display().to_string();
-                    let text = std::fs::read_to_string(&file).with_context(|| name.clone())?;
-                    let asked: serde_json::Value = serde_json::from_str(&text).with_context(|| name)?;
-                    let would = show::fetch(&at, &format!("/tables/{proxy}/check"), Some(&asked))?;
-                    print(output, &would, || show::would(&would));
-                    if would["refused"].as_array().is_none_or(|refused| !refused.is_empty()) {
-                        return Ok(ExitCode::from(3));
-                    }
-                }
                 Some(Versions::Diff { one, other }) => {
                     let diff = fetch(&format!("/diff/{one}/{other}"))?;
                     print(output, &diff, || show::diff(&diff));
                 }
+                Some(Versions::Check { .. }) | None => {
+                    let tables = fetch("")?;
+                    print(output, &tables, || show::tables(&tables));
+                }
             }
         }
+        Command::Record { at } => {
+            println!("{}", show::fetch(&at, "/recording", None)?);
+        }
         Command::Rollback { version, scope, why, lasts, at, output } => {
             let mut asked = scope.said();
             (asked["version"], asked["why"], asked["for_s"]) = (version.into(), why.into(), lasts.into());
@@ -350,8 +372,8 @@
             let released = show::fetch(&at, "/release", Some(&scope.said()))?;
             println!("{} tables are released", released["released"]);
         }
-        Command::Rehearse { day, seeds, front, suspect, tape, output } => {
-            return rehearse(&day, &seeds, front, &suspect, tape, output);
+        Command::Rehearse { day, seeds, front, suspect, no_refusals, tape, output } => {
+            return rehearse(&day, &seeds, front, &suspect, no_refusals, tape, output);
         }
     }
     Ok(ExitCode::SUCCESS)
@@ -362,6 +384,7 @@
     seeds: &[u64],
     front: Fronts,
     suspect: &[String],
+    no_refusals: bool,
     tape: Option<PathBuf>,
     output: Output,
 ) -> Result<ExitCode> {
@@ -377,6 +400,10 @@
     for seed in seeds {
         let verdict = wrenthread_rehearsal::rehearse(&program, day, *seed, fronts, tape.as_deref())?;
         passed &= verdict.passed();
+        if no_refusals && verdict.refused() > 0 {
+            eprintln!("{day}, seed {seed}: {} tables were refused, and none should be", verdict.refused());
+            passed = false;
+        }
         print(output, &serde_json::to_value(&verdict)?, || verdict.to_string());
     }
     Ok(if passed { ExitCode::SUCCESS } else { ExitCode::from(3) })
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -332,7 +332,7 @@
     match query {
         Query::Ready(reply) => drop(reply.send(host.is_ready() && !host.is_draining())),
         Query::Override(asked, reply) => drop(reply.send(host.override_replica(now, &asked))),
-        Query::Would(proxy, asked, reply) => drop(reply.send(host.would(now, &proxy, &asked))),
+        Query::Record(reply) => drop(reply.send(host.record(now, clock.calendar(now)))),
         Query::Why(name, reply) => drop(reply.send(host.why(now, &name))),
         Query::Governors(reply) => drop(reply.send(host.governors(now))),
         Query::Drain(draining, reply) => drop(reply.send(host.drain(now, draining))),
--- a/crates/daemon/src/show.rs
+++ b/crates/daemon/src/show.rs
@@ -6,6 +6,9 @@
 use serde_json::Value;
 use wrenthread_settings::Settings;
 
+/// No answer is larger: a recording of a thousand proxies is some ten million bytes.
+const LARGEST: u64 = 512 << 20;
+
 /// Asks a running governor's HTTP port.
 ///
 /// Errors: nobody answers there, or says that there is no such thing.
@@ -21,7 +24,8 @@
         Some(body) => agent.post(&url).header("content-type", "application/json").send(body.to_string()),
     };
     let mut answer = answer.with_context(|| format!("no governor answers at {at}"))?;
-    let text = answer.body_mut().read_to_string().with_context(|| format!("the answer of {url}"))?;
+    let body = answer.body_mut().with_config().limit(LARGEST);
+    let text = body.read_to_string().with_context(|| format!("the answer of {url}"))?;
     let value: Value =
         serde_json::from_str(&text).with_context(|| format!("{url} answered: {}", text.trim()))?;
     match value.get("error").and_then(Value::as_str) {
@@ -233,18 +237,15 @@
 
 pub fn would(would: &Value) -> String {
     if would["refused"].as_array().is_some_and(|refused| refused.is_empty()) {
-        return format!("{}: nothing would be refused\n", cell(&would["name"]));
+        let (tried, against) = (cell(&would["tried"]), cell(&would["against"]));
+        return format!("{tried} tables against what {against} holds: nothing would be refused\n");
     }
-    let heads = ["group", "replica", "asked", "allowed", "done", "why"];
+    let heads = ["proxy", "group", "replica", "asked", "allowed", "done", "why"];
     let mut text = listed(&would["refused"], &heads);
-    for group in would["told"].as_array().into_iter().flatten() {
-        let lines = listed(&group["lines"], &["replica", "weight"]);
-        let _ = writeln!(
-            text,
-            "\n{} would be told, at level {}:\n{lines}",
-            cell(&group["group"]),
-            cell(&group["level"])
-        );
+    for told in would["told"].as_array().into_iter().flatten() {
+        let lines = listed(&told["lines"], &["replica", "weight"]);
+        let (proxy, group, level) = (cell(&told["proxy"]), cell(&told["group"]), cell(&told["level"]));
+        let _ = writeln!(text, "\n{proxy} would be told for {group}, at level {level}:\n{lines}");
     }
     text
 }
--- a/crates/daemon/tests/polling.rs
+++ b/crates/daemon/tests/polling.rs
@@ -112,6 +112,24 @@
     std::fs::write(&file, running.replace("\"weight\": 1", "\"weight\": -1")).unwrap();
     let (code, said) = check();
     assert!(code == Some(3) && said.contains("a weight is not finite"), "{said}");
+    // The same against a recording, of many proxies at once, and when no governor is there any more.
+    let recording = governor.folder.join("recording.json");
+    std::fs::write(&recording, program(&governor, &["record"]).1).unwrap();
+    let against = |wanted: &str| {
+        std::fs::write(&file, wanted).unwrap();
+        let (file, recording) = (file.to_str().unwrap(), recording.to_str().unwrap());
+        program(&governor, &["tables", "check", file, "--against", recording])
+    };
+    let (code, said) = against(&format!("[{running}]"));
+    assert!(code == Some(0) && said.contains("2 tables against what"), "{said}");
+    let (code, said) = against(&running.replace("\"weight\": 1", "\"weight\": -1"));
+    assert!(code == Some(3) && said.contains("a weight is not finite"), "{said}");
+    let (code, said) = against(&running.replace("\"name\": \"p\"", "\"name\": \"x\""));
+    assert!(code == Some(1) && said.contains("no proxy `x` is joined there"), "{said}");
+    let half = std::fs::read_to_string(&recording).unwrap();
+    std::fs::write(&recording, &half[..half.len() / 2]).unwrap();
+    let (code, said) = against(&running);
+    assert!(code == Some(1) && said.contains("is no recording") && said.contains("line 1"), "{said}");
     std::fs::write(&file, "{").unwrap();
     assert!(check().1.contains("wanted.json"));
     let (code, said) = program(&governor, &["why", "w2"]);
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -106,6 +106,11 @@
 }
 
 impl Verdict {
+    /// Tables that the guard refused: with the module as it is, on any day, none should be.
+    pub fn refused(&self) -> u64 {
+        self.guard.1.values().sum()
+    }
+
     pub fn passed(&self) -> bool {
         self.rules.iter().all(|ruled| ruled.broken.is_empty()) && self.orders > 0 && self.reports > 0
     }
@@ -154,7 +159,7 @@
             None => writeln!(to),
         }?;
         let (passed, refused) = &self.guard;
-        writeln!(to, "  {passed} tables passed the guard, {} were refused", refused.values().sum::<u64>())?;
+        writeln!(to, "  {passed} tables passed the guard, {} were refused", self.refused())?;
         for (why, times) in refused {
             writeln!(to, "    {times:6} {why}")?;
         }
