Backups on the roster, and groups reached by several paths

Fleets that come from nginx have servers marked `backup` and locations of all kinds that share an upstream; neither could be said. Also, localities of a lower priority in an upstream's endpoints counted as plain ones.

A replica that is listed as a backup (roster file: `backup`; upstream: any priority but the first) is on the list only while no other is ready, and stays until one of the others has been ready for as long as a replica takes to warm up, without a break (`crates/core/src/standby.rs`). `group(paths = [...])` takes prefixes, exact paths, firm prefixes and patterns, which the routes hold in the order in which they count. A roster entry may name its `origin`.

--- a/crates/client/tests/model.rs
+++ b/crates/client/tests/model.rs
@@ -88,6 +88,7 @@
             weight: f64::from(n + 1),
             phase: if ready >> n & 1 == 1 { Phase::Ready } else { Phase::Draining },
             started: None,
+            backup: false,
         };
         self.engine.roster(self.now, (0..6).map(entry).collect());
     }
--- a/crates/core/benches/guard.rs
+++ b/crates/core/benches/guard.rs
@@ -20,6 +20,7 @@
         weight: 1.0,
         phase: if draining == Some(n) { Phase::Draining } else { Phase::Ready },
         started: None,
+        backup: false,
     };
     (0..REPLICAS).map(entry).collect()
 }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -15,7 +15,7 @@
 //! let mut engine = Engine::new(Setup::example(1), now);
 //! engine.roster(now, vec![Entry {
 //!     id: "r1".into(), address: "10.0.0.1:80".into(), zone: 0, weight: 1.0, phase: Phase::Ready,
-//!     started: None,
+//!     started: None, backup: false,
 //! }]);
 //! let (name, standing) = ("p".into(), vec![]);
 //! let join = Join { name, zone: 0, usual: 1.0, standing, holds_orders: false, claim: None };
@@ -52,6 +52,7 @@
 use crate::recording::{self, Recording};
 use crate::reports::{Discarded, Report, Reports, Told};
 use crate::roster::{Entry, Known, Roster, Taken};
+use crate::standby::Standby;
 use crate::tables::{Kept, Table, Tables};
 use crate::versions::{Said, Whole};
 
@@ -216,6 +217,7 @@
 
 pub struct Engine {
     rules: Governor,
+    standby: Standby,
     roster: Roster,
     fleet: Fleet,
     tables: Tables,
@@ -272,6 +274,7 @@
         };
         let join_cost = module.head_lines + (groups * module.standing_lines.clamp(1, 100)) as f64;
         Engine {
+            standby: Standby::new(module.warm_after),
             roster: Roster::new(empty_after),
             fleet: Fleet::new(proxies),
             tables: Tables::new(groups, module.usual_tries),
@@ -302,6 +305,11 @@
 
     /// The whole list of replicas, as its source now says it.
     pub fn roster(&mut self, now: Duration, entries: Vec<Entry>) {
+        let entries = self.standby.take(now, entries);
+        self.take_list(now, entries);
+    }
+
+    fn take_list(&mut self, now: Duration, entries: Vec<Entry>) {
         match self.roster.take(now, entries) {
             Taken::Same => {}
             Taken::Doubted(until) => self.out.push_back(Step::Note(Note::Doubted(until))),
@@ -661,8 +669,14 @@
     pub fn next_due(&self, now: Duration) -> Duration {
         let holds = self.holds.values().map(|hold| hold.until).min();
         let overrides = self.overrides.next_due();
-        let dues =
-            [self.roster.next_due(), self.reports.next_due(), self.pace.next_due(now), holds, overrides];
+        let dues = [
+            self.roster.next_due(),
+            self.standby.next_due(),
+            self.reports.next_due(),
+            self.pace.next_due(now),
+            holds,
+            overrides,
+        ];
         dues.into_iter().flatten().fold(self.beat_at, Duration::min)
     }
 
@@ -670,6 +684,9 @@
         if let Some(listed) = self.roster.due(now) {
             self.listed(now, &listed);
         }
+        if let Some(entries) = self.standby.due(now) {
+            self.take_list(now, entries);
+        }
         if self.holds.values().any(|hold| hold.until <= now) {
             self.end_holds(now, Over::Time, |_, hold| hold.until <= now);
         }
--- a/crates/core/src/engine/hostile.rs
+++ b/crates/core/src/engine/hostile.rs
@@ -24,6 +24,7 @@
         weight: 1.0,
         phase: if draining.contains(id) { Phase::Draining } else { Phase::Ready },
         started: started.filter(|_| *id == COLD),
+        backup: false,
     };
     REPLICAS.iter().map(entry).collect()
 }
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -6,7 +6,15 @@
 }
 
 fn entry(id: &str, phase: Phase) -> Entry {
-    Entry { id: id.into(), address: format!("{id}:1").into(), zone: 0, weight: 1.0, phase, started: None }
+    Entry {
+        id: id.into(),
+        address: format!("{id}:1").into(),
+        zone: 0,
+        weight: 1.0,
+        phase,
+        started: None,
+        backup: false,
+    }
 }
 
 fn ready(names: &[&str]) -> Vec<Entry> {
--- a/crates/core/src/holds.rs
+++ b/crates/core/src/holds.rs
@@ -153,6 +153,7 @@
             weight: 1.0,
             phase: *phase,
             started: started.map(s),
+            backup: false,
         };
         roster.take(s(60), entries.iter().map(entry).collect());
         roster
--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -255,6 +255,7 @@
                 Stage::Gone => Phase::Gone,
             },
             started: one.age_s.map(|age| NOW - span(age)),
+            backup: false,
         };
         roster.take(NOW, self.replicas.iter().map(entry).collect());
         let out: BTreeSet<&Arc<str>> =
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -23,6 +23,8 @@
     pub phase: Phase,
     /// When its process started, on the host's clock; none for long ago.
     pub started: Option<Duration>,
+    /// It is on the list only while no other is ready: [`crate::standby`].
+    pub backup: bool,
 }
 
 /// What the engine knows of a replica beyond what the module needs.
@@ -95,7 +97,7 @@
         let before = self.known.clone();
         self.known.values_mut().for_each(|one| one.phase = Phase::Gone);
         for entry in entries {
-            let Entry { id, address, zone, weight, phase, started } = entry;
+            let Entry { id, address, zone, weight, phase, started, backup: _ } = entry;
             // Clamped once: a start that moved with each list would make a new process of each.
             let known = before.get(&id).and_then(|known| known.started);
             let started = started.map(|at| if at > now { known.unwrap_or(now) } else { at });
@@ -169,6 +171,7 @@
             weight: 1.0,
             phase,
             started: started.map(Duration::from_secs),
+            backup: false,
         }
     }
 
--- /dev/null
+++ b/crates/core/src/standby.rs
@@ -0,0 +1,103 @@
+//! Replicas that are listed as backups: on the list only while no other replica is ready.
+//!
+//! They stay on it until one of the others has been ready for as long as a replica takes to warm up, without a
+//! break. That guards against a cold replica that comes back to all flows at once, and against a list that
+//! flaps; it does harm where backups are slow or far, for so long.
+
+use std::time::Duration;
+
+use wrenthread::interface::Phase;
+
+use crate::roster::Entry;
+
+#[derive(Debug)]
+pub struct Standby {
+    hold: Duration,
+    /// The list as its source said it last; kept only while it has backups.
+    last: Vec<Entry>,
+    /// Backups are on the list, as nobody else was ready.
+    called: bool,
+    /// Since when some other one is ready without a break.
+    back: Option<Duration>,
+}
+
+impl Standby {
+    /// `hold`: for how long one of the others must be ready before backups are let go.
+    pub fn new(hold: Duration) -> Self {
+        Standby { hold, last: Vec::new(), called: false, back: None }
+    }
+
+    /// A whole list, as its source says it: what is on it now.
+    pub fn take(&mut self, now: Duration, entries: Vec<Entry>) -> Vec<Entry> {
+        let any = entries.iter().any(|entry| entry.backup);
+        let ready = entries.iter().any(|entry| !entry.backup && entry.phase == Phase::Ready);
+        match ready {
+            true => drop(self.back.get_or_insert(now)),
+            // An empty list is doubted by whoever takes it; it calls nobody.
+            false if any => (self.called, self.back) = (true, None),
+            false => self.back = None,
+        }
+        self.last = if any { entries.clone() } else { Vec::new() };
+        self.listed(now, entries)
+    }
+
+    /// The list anew, when backups are let go.
+    pub fn due(&mut self, now: Duration) -> Option<Vec<Entry>> {
+        self.next_due().filter(|due| now >= *due)?;
+        Some(self.listed(now, self.last.clone()))
+    }
+
+    /// When [`Standby::due`] is next to be called.
+    pub fn next_due(&self) -> Option<Duration> {
+        self.back.filter(|_| self.called && !self.last.is_empty()).map(|back| back + self.hold)
+    }
+
+    fn listed(&mut self, now: Duration, mut entries: Vec<Entry>) -> Vec<Entry> {
+        if self.back.is_some_and(|back| now >= back + self.hold) {
+            self.called = false;
+        }
+        if !self.called {
+            entries.retain(|entry| !entry.backup);
+        }
+        entries
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn s(seconds: u64) -> Duration {
+        Duration::from_secs(seconds)
+    }
+
+    fn list(first: Phase) -> Vec<Entry> {
+        let entry = |id: &str, phase, backup| Entry {
+            id: id.into(),
+            address: format!("{id}:1").into(),
+            zone: 0,
+            weight: 1.0,
+            phase,
+            started: None,
+            backup,
+        };
+        vec![entry("a", first, false), entry("z", Phase::Ready, true)]
+    }
+
+    #[test]
+    fn backups_come_when_nobody_else_is_ready_and_go_once_one_has_been_for_a_while() {
+        let mut standby = Standby::new(s(20));
+        let ids = |list: &[Entry]| list.iter().map(|one| one.id.to_string()).collect::<Vec<_>>().join(" ");
+        assert_eq!(ids(&standby.take(s(1), list(Phase::Ready))), "a");
+        assert_eq!((standby.next_due(), standby.due(s(100))), (None, None));
+        assert_eq!(ids(&standby.take(s(2), list(Phase::Draining))), "a z");
+        assert_eq!(ids(&standby.take(s(3), list(Phase::Ready))), "a z", "not at once");
+        assert_eq!(ids(&standby.take(s(10), list(Phase::Draining))), "a z", "it flaps");
+        standby.take(s(12), list(Phase::Ready));
+        assert_eq!((standby.next_due(), standby.due(s(31))), (Some(s(32)), None));
+        assert_eq!(ids(&standby.due(s(32)).unwrap()), "a");
+        assert_eq!((standby.next_due(), standby.due(s(33))), (None, None));
+        assert_eq!(ids(&standby.take(s(40), vec![])), "", "an empty list is no list without the others");
+        assert_eq!(ids(&standby.take(s(41), list(Phase::Ready))), "a");
+    }
+}
--- a/crates/core/src/tables.rs
+++ b/crates/core/src/tables.rs
@@ -167,6 +167,7 @@
             weight: 1.0,
             phase: Phase::Ready,
             started: None,
+            backup: false,
         };
         roster.take(Duration::ZERO, names.iter().map(entry).collect());
         roster
--- a/crates/daemon/benches/scale.rs
+++ b/crates/daemon/benches/scale.rs
@@ -187,6 +187,7 @@
             weight: 1.0,
             phase: if draining == Some(n) { Phase::Draining } else { Phase::Ready },
             started: None,
+            backup: false,
         };
         (0..REPLICAS).map(entry).collect()
     };
--- a/crates/daemon/src/roster_file.rs
+++ b/crates/daemon/src/roster_file.rs
@@ -43,6 +43,12 @@
     phase: String,
     #[serde(default)]
     started: Option<f64>,
+    #[serde(default)]
+    backup: bool,
+    /// Where it comes from, for people.
+    #[serde(default)]
+    #[allow(dead_code)]
+    origin: Option<String>,
 }
 
 fn one() -> f64 {
@@ -121,6 +127,7 @@
             weight: raw.weight,
             phase,
             started: raw.started.and_then(|at| clock.at(at)),
+            backup: raw.backup,
         });
     }
     Ok(entries)
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,7 +12,7 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use wrenthread_core::roster::Entry;
 use wrenthread_core::takeover::Key;
-use wrenthread_settings::{RosterSource, Route, Settings};
+use wrenthread_settings::{PathRoute, RosterSource, Route, Settings};
 use wrenthread_talk::{Talk, Terms};
 use wrenthread_xds::service::Front;
 use wrenthread_xds::{Wire, WireGroup, upstream};
@@ -41,12 +41,23 @@
     Ok(wrenthread_settings::load_apart(&program, &["read-settings"], path)?)
 }
 
+fn path(path: PathRoute) -> wrenthread_xds::Path {
+    match path {
+        PathRoute::Prefix(prefix) => wrenthread_xds::Path::Prefix(prefix),
+        PathRoute::Exact(path) => wrenthread_xds::Path::Exact(path),
+        PathRoute::Firm(prefix) => wrenthread_xds::Path::Firm(prefix),
+        PathRoute::Pattern(pattern) => wrenthread_xds::Path::Pattern(pattern, false),
+        PathRoute::AnyCase(pattern) => wrenthread_xds::Path::Pattern(pattern, true),
+    }
+}
+
 pub fn wire(settings: &Settings, epoch: u64) -> Wire {
     let group = |group: &wrenthread_settings::Group| WireGroup {
         name: group.name.clone(),
         route: match &group.route {
             Route::Prefix(prefix) => wrenthread_xds::Route::Prefix(prefix.clone()),
             Route::Header(name, value) => wrenthread_xds::Route::Header(name.clone(), value.clone()),
+            Route::Paths(paths) => wrenthread_xds::Route::Paths(paths.iter().cloned().map(path).collect()),
         },
         expiry: span(group.expiry),
     };
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -78,6 +78,55 @@
 pub enum Route {
     Prefix(String),
     Header(String, String),
+    Paths(Vec<PathRoute>),
+}
+
+/// One path of several that lead to a group. Which comes first of those that fit a flow: an exact one, the
+/// longest prefix if it is a firm one, the first pattern, the longest prefix.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PathRoute {
+    Prefix(String),
+    Exact(String),
+    /// A prefix that goes before patterns.
+    Firm(String),
+    /// A regular expression that some part of the path fits.
+    Pattern(String),
+    /// The same, in upper and lower case alike.
+    AnyCase(String),
+}
+
+impl PathRoute {
+    /// Errors: what is wrong with it.
+    pub fn read(text: &str) -> Result<Self, String> {
+        let (kind, rest) = match text.split_once(' ') {
+            Some((kind, rest)) if ["=", "^~", "~", "~*"].contains(&kind) => (kind, rest.trim()),
+            _ => ("", text),
+        };
+        let pattern = |route: fn(String) -> PathRoute| match regex::Regex::new(rest) {
+            Ok(_) => Ok(route(rest.to_string())),
+            Err(_) => Err(format!("\"{text}\" is no regular expression that proxies take")),
+        };
+        match (kind, rest.starts_with('/')) {
+            ("~", _) => pattern(PathRoute::Pattern),
+            ("~*", _) => pattern(PathRoute::AnyCase),
+            ("", true) => Ok(PathRoute::Prefix(rest.to_string())),
+            ("=", true) => Ok(PathRoute::Exact(rest.to_string())),
+            ("^~", true) => Ok(PathRoute::Firm(rest.to_string())),
+            _ => Err(format!("path \"{text}\" does not begin with `/`")),
+        }
+    }
+}
+
+/// An nginx that follows by files.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Nginx {
+    pub include: PathBuf,
+    pub reload: Vec<String>,
+    pub every: f64,
+    pub drains_every: f64,
+    pub reload_within: f64,
+    pub access_log: Option<PathBuf>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -128,6 +177,7 @@
     pub poll: Option<SocketAddr>,
     pub keepalive: f64,
     pub keepalive_timeout: f64,
+    pub nginx: Nginx,
 }
 
 /// Reads and checks a script. Paths in it are taken from its own folder.
@@ -142,6 +192,9 @@
         if let RosterSource::File(roster) = &mut settings.roster {
             *roster = folder.join(&*roster);
         }
+        let nginx = &mut settings.nginx;
+        nginx.include = folder.join(&nginx.include);
+        nginx.access_log = nginx.access_log.as_ref().map(|log| folder.join(log));
         settings.keys.iter_mut().for_each(|key| *key = folder.join(&*key));
     }
     Ok(settings)
@@ -234,6 +287,7 @@
     let reports = check.read("reports", one("reports"));
     let roster = check.read("roster", one("roster"));
     let listen = check.read("listen", one("listen"));
+    let nginx = check.read("nginx", one("nginx"));
     let zones = fleet.texts("zones");
     if zones.is_empty() && one("fleet").is_some_and(|fleet| fleet.fields.contains_key("zones")) {
         check.fault(fleet.line, "`zones` is empty; name at least one".into());
@@ -317,6 +371,14 @@
         poll,
         keepalive: listen.number("keepalive"),
         keepalive_timeout: listen.number("keepalive_timeout"),
+        nginx: Nginx {
+            include: nginx.text("include").unwrap_or_default().into(),
+            reload: nginx.texts("reload"),
+            every: nginx.number("every"),
+            drains_every: nginx.number("drains_every"),
+            reload_within: nginx.number("reload_within"),
+            access_log: nginx.text("access_log").map(PathBuf::from),
+        },
     })
 }
 
@@ -452,7 +514,14 @@
             );
             self.fault(line, why);
         }
+        let paths: Vec<PathRoute> = read
+            .texts("paths")
+            .iter()
+            .filter_map(|path| PathRoute::read(path).map_err(|why| self.fault(line, why)).ok())
+            .collect();
         let route = match (read.text("prefix"), read.text("header")) {
+            (None, None) if !read.texts("paths").is_empty() => Some(Route::Paths(paths)),
+            _ if !read.texts("paths").is_empty() => None,
             (Some(prefix), None) if prefix.starts_with('/') => Some(Route::Prefix(prefix)),
             (None, Some(header)) => header
                 .split_once(':')
@@ -463,11 +532,20 @@
         };
         if route.is_none() {
             let why = format!(
-                "group `{name}` needs a `prefix` that begins with `/`, or a `header` as \"name: value\""
+                "group `{name}` needs a `prefix` that begins with `/`, a `header` as \"name: value\", or `paths`"
             );
             self.fault(line, why);
         }
-        if let Some(other) = others.iter().find(|other| Some(&other.route) == route.as_ref()) {
+        let paths = |route: &Route| match route {
+            Route::Prefix(prefix) => vec![PathRoute::Prefix(prefix.clone())],
+            Route::Header(..) => Vec::new(),
+            Route::Paths(paths) => paths.clone(),
+        };
+        let same = |other: &&Group| {
+            let here = route.as_ref().map(paths).unwrap_or_default();
+            Some(&other.route) == route.as_ref() || paths(&other.route).iter().any(|path| here.contains(path))
+        };
+        if let Some(other) = others.iter().find(same) {
             self.fault(line, format!("groups `{name}` and `{}` have the same route", other.name));
         }
         let route = route.filter(|_| self.faults.len() == before)?;
@@ -550,7 +628,7 @@
             _ => serde_json::Map::new(),
         };
         let (now, then) = (as_map(self), as_map(later));
-        let loose = ["report_lines_per_s", "roster", "look_every"];
+        let loose = ["report_lines_per_s", "roster", "look_every", "nginx"];
         let fixed = now.iter().filter(|(name, _)| !loose.contains(&name.as_str()));
         fixed
             .filter(|(name, value)| then.get(*name) != Some(value))
@@ -635,6 +713,10 @@
         assert!(why(&GOOD.replace("roster(", "#")).contains("needs a `file`, or an `upstream`"));
         assert!(why(&GOOD.replace("deduped_by = \"all\", ", "")).contains("go with effect"));
         assert!(why(&GOOD.replace("X-Group: charge", "X-Group")).contains("needs a `prefix`"));
+        let paths = |paths: &str| GOOD.replace("header = \"X-Group: charge\"", &format!("paths = {paths}"));
+        assert!(why(&paths("[\"= x\"]")).contains("path \"= x\" does not begin with `/`"));
+        assert!(why(&paths("[\"~ (\"]")).contains("no regular expression"));
+        assert!(why(&paths("[\"/x\", \"/match\"]")).contains("have the same route"));
         assert!(why(&GOOD.replace("plain(name, 2)", "plain('match', 2)")).contains("was said already"));
         assert!(why(&GOOD.replace("\"waiting\"", "\"wating\"")).contains("did you mean `waiting`"));
         assert!(
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -84,6 +84,13 @@
             ),
             field("prefix", Takes::Text, Open, "path prefix of its flows"),
             field("header", Takes::Text, Open, "`name: value` that its flows carry, instead of a prefix"),
+            field(
+                "paths",
+                Takes::Texts,
+                Open,
+                "or several paths: \"/prefix\", \"= /exact\", \"^~ /prefix before patterns\", \"~ pattern\", \
+                 \"~* pattern of any case\"",
+            ),
         ],
     },
     Section {
@@ -222,6 +229,44 @@
             ),
         ],
     },
+    Section {
+        name: "nginx",
+        many: false,
+        says: "an nginx that follows this governor by files (`wrenthread export nginx`)",
+        fields: &[
+            field(
+                "include",
+                Takes::Text,
+                Text("wrenthread.conf"),
+                "the file that it includes, replaced whole",
+            ),
+            field(
+                "reload",
+                Takes::Texts,
+                Open,
+                "the command that has it read the file; none is run without it",
+            ),
+            field(
+                "every",
+                Takes::Seconds(0.05, 3600.0),
+                Number(5.0),
+                "from one file to the next, at the least",
+            ),
+            field(
+                "drains_every",
+                Takes::Seconds(0.05, 3600.0),
+                Number(1.0),
+                "the same, for one that shuts something",
+            ),
+            field(
+                "reload_within",
+                Takes::Seconds(0.05, 600.0),
+                Number(10.0),
+                "the command has failed after it",
+            ),
+            field("access_log", Takes::Text, Open, "its log in our format, read as load reports"),
+        ],
+    },
     Section {
         name: "listen",
         many: false,
--- a/crates/xds/src/decode.rs
+++ b/crates/xds/src/decode.rs
@@ -192,6 +192,7 @@
 ///
 /// Health maps to phases: DRAINING drains; UNHEALTHY, TIMEOUT and DEGRADED are left to the module's own eyes
 /// and count as ready, since a source that calls everything ill would bare the fleet; absent ones are gone.
+/// Localities of any priority but the first are backups, all alike.
 pub fn entries(
     wire: &Wire,
     assignment: &ClusterLoadAssignment,
@@ -199,6 +200,7 @@
 ) -> Result<Vec<Entry>, Unclear> {
     let mut entries = Vec::new();
     for zone in &assignment.endpoints {
+        let backup = zone.priority > 0;
         let said = zone.locality.as_ref().map_or("", |locality| &locality.zone);
         for endpoint in &zone.lb_endpoints {
             let place = entries.len() + 1;
@@ -230,6 +232,7 @@
                     _ => Phase::Ready,
                 },
                 started,
+                backup,
             });
         }
     }
--- a/crates/xds/src/encode.rs
+++ b/crates/xds/src/encode.rs
@@ -39,10 +39,10 @@
 use crate::pb::envoy::extensions::filters::network::http_connection_manager::v3::{
     HttpConnectionManager, HttpFilter, Rds, http_connection_manager::RouteSpecifier, http_filter,
 };
-use crate::pb::envoy::r#type::matcher::v3::{StringMatcher, string_matcher::MatchPattern};
+use crate::pb::envoy::r#type::matcher::v3::{RegexMatcher, StringMatcher, string_matcher::MatchPattern};
 use crate::pb::envoy::r#type::v3::{FractionalPercent, Percent, fractional_percent::DenominatorType};
 use crate::pb::google::protobuf::{Any, Duration, UInt32Value};
-use crate::{Route, Wire, WireGroup};
+use crate::{Path, Route, Wire, WireGroup};
 
 /// The one listener and the one route configuration that all proxies are given.
 pub const LISTENER: &str = "wrenthread";
@@ -250,28 +250,75 @@
     })
 }
 
-fn routes(wire: &Wire, tries: &[FurtherTries]) -> RouteConfiguration {
-    let routes = wire.groups.iter().zip(tries).map(|(group, tries)| {
-        let (path, headers) = match &group.route {
-            Route::Prefix(prefix) => (prefix.clone(), vec![]),
+/// Routes in the order in which proxies are to try them: the first that fits counts.
+///
+/// Groups said by one prefix or header each stand as they were said. Where any has several paths, headers go
+/// first, and paths by [`Path`]'s rule. Under a firm prefix a longer one that is not firm goes before patterns,
+/// too: one list can't say that it should only for flows that no pattern fits.
+fn ordered(groups: &[WireGroup]) -> Vec<(usize, PathSpecifier, Option<(&str, &str)>)> {
+    let whole = || PathSpecifier::Prefix("/".to_string());
+    let several = groups.iter().any(|group| matches!(group.route, Route::Paths(_)));
+    let mut paths: Vec<(usize, Path)> = Vec::new();
+    let mut routes = Vec::new();
+    for (place, group) in groups.iter().enumerate() {
+        match &group.route {
             Route::Header(name, value) => {
-                let exact = StringMatcher {
-                    match_pattern: Some(MatchPattern::Exact(value.clone())),
-                    ..StringMatcher::default()
-                };
-                let header = HeaderMatcher {
-                    name: name.clone(),
-                    header_match_specifier: Some(HeaderMatchSpecifier::StringMatch(exact)),
-                    ..HeaderMatcher::default()
-                };
-                ("/".to_string(), vec![header])
+                routes.push((place, whole(), Some((name.as_str(), value.as_str()))))
+            }
+            Route::Prefix(prefix) if several => paths.push((place, Path::Prefix(prefix.clone()))),
+            Route::Prefix(prefix) => routes.push((place, PathSpecifier::Prefix(prefix.clone()), None)),
+            Route::Paths(all) => paths.extend(all.iter().map(|path| (place, path.clone()))),
+        }
+    }
+    let firm: Vec<String> = paths
+        .iter()
+        .filter_map(|(_, path)| if let Path::Firm(prefix) = path { Some(prefix.clone()) } else { None })
+        .collect();
+    let under_firm = |prefix: &String| firm.iter().any(|firm| prefix.starts_with(firm));
+    let rank = |(_, path): &(usize, Path)| match path {
+        Path::Exact(_) => (0, 0),
+        Path::Firm(prefix) => (1, usize::MAX - prefix.len()),
+        Path::Prefix(prefix) if under_firm(prefix) => (1, usize::MAX - prefix.len()),
+        Path::Pattern(..) => (2, 0),
+        Path::Prefix(prefix) => (3, usize::MAX - prefix.len()),
+    };
+    // Stable: patterns stay as they were said.
+    paths.sort_by_key(rank);
+    routes.extend(paths.into_iter().map(|(place, path)| {
+        let path = match path {
+            Path::Exact(path) => PathSpecifier::Path(path),
+            Path::Firm(prefix) | Path::Prefix(prefix) => PathSpecifier::Prefix(prefix),
+            Path::Pattern(pattern, any_case) => {
+                // The wire's pattern has to fit the whole path.
+                let case = if any_case { "i" } else { "" };
+                let regex = format!("(?s{case}).*(?:{pattern}).*");
+                PathSpecifier::SafeRegex(RegexMatcher { regex, ..RegexMatcher::default() })
             }
         };
-        WireRoute {
+        (place, path, None)
+    }));
+    routes
+}
+
+fn routes(wire: &Wire, tries: &[FurtherTries]) -> RouteConfiguration {
+    let routes = ordered(&wire.groups).into_iter().filter_map(|(place, path, header)| {
+        let (group, tries) = (&wire.groups[place], tries.get(place)?);
+        let header = header.map(|(name, value)| {
+            let exact = StringMatcher {
+                match_pattern: Some(MatchPattern::Exact(value.to_string())),
+                ..StringMatcher::default()
+            };
+            HeaderMatcher {
+                name: name.to_string(),
+                header_match_specifier: Some(HeaderMatchSpecifier::StringMatch(exact)),
+                ..HeaderMatcher::default()
+            }
+        });
+        Some(WireRoute {
             name: group.name.clone(),
             r#match: Some(RouteMatch {
-                headers,
-                path_specifier: Some(PathSpecifier::Prefix(path)),
+                headers: header.into_iter().collect(),
+                path_specifier: Some(path),
                 ..RouteMatch::default()
             }),
             action: Some(route::Action::Route(RouteAction {
@@ -281,7 +328,7 @@
                 ..RouteAction::default()
             })),
             ..WireRoute::default()
-        }
+        })
     });
     RouteConfiguration {
         name: ROUTES.to_string(),
@@ -353,6 +400,35 @@
         assert_eq!(policies, [None, Some("connect-failure,refused-stream".into())]);
     }
 
+    #[test]
+    fn of_several_paths_the_one_that_counts_stands_first() {
+        let group = |name: &str, paths: Vec<Path>| WireGroup {
+            name: name.into(),
+            route: Route::Paths(paths),
+            expiry: std::time::Duration::from_secs(1),
+        };
+        let prefix = |prefix: &str| Path::Prefix(prefix.into());
+        let wire = Wire {
+            groups: vec![
+                group("rest", vec![prefix("/"), prefix("/a/long")]),
+                group("firm", vec![Path::Firm("/s/".into()), prefix("/s/x/")]),
+                group("odd", vec![Path::Pattern("[.]php$".into(), true), Path::Exact("/a".into())]),
+            ],
+            ..wire()
+        };
+        let said = routes(&wire, &[FurtherTries::Never; 3]).virtual_hosts.remove(0).routes;
+        let path = |route: &WireRoute| match route.r#match.as_ref().unwrap().path_specifier.clone().unwrap() {
+            PathSpecifier::Path(path) => format!("= {path}"),
+            PathSpecifier::Prefix(prefix) => prefix,
+            PathSpecifier::SafeRegex(regex) => regex.regex,
+            other => panic!("{other:?}"),
+        };
+        let said: Vec<String> = said.iter().map(|route| format!("{} {}", route.name, path(route))).collect();
+        let wanted =
+            ["odd = /a", "firm /s/x/", "firm /s/", "odd (?si).*(?:[.]php$).*", "rest /a/long", "rest /"];
+        assert_eq!(said, wanted);
+    }
+
     #[test]
     fn the_same_content_has_the_same_mark() {
         let table = Table { lines: vec![line("a", 0, 1.0, true)], level: 1.0 };
--- a/crates/xds/src/lib.rs
+++ b/crates/xds/src/lib.rs
@@ -81,6 +81,20 @@
 pub enum Route {
     Prefix(String),
     Header(String, String),
+    /// Several paths; which goes before which is [`Path`]'s.
+    Paths(Vec<Path>),
+}
+
+/// A path that leads to a group. First come exact ones; then the longest prefix if it is a firm one; then the
+/// first pattern; then the longest prefix.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Path {
+    Prefix(String),
+    Exact(String),
+    /// A prefix that goes before patterns.
+    Firm(String),
+    /// A regular expression that some part of the path fits; whether upper and lower case are alike.
+    Pattern(String, bool),
 }
 
 #[cfg(test)]
--- a/crates/xds/src/session/tests.rs
+++ b/crates/xds/src/session/tests.rs
@@ -41,6 +41,7 @@
         weight: 1.0,
         phase: Phase::Ready,
         started: None,
+        backup: false,
     };
     names.iter().map(entry).collect()
 }
