--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -31,8 +31,8 @@
 /// So many times its part it may always be brought: the module works near that.
 const COLD_LEAST: f64 = 1.6;
 /// Chance is heeded where the proxies here are nearly all there are. A governor with a part of them has most in
-/// one zone, whose cold ones it rightly sends more than their even part of its own flows (it was refused
-/// thousands of times on days with three governors).
+/// one zone, whose cold ones it rightly sends more than their even part of its own flows: it may, up to the fall
+/// (with twice the part it was refused 204 times on the day `stall`, at 2.09).
 const NEARLY_ALL: f64 = 1.2;
 /// And a warm one so many times what is known that it can take, if the others have room.
 pub const WARM_MARGIN: f64 = 3.0;
@@ -382,7 +382,7 @@
             let mut room = self.limits.lines_most;
             for (place, change) in changes.iter().enumerate() {
                 room -= tables[place].lines.len() as f64;
-                let held = change.held.map(|held| shut(held, &open)).filter(is_open);
+                let held = self.last(change, &open);
                 if let Some(held) = held.filter(|_| room < 0.0) {
                     refused.push((
                         place,
@@ -401,7 +401,7 @@
             for (place, change) in changes.iter().enumerate() {
                 let since = self.lasting.get(&(change.proxy, change.group, Reason::Sweep));
                 let lasted = since.is_some_and(|since| now >= *since + HELD_FOR);
-                let held = change.held.map(|held| shut(held, &open)).filter(is_open);
+                let held = self.last(change, &open);
                 let done = if lasted || held.is_none() { Done::LetThrough } else { Done::Kept };
                 refused.push((place, Reason::Sweep, done, None, moved, AT_ONCE));
                 if let (Done::Kept, Some(held)) = (done, held) {
@@ -417,6 +417,16 @@
         tables
     }
 
+    /// The last good table of a change's place, as it may be told now, if anything of it is left.
+    fn last(&self, change: &Change, open: &impl Fn(&ReplicaId) -> bool) -> Option<Table> {
+        let own_zone = self.limits.own_zone.get(change.group).copied().unwrap_or(false);
+        let mut last = change.held.map(|held| shut(held, open))?;
+        if own_zone {
+            last.lines.iter_mut().for_each(|line| line.open &= line.zone == change.zone);
+        }
+        Some(last).filter(is_open)
+    }
+
     /// The part of all flows that a change moves to other replicas.
     fn moved(&self, changes: &[Change], tables: &[Table]) -> f64 {
         let all: f64 = self.shares.values().map(|share| share.flows).sum();
@@ -478,7 +488,7 @@
                 // All of it is too much, and for a cold one: what is good of the last table, or of its own
                 // lines, has others, too. What is too much for warm ones only goes out as it was asked.
                 let other = (all && cold && pass == 0).then(|| {
-                    let held = change.held.map(|held| shut(held, open));
+                    let held = self.last(change, open);
                     let own = || Some(standing(change, roster, open)).filter(is_open);
                     let more = |table: &Table| {
                         table.lines.iter().any(|line| line.open && !caps.contains_key(&line.replica))
@@ -621,7 +631,7 @@
         let (reason, most) = match warmth < 1.0 {
             true => {
                 let part = unit.even * warmth * weight;
-                (Reason::Cold, if unit.all <= NEARLY_ALL { bearable(part) } else { COLD_MARGIN * part })
+                (Reason::Cold, if unit.all <= NEARLY_ALL { bearable(part) } else { COLD_FALL * part })
             }
             false => (Reason::Over, unit.known * weight * WARM_MARGIN),
         };
@@ -692,10 +702,12 @@
     table.lines.iter().any(|line| line.open)
 }
 
-/// A table as it was told, less what drains, is gone or is withdrawn by now.
+/// A table as it was told, less what drains, is gone or is withdrawn now; a line that was shut for that and is
+/// not any more is open again. Otherwise a table that is kept through a deploy would come down to its last
+/// lines, and those be overrun.
 fn shut(held: &Table, open: &impl Fn(&ReplicaId) -> bool) -> Table {
     let mut table = held.clone();
-    table.lines.iter_mut().for_each(|line| line.open &= open(&line.replica));
+    table.lines.iter_mut().for_each(|line| line.open = open(&line.replica));
     table
 }
 
@@ -751,11 +763,7 @@
         return table;
     }
     let reason = if own_zone { Reason::ZoneBare } else { Reason::Bare };
-    let mut held = change.held.cloned();
-    if let Some(held) = held.as_mut().filter(|_| !any_open) {
-        held.lines.iter_mut().for_each(|line| line.open = true);
-    }
-    let held = held.map(|held| shut(&held, &fits)).filter(is_open);
+    let held = change.held.map(|held| shut(held, &fits)).filter(is_open);
     if let Some(held) = held {
         refuse(reason, Done::Kept, None, asked as f64, 1.0);
         return held;
@@ -885,6 +893,14 @@
         assert_eq!((open(&out).len(), why), (1, vec![(Reason::OutOfZone, Done::Corrected)]));
         let (out, why) = judged(&mut own, &roster, None, table(&[("g", 1.0)]));
         assert!(why.contains(&(Reason::ZoneBare, Done::LastResort)) && open(&out).len() == 6);
+        // A last good table that was shut in a line for a drain has it back once that is over.
+        let mut held = table(&[("a", 1.0), ("b", 1.0), ("g", 1.0)]);
+        held.lines.iter_mut().for_each(|line| line.open = &*line.replica == "b");
+        let back = super::tests::roster(&["b"], &[]);
+        let (out, _) = judged(&mut super::tests::guard(true), &back, Some(&held), table(&[]));
+        assert_eq!(open(&out), [("a".to_string(), 1.0)], "and none that its group must not go to");
+        let last = super::tests::guard(true).last(&change(0, Some(&held), table(&[])), &|_| true);
+        assert_eq!(last.map(|last| open(&last).len()), Some(2));
         let mut guard = guard(false);
         let odd = [("a", f64::NAN), ("b", f64::INFINITY), ("c", -1.0), ("d", 1.0), ("e", 2.0)];
         let (out, why) = judged(&mut guard, &roster, None, table(&odd));
--- /dev/null
+++ b/crates/nginx-importer/src/fates.rs
@@ -0,0 +1,507 @@
+//! What becomes of each directive, and why: the importer's account. None is left out of it.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::files::Whole;
+use crate::syntax::{Body, Directive, Place};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    Carried,
+    /// Carried over, with a stated difference.
+    Differs,
+    /// Not carried over.
+    Left,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Fate {
+    pub outcome: Outcome,
+    /// It bears on where flows go, when they are tried again or how many there are: `--strict` minds if such a
+    /// directive is left. What does not stays the proxy's own business.
+    pub routing: bool,
+    pub why: Cow<'static, str>,
+    pub advice: Cow<'static, str>,
+}
+
+/// One kind of directive, as far as nothing more is known of it than its name.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Rule {
+    pub name: &'static str,
+    pub outcome: Outcome,
+    pub routing: bool,
+    pub why: &'static str,
+    pub advice: &'static str,
+}
+
+const fn rule(
+    name: &'static str,
+    outcome: Outcome,
+    routing: bool,
+    why: &'static str,
+    advice: &'static str,
+) -> Rule {
+    Rule { name, outcome, routing, why, advice }
+}
+
+use Outcome::{Carried, Differs, Left};
+
+/// What is said of directives that bear on routing, by name.
+pub const RULES: &[Rule] = &[
+    rule("http", Carried, false, "what is in it is read", ""),
+    rule("server", Carried, false, "what is in it is read", ""),
+    rule("include", Carried, false, "what it names stands in its place", ""),
+    rule("upstream", Carried, true, "a pool of replicas: a governor's settings and roster", ""),
+    rule("location", Carried, true, "a path of a traffic group", ""),
+    rule("proxy_pass", Carried, true, "leads the location's flows to its pool", ""),
+    rule("weight", Carried, true, "the replica's weight on the roster", ""),
+    rule("down", Carried, true, "the replica is listed as gone", "change `phase` to bring it back"),
+    rule(
+        "backup",
+        Differs,
+        true,
+        "on the list only while no other replica is ready, and until one of those has been for as long as a \
+         replica takes to warm up; nginx lets backups in when its own tries at the others fail",
+        "",
+    ),
+    rule(
+        "max_conns",
+        Left,
+        true,
+        "a governor knows no bound on connections",
+        "say a lower weight; proxies keep their own bound",
+    ),
+    rule(
+        "max_fails",
+        Differs,
+        true,
+        "the governor holds a replica back by what all proxies report, and not by a count",
+        "",
+    ),
+    rule(
+        "fail_timeout",
+        Differs,
+        true,
+        "a replica that is held back is tried again in steps of the governor's own",
+        "",
+    ),
+    rule(
+        "resolve",
+        Left,
+        true,
+        "a roster holds addresses, and names are looked up by nobody",
+        "have the roster written anew where the name's addresses change",
+    ),
+    rule(
+        "slow_start",
+        Differs,
+        true,
+        "the longest of a pool is the time to warm up, from a twentieth of its part and not from nothing; it \
+         holds after a start that the roster tells, not after each failure",
+        "let the roster say `started`",
+    ),
+    rule("drain", Carried, true, "the replica is listed as draining", ""),
+    rule("service", Left, true, "names are looked up by nobody", "list the addresses"),
+    rule("route", Left, true, "sessions are not bound to replicas", ""),
+    rule(
+        "zone",
+        Differs,
+        true,
+        "workers of a proxy share nothing through the governor: its proxies all follow it",
+        "",
+    ),
+    rule(
+        "least_conn",
+        Differs,
+        true,
+        "weights are solved from reported load, so that the busiest replica is least busy",
+        "",
+    ),
+    rule("least_time", Differs, true, "weights are solved from reported load", ""),
+    rule(
+        "random",
+        Differs,
+        true,
+        "picks are by weight and chance; weights are solved from reported load",
+        "",
+    ),
+    rule(
+        "ip_hash",
+        Left,
+        true,
+        "flows of one client do not stay with one replica",
+        "where replicas keep sessions, leave this upstream to nginx",
+    ),
+    rule(
+        "hash",
+        Left,
+        true,
+        "flows of one key do not stay with one replica",
+        "where replicas keep state by key, leave this upstream to nginx",
+    ),
+    rule("sticky", Left, true, "sessions are not bound to replicas", "leave this upstream to nginx"),
+    rule("queue", Left, true, "flows do not wait for a replica", "levels let in what can be done in time"),
+    rule("state", Left, true, "the roster is the list", ""),
+    rule("keepalive", Left, false, "connections are the proxy's own", "keep it in the proxy"),
+    rule("keepalive_requests", Left, false, "connections are the proxy's own", "keep it in the proxy"),
+    rule("keepalive_time", Left, false, "connections are the proxy's own", "keep it in the proxy"),
+    rule("keepalive_timeout", Left, false, "connections are the proxy's own", "keep it in the proxy"),
+    rule("ntlm", Left, true, "connections are not bound to clients", "leave this upstream to nginx"),
+    rule(
+        "proxy_next_upstream",
+        Differs,
+        true,
+        "which failures may be tried again: by the group's effect, and at most one further try",
+        "say `effect` where a group's flows may run twice",
+    ),
+    rule(
+        "proxy_next_upstream_tries",
+        Differs,
+        true,
+        "one further try at the most; more of them are not made",
+        "",
+    ),
+    rule("proxy_next_upstream_timeout", Differs, true, "bounds the expiry of the group", ""),
+    rule(
+        "proxy_connect_timeout",
+        Differs,
+        true,
+        "with the time to read it is the latency budget, as nginx takes any answer within both",
+        "say the latency budget that clients really have",
+    ),
+    rule(
+        "proxy_read_timeout",
+        Differs,
+        true,
+        "with the time to connect it is the latency budget; it bounds the whole answer, not the time between \
+         two reads",
+        "say the latency budget that clients really have",
+    ),
+    rule(
+        "proxy_send_timeout",
+        Left,
+        true,
+        "there is a latency budget for the whole, and none for sending",
+        "",
+    ),
+    rule(
+        "limit_req",
+        Differs,
+        true,
+        "the governor sets the share of a group that is let in by load, and knows no rate",
+        "keep limits by client in the proxy",
+    ),
+    rule(
+        "limit_conn",
+        Differs,
+        true,
+        "the governor sets the share of a group that is let in by load, and knows no count",
+        "keep limits by client in the proxy",
+    ),
+    rule("limit_req_zone", Left, true, "keys of limits are the proxy's own", "keep it in the proxy"),
+    rule("limit_conn_zone", Left, true, "keys of limits are the proxy's own", "keep it in the proxy"),
+    rule("limit_except", Carried, true, "flows that only read may run twice: the group is retriable", ""),
+    rule("proxy_method", Differs, true, "a method that only reads makes the group retriable", ""),
+    rule(
+        "split_clients",
+        Differs,
+        true,
+        "one pool of all its upstreams with their weights in these parts; a client may change its part",
+        "",
+    ),
+    rule("map", Differs, true, "a group for each value of the header, in its upstream's pool", ""),
+    rule("stream", Left, true, "connections without HTTP are not followed", "leave them to nginx"),
+    rule("mail", Left, false, "mail is not followed", "leave it to nginx"),
+    rule(
+        "rewrite",
+        Left,
+        true,
+        "flows are matched by their path as it comes",
+        "keep it in the proxy, ahead of the route",
+    ),
+    rule("if", Left, true, "conditions are not followed", "say what it chooses by paths or a header"),
+    rule("error_page", Left, true, "answers are passed as they come", "keep it in the proxy"),
+    rule("try_files", Left, true, "files are the proxy's own", "keep it in the proxy"),
+    rule("mirror", Left, true, "flows are not doubled", "keep it in the proxy"),
+    rule("server_name", Differs, true, "governors do not tell hosts apart", "run a governor for each host"),
+    rule("listen", Left, false, "where proxies listen is their own", ""),
+    rule("return", Left, false, "the proxy answers by itself", "keep it in the proxy"),
+    rule("internal", Left, true, "a location that no client reaches is no route", ""),
+    rule("fastcgi_pass", Left, true, "only HTTP and gRPC are followed", "leave it to nginx"),
+    rule("uwsgi_pass", Left, true, "only HTTP and gRPC are followed", "leave it to nginx"),
+    rule("scgi_pass", Left, true, "only HTTP and gRPC are followed", "leave it to nginx"),
+    rule("memcached_pass", Left, true, "only HTTP and gRPC are followed", "leave it to nginx"),
+    rule("grpc_pass", Carried, true, "leads the location's flows to its pool", ""),
+];
+
+/// Directives that are the proxy's own business: how it listens, logs, caches, compresses, encrypts, allows.
+const OWN: &[&str] = &[
+    "accept_mutex",
+    "access_log",
+    "add_header",
+    "add_trailer",
+    "aio",
+    "alias",
+    "allow",
+    "auth_basic",
+    "auth_basic_user_file",
+    "auth_request",
+    "autoindex",
+    "charset",
+    "chunked_transfer_encoding",
+    "client_body_buffer_size",
+    "client_body_timeout",
+    "client_header_buffer_size",
+    "client_header_timeout",
+    "client_max_body_size",
+    "daemon",
+    "default_type",
+    "deny",
+    "error_log",
+    "etag",
+    "events",
+    "expires",
+    "geo",
+    "gzip",
+    "gzip_comp_level",
+    "gzip_disable",
+    "gzip_http_version",
+    "gzip_min_length",
+    "gzip_proxied",
+    "gzip_static",
+    "gzip_types",
+    "gzip_vary",
+    "http2",
+    "ignore_invalid_headers",
+    "index",
+    "keepalive_disable",
+    "large_client_header_buffers",
+    "limit_conn_log_level",
+    "limit_conn_status",
+    "limit_rate",
+    "limit_req_log_level",
+    "limit_req_status",
+    "lingering_timeout",
+    "load_module",
+    "log_format",
+    "log_not_found",
+    "map_hash_bucket_size",
+    "map_hash_max_size",
+    "merge_slashes",
+    "multi_accept",
+    "open_file_cache",
+    "pid",
+    "port_in_redirect",
+    "proxy_bind",
+    "proxy_buffer_size",
+    "proxy_buffering",
+    "proxy_buffers",
+    "proxy_busy_buffers_size",
+    "proxy_cache",
+    "proxy_cache_bypass",
+    "proxy_cache_key",
+    "proxy_cache_lock",
+    "proxy_cache_path",
+    "proxy_cache_use_stale",
+    "proxy_cache_valid",
+    "proxy_cookie_domain",
+    "proxy_cookie_path",
+    "proxy_headers_hash_bucket_size",
+    "proxy_headers_hash_max_size",
+    "proxy_hide_header",
+    "proxy_http_version",
+    "proxy_ignore_client_abort",
+    "proxy_ignore_headers",
+    "proxy_intercept_errors",
+    "proxy_max_temp_file_size",
+    "proxy_no_cache",
+    "proxy_pass_header",
+    "proxy_pass_request_body",
+    "proxy_pass_request_headers",
+    "proxy_redirect",
+    "proxy_request_buffering",
+    "proxy_set_body",
+    "proxy_set_header",
+    "proxy_socket_keepalive",
+    "proxy_ssl_certificate",
+    "proxy_ssl_certificate_key",
+    "proxy_ssl_ciphers",
+    "proxy_ssl_name",
+    "proxy_ssl_protocols",
+    "proxy_ssl_server_name",
+    "proxy_ssl_session_reuse",
+    "proxy_ssl_trusted_certificate",
+    "proxy_ssl_verify",
+    "proxy_ssl_verify_depth",
+    "proxy_temp_path",
+    "real_ip_header",
+    "real_ip_recursive",
+    "reset_timedout_connection",
+    "resolver",
+    "resolver_timeout",
+    "root",
+    "satisfy",
+    "send_timeout",
+    "sendfile",
+    "server_names_hash_bucket_size",
+    "server_names_hash_max_size",
+    "server_tokens",
+    "set",
+    "set_real_ip_from",
+    "ssl",
+    "ssl_certificate",
+    "ssl_certificate_key",
+    "ssl_ciphers",
+    "ssl_dhparam",
+    "ssl_prefer_server_ciphers",
+    "ssl_protocols",
+    "ssl_session_cache",
+    "ssl_session_tickets",
+    "ssl_session_timeout",
+    "ssl_stapling",
+    "ssl_stapling_verify",
+    "ssl_trusted_certificate",
+    "stub_status",
+    "sub_filter",
+    "sub_filter_once",
+    "tcp_nodelay",
+    "tcp_nopush",
+    "types",
+    "types_hash_bucket_size",
+    "types_hash_max_size",
+    "underscores_in_headers",
+    "use",
+    "user",
+    "valid_referers",
+    "worker_connections",
+    "worker_cpu_affinity",
+    "worker_priority",
+    "worker_processes",
+    "worker_rlimit_nofile",
+    "worker_shutdown_timeout",
+];
+
+/// Blocks of entries that are no directives.
+pub const TABLES: &[&str] = &["types", "map", "geo", "split_clients"];
+
+impl Fate {
+    pub fn new(
+        outcome: Outcome,
+        routing: bool,
+        why: impl Into<Cow<'static, str>>,
+        advice: impl Into<Cow<'static, str>>,
+    ) -> Self {
+        Fate { outcome, routing, why: why.into(), advice: advice.into() }
+    }
+
+    /// As its name alone says.
+    pub fn of(name: &str) -> Fate {
+        match explain(name) {
+            Some(rule) => Fate::new(rule.outcome, rule.routing, rule.why, rule.advice),
+            None => Fate::new(
+                Left,
+                true,
+                "this importer does not know it",
+                "look up whether it bears on where flows go",
+            ),
+        }
+    }
+}
+
+/// What is said of a kind of directive; none if it is not known.
+pub fn explain(name: &str) -> Option<Rule> {
+    let own = |_: &&str| {
+        let why = "it is the proxy's own business";
+        rule("", Left, false, why, "keep it in the proxy")
+    };
+    let known = RULES.iter().find(|rule| rule.name == name).copied();
+    known.or_else(|| OWN.iter().find(|own| **own == name).map(own))
+}
+
+/// One entry of the account.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Told {
+    /// `file:line`.
+    pub at: String,
+    pub line: u32,
+    pub column: u32,
+    pub directive: String,
+    #[serde(flatten)]
+    pub fate: Fate,
+}
+
+/// What becomes of each directive, by its place.
+#[derive(Debug, Clone, Default)]
+pub struct Account {
+    fates: BTreeMap<Place, Vec<(String, Fate)>>,
+}
+
+impl Account {
+    /// A directive ends so. What was said of it before stands unless this is worse: a directive that two
+    /// locations inherit is carried over only if both do.
+    pub fn end(&mut self, directive: &Directive, fate: Fate) {
+        let name = directive.name.text().into_owned();
+        let told = self.fates.entry(directive.name.at).or_default();
+        match told.iter_mut().find(|(known, _)| *known == name) {
+            Some((_, known)) if known.outcome < fate.outcome => *known = fate,
+            Some(_) => {}
+            None => told.push((name, fate)),
+        }
+    }
+
+    /// A parameter of a directive ends so, as `weight` of a `server` does.
+    pub fn parameter(&mut self, at: Place, name: &str, fate: Fate) {
+        self.fates.entry(at).or_default().push((name.to_string(), fate));
+    }
+
+    /// Ends all that nothing was said of: what would be carried over elsewhere is not where it stands.
+    pub fn close(&mut self, directives: &[Directive]) {
+        for directive in directives {
+            let name = directive.name.text();
+            if !self.fates.contains_key(&directive.name.at) {
+                let mut fate = Fate::of(&name);
+                if fate.outcome != Left && name != "include" {
+                    let why = "it stands where nothing of it is followed";
+                    fate = Fate::new(Left, true, why, fate.advice);
+                }
+                self.end(directive, fate);
+            }
+            // Entries of a table are words, not directives.
+            if TABLES.contains(&&*name) {
+                continue;
+            }
+            if let Body::Block(within) | Body::Included(within) = &directive.body {
+                self.close(within);
+            }
+        }
+    }
+
+    /// In the order of files and lines.
+    pub fn told(&self, whole: &Whole) -> Vec<Told> {
+        let each = self.fates.iter().flat_map(|(at, all)| all.iter().map(move |one| (at, one)));
+        each.map(|(at, (directive, fate))| Told {
+            at: whole.origin(*at),
+            line: at.line,
+            column: at.column,
+            directive: directive.clone(),
+            fate: fate.clone(),
+        })
+        .collect()
+    }
+
+    /// How many ended in each way.
+    pub fn tally(&self) -> BTreeMap<Outcome, usize> {
+        let mut tally = BTreeMap::new();
+        self.fates.values().flatten().for_each(|(_, fate)| *tally.entry(fate.outcome).or_default() += 1);
+        tally
+    }
+
+    /// What bears on routing and is left.
+    pub fn losses(&self) -> usize {
+        self.fates.values().flatten().filter(|(_, fate)| fate.outcome == Left && fate.routing).count()
+    }
+}
--- /dev/null
+++ b/crates/nginx-importer/src/files.rs
@@ -0,0 +1,216 @@
+//! A configuration in its files: `include` with patterns, in the places where they stand.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+use crate::syntax::{self, Body, DEEPEST, Directive, MOST, Place};
+
+/// Files of one configuration, at the most, and their bytes together.
+pub const MOST_FILES: usize = 10_000;
+pub const MOST_BYTES: u64 = 64 << 20;
+
+/// Where files come from.
+pub trait Files {
+    /// Errors: why it can't be read, or that it is larger than `most`.
+    fn read(&self, path: &Path, most: u64) -> Result<Vec<u8>, String>;
+    /// Files that fit a pattern, in the order of their names.
+    ///
+    /// Errors: a pattern that is none.
+    fn fitting(&self, pattern: &str) -> Result<Vec<PathBuf>, String>;
+}
+
+/// Files of this machine.
+pub struct Disk;
+
+impl Files for Disk {
+    fn read(&self, path: &Path, most: u64) -> Result<Vec<u8>, String> {
+        use std::io::Read;
+        let mut text = Vec::new();
+        let file = std::fs::File::open(path).map_err(|error| error.to_string())?;
+        // A pipe or a device has no length, and need never end.
+        file.take(most + 1).read_to_end(&mut text).map_err(|error| error.to_string())?;
+        if text.len() as u64 > most {
+            return Err(format!("all files together have more than {MOST_BYTES} bytes"));
+        }
+        Ok(text)
+    }
+
+    fn fitting(&self, pattern: &str) -> Result<Vec<PathBuf>, String> {
+        let paths = glob::glob(pattern).map_err(|error| error.to_string())?;
+        // One that can't be looked at says so when it is read.
+        Ok(paths.map(|path| path.unwrap_or_else(|error| error.path().to_path_buf())).collect())
+    }
+}
+
+/// A configuration, with all that it includes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Whole {
+    /// By their number, as they are named in errors and origins.
+    pub files: Vec<PathBuf>,
+    pub directives: Vec<Directive>,
+}
+
+impl Whole {
+    /// A place as `file:line`.
+    pub fn origin(&self, at: Place) -> String {
+        let file =
+            self.files.get(at.file as usize).map_or_else(String::new, |file| file.display().to_string());
+        format!("{file}:{}", at.line)
+    }
+}
+
+/// Why a configuration can't be read, and where.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub struct Unread {
+    pub file: PathBuf,
+    pub line: u32,
+    pub column: u32,
+    pub why: String,
+}
+
+impl fmt::Display for Unread {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            0 => write!(to, "{}: {}", self.file.display(), self.why),
+            line => write!(to, "{}:{line}:{}: {}", self.file.display(), self.column, self.why),
+        }
+    }
+}
+
+struct Reader<'a> {
+    from: &'a dyn Files,
+    /// What relative names are relative to: the folder of the main file.
+    folder: PathBuf,
+    files: Vec<PathBuf>,
+    /// Files that are being read, each within the one before.
+    open: Vec<PathBuf>,
+    bytes: u64,
+    directives: usize,
+}
+
+/// Reads a configuration from its main file.
+///
+/// Errors: what can't be read or understood, and where.
+pub fn read(from: &dyn Files, main: &Path) -> Result<Whole, Unread> {
+    let folder = main.parent().map(Path::to_path_buf).unwrap_or_default();
+    let mut reader = Reader { from, folder, files: Vec::new(), open: Vec::new(), bytes: 0, directives: 0 };
+    let directives = reader.file(main, None, 0)?;
+    Ok(Whole { files: reader.files, directives })
+}
+
+impl Reader<'_> {
+    /// `by`: where it is included, and in how many blocks.
+    fn file(&mut self, path: &Path, by: Option<Place>, depth: usize) -> Result<Vec<Directive>, Unread> {
+        let at = |reader: &Self, why: String| match by {
+            Some(by) => reader.fault(by, why),
+            None => Unread { file: path.to_path_buf(), line: 0, column: 0, why },
+        };
+        if self.open.iter().any(|open| open == path) {
+            return Err(at(self, format!("{} includes itself", path.display())));
+        }
+        if self.files.len() >= MOST_FILES {
+            return Err(at(self, format!("more than {MOST_FILES} files")));
+        }
+        let text = self.from.read(path, MOST_BYTES - self.bytes);
+        let text = text.map_err(|why| at(self, format!("{}: {why}", path.display())))?;
+        self.bytes += text.len() as u64;
+        let number = self.files.len() as u32;
+        self.files.push(path.to_path_buf());
+        let read = syntax::parse(&text, number, MOST - self.directives);
+        let mut read = read.map_err(|fault| self.fault(fault.at, fault.why.to_string()))?;
+        self.open.push(path.to_path_buf());
+        self.includes(&mut read, depth)?;
+        self.open.pop();
+        Ok(read)
+    }
+
+    fn fault(&self, at: Place, why: String) -> Unread {
+        let file = self.files.get(at.file as usize).cloned().unwrap_or_default();
+        Unread { file, line: at.line, column: at.column, why }
+    }
+
+    fn includes(&mut self, directives: &mut [Directive], depth: usize) -> Result<(), Unread> {
+        for directive in directives {
+            self.directives += 1;
+            let at = directive.name.at;
+            if depth > DEEPEST || self.directives > MOST {
+                return Err(self.fault(at, "too much, or too deep, with all that is included".to_string()));
+            }
+            if let Body::Block(within) = &mut directive.body {
+                self.includes(within, depth + 1)?;
+                continue;
+            }
+            if !directive.is("include") {
+                continue;
+            }
+            let [word] = directive.words.as_slice() else {
+                return Err(self.fault(at, "`include` takes one name or pattern".to_string()));
+            };
+            let path = self.folder.join(&*word.text());
+            let pattern = path.to_string_lossy().into_owned();
+            let paths = match pattern.contains(['*', '?', '[']) {
+                true => self.from.fitting(&pattern).map_err(|why| self.fault(at, why))?,
+                false => vec![path],
+            };
+            let mut included = Vec::new();
+            for path in paths {
+                included.extend(self.file(&path, Some(at), depth + 1)?);
+            }
+            directive.body = Body::Included(included);
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeMap;
+
+    struct Held(BTreeMap<&'static str, &'static str>);
+
+    impl Files for Held {
+        fn read(&self, path: &Path, _: u64) -> Result<Vec<u8>, String> {
+            let text = self.0.get(&*path.to_string_lossy()).ok_or("no such file")?;
+            Ok(text.as_bytes().to_vec())
+        }
+
+        fn fitting(&self, pattern: &str) -> Result<Vec<PathBuf>, String> {
+            let pattern = glob::Pattern::new(pattern).map_err(|error| error.to_string())?;
+            Ok(self.0.keys().filter(|path| pattern.matches(path)).map(PathBuf::from).collect())
+        }
+    }
+
+    fn whole(files: &[(&'static str, &'static str)]) -> Result<Whole, String> {
+        read(&Held(files.iter().copied().collect()), Path::new("etc/nginx.conf"))
+            .map_err(|unread| unread.to_string())
+    }
+
+    #[test]
+    fn includes_stand_where_they_are_written_in_the_order_of_their_names() {
+        let read = whole(&[
+            ("etc/nginx.conf", "a;\nhttp { include sites/*.conf; z; }"),
+            ("etc/sites/2.conf", "two;"),
+            ("etc/sites/1.conf", "one;\nmore;"),
+        ]);
+        let read = read.unwrap();
+        let http = read.directives[1].block();
+        let names: Vec<_> = http[0].block().iter().map(|one| one.name.text().into_owned()).collect();
+        assert_eq!((names, http.len()), (vec!["one".into(), "more".into(), "two".into()], 2));
+        assert_eq!(read.origin(http[0].block()[1].name.at), "etc/sites/1.conf:2");
+    }
+
+    #[test]
+    fn includes_that_fail_are_named_by_where_they_stand() {
+        let gone = whole(&[("etc/nginx.conf", "a;\n include x.conf;")]).unwrap_err();
+        assert_eq!(gone, "etc/nginx.conf:2:2: etc/x.conf: no such file");
+        let none = whole(&[("etc/nginx.conf", "include none/*.conf;")]).unwrap();
+        assert_eq!(none.directives[0].block(), [], "a pattern may fit nothing");
+        let round = [("etc/nginx.conf", "include a.conf;"), ("etc/a.conf", "x { include nginx.conf; }")];
+        assert_eq!(whole(&round).unwrap_err(), "etc/a.conf:1:5: etc/nginx.conf includes itself");
+        let broken = [("etc/nginx.conf", "include a.conf;"), ("etc/a.conf", "x {\n y")];
+        assert_eq!(whole(&broken).unwrap_err(), "etc/a.conf:2:2: the file ends within `y`; a `;` is missing");
+        assert!(whole(&[]).unwrap_err().starts_with("etc/nginx.conf: etc/nginx.conf: no such file"));
+        assert!(whole(&[("etc/nginx.conf", "include a b;")]).unwrap_err().contains("takes one name"));
+    }
+}
--- /dev/null
+++ b/crates/nginx-importer/src/lib.rs
@@ -0,0 +1,24 @@
+//! nginx's upstream and location blocks as a governor's settings and roster, with an account of what becomes
+//! of each directive; and the other way: a proxy's tables as upstream blocks, for proxies that stay nginx.
+//!
+//! ```
+//! use std::path::{Path, PathBuf};
+//! use wrenthread_nginx::{files, fleet, write};
+//!
+//! let text = b"upstream gates { server 10.0.0.1:80 weight=2; server 10.0.0.2:80 backup; }
+//!     server { location /entry { proxy_pass http://gates; proxy_read_timeout 2s; } }";
+//! let directives = wrenthread_nginx::syntax::parse(text, 0, 1000).unwrap();
+//! let whole = files::Whole { files: vec![PathBuf::from("gates.conf")], directives };
+//! let imported = fleet::import(&whole, fleet::Zones::One);
+//! let gates = &imported.fleets[0];
+//! assert_eq!((gates.groups[0].name.as_str(), gates.replicas[0].weight), ("entry", 2.0));
+//! assert!(write::settings(gates, 0, &write::Terms::default()).contains("paths = [\"/entry\"]"));
+//! assert_eq!(imported.account.losses(), 0);
+//! ```
+
+pub mod fates;
+pub mod files;
+pub mod fleet;
+pub mod syntax;
+pub mod words;
+pub mod write;
--- /dev/null
+++ b/crates/nginx-importer/src/syntax.rs
@@ -0,0 +1,418 @@
+//! nginx's configuration syntax, as its documentation states it: directives of words, ended by `;` or by a
+//! block in braces; quotes, backslashes, comments, variables. What the words mean is nobody's concern here.
+//!
+//! Words are bytes: a configuration need not be UTF-8. Depth, length of words and their number are bounded,
+//! so that no text takes a stack or all memory.
+
+use std::borrow::Cow;
+use std::fmt;
+
+/// Blocks within blocks, at the most.
+pub const DEEPEST: usize = 64;
+/// Bytes of a word: nginx itself allows less.
+pub const LONGEST: usize = 64 << 10;
+/// Directives in all files of a configuration together.
+pub const MOST: usize = 2_000_000;
+
+/// Where something stands: the file by its number, line and column (in bytes) from 1.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    pub file: u32,
+    pub line: u32,
+    pub column: u32,
+}
+
+/// One word of a directive, without its quotes and with its escapes resolved.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Word {
+    pub bytes: Vec<u8>,
+    pub at: Place,
+}
+
+impl Word {
+    pub fn text(&self) -> Cow<'_, str> {
+        String::from_utf8_lossy(&self.bytes)
+    }
+
+    pub fn is(&self, text: &str) -> bool {
+        self.bytes == text.as_bytes()
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Body {
+    /// Ended by `;`.
+    None,
+    Block(Vec<Directive>),
+    /// An `include`, and what came of it: it stands as if written there.
+    Included(Vec<Directive>),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Directive {
+    pub name: Word,
+    pub words: Vec<Word>,
+    pub body: Body,
+}
+
+impl Directive {
+    pub fn is(&self, name: &str) -> bool {
+        self.name.is(name)
+    }
+
+    /// Its block, if it has one.
+    pub fn block(&self) -> &[Directive] {
+        match &self.body {
+            Body::Block(within) | Body::Included(within) => within,
+            Body::None => &[],
+        }
+    }
+
+    /// The word at a place behind the name, as text.
+    pub fn word(&self, at: usize) -> Option<Cow<'_, str>> {
+        self.words.get(at).map(Word::text)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Why {
+    #[error("the file ends within a quoted word")]
+    OpenQuote,
+    #[error("the file ends within the block of `{0}`; a `}}` is missing")]
+    OpenBlock(String),
+    #[error("the file ends within `{0}`; a `;` is missing")]
+    Unended(String),
+    #[error("`{0}` does not belong here")]
+    Unexpected(char),
+    #[error("a quoted word must be followed by white space, `;` or `{{`")]
+    AfterQuote,
+    #[error("blocks within more than {DEEPEST} others")]
+    Deep,
+    #[error("a word of more than {LONGEST} bytes")]
+    Long,
+    #[error("more than {MOST} directives")]
+    Many,
+}
+
+/// What is wrong with a file's syntax, and where in it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    pub at: Place,
+    pub why: Why,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(to, "{}:{}: {}", self.at.line, self.at.column, self.why)
+    }
+}
+
+enum Token {
+    Word(Word),
+    /// `;`, `{` or `}`.
+    Mark(u8, Place),
+}
+
+struct Tokens<'a> {
+    text: &'a [u8],
+    next: usize,
+    at: Place,
+}
+
+fn is_space(byte: u8) -> bool {
+    matches!(byte, b' ' | b'\t' | b'\r' | b'\n')
+}
+
+impl<'a> Tokens<'a> {
+    fn new(text: &'a [u8], file: u32) -> Self {
+        // A mark of byte order that some editors leave at the beginning.
+        let next = if text.starts_with(b"\xef\xbb\xbf") { 3 } else { 0 };
+        Tokens { text, next, at: Place { file, line: 1, column: 1 } }
+    }
+
+    fn peek(&self) -> Option<u8> {
+        self.text.get(self.next).copied()
+    }
+
+    fn take(&mut self) -> Option<u8> {
+        let byte = self.peek()?;
+        self.next += 1;
+        match byte {
+            b'\n' => (self.at.line, self.at.column) = (self.at.line.saturating_add(1), 1),
+            _ => self.at.column = self.at.column.saturating_add(1),
+        }
+        Some(byte)
+    }
+
+    /// The byte that a backslash and the next one stand for; both where they stand for themselves.
+    fn escaped(&mut self, word: &mut Vec<u8>) -> bool {
+        let Some(byte) = self.take() else { return false };
+        match byte {
+            b'"' | b'\'' | b'\\' => word.push(byte),
+            b't' => word.push(b'\t'),
+            b'r' => word.push(b'\r'),
+            b'n' => word.push(b'\n'),
+            other => word.extend([b'\\', other]),
+        }
+        true
+    }
+
+    fn token(&mut self) -> Result<Option<Token>, Fault> {
+        loop {
+            match self.peek() {
+                None => return Ok(None),
+                Some(byte) if is_space(byte) => drop(self.take()),
+                Some(b'#') => {
+                    while self.peek().is_some_and(|byte| byte != b'\n') {
+                        self.take();
+                    }
+                }
+                Some(_) => break,
+            }
+        }
+        let (at, mut bytes) = (self.at, Vec::new());
+        let fault = |why| Err(Fault { at, why });
+        let first = self.peek().unwrap_or_default();
+        if matches!(first, b';' | b'{' | b'}') {
+            self.take();
+            return Ok(Some(Token::Mark(first, at)));
+        }
+        if matches!(first, b'"' | b'\'') {
+            self.take();
+            loop {
+                match self.take() {
+                    None => return fault(Why::OpenQuote),
+                    Some(byte) if byte == first => break,
+                    Some(b'\\') if !self.escaped(&mut bytes) => return fault(Why::OpenQuote),
+                    Some(b'\\') => {}
+                    Some(byte) => bytes.push(byte),
+                }
+                if bytes.len() > LONGEST {
+                    return fault(Why::Long);
+                }
+            }
+            if self.peek().is_some_and(|byte| !is_space(byte) && !matches!(byte, b';' | b'{' | b')')) {
+                return Err(Fault { at: self.at, why: Why::AfterQuote });
+            }
+            return Ok(Some(Token::Word(Word { bytes, at })));
+        }
+        while let Some(byte) = self.peek() {
+            if is_space(byte) || matches!(byte, b';' | b'{') {
+                break;
+            }
+            self.take();
+            match byte {
+                b'\\' if !self.escaped(&mut bytes) => bytes.push(b'\\'),
+                b'\\' => {}
+                // The brace of a variable opens no block.
+                b'$' if self.peek() == Some(b'{') => {
+                    self.take();
+                    bytes.extend(b"${");
+                }
+                byte => bytes.push(byte),
+            }
+            if bytes.len() > LONGEST {
+                return fault(Why::Long);
+            }
+        }
+        Ok(Some(Token::Word(Word { bytes, at })))
+    }
+}
+
+/// Reads a file's text. `file`: its number, for places; `most`: how many directives it may have.
+///
+/// Errors: what is wrong with its syntax, and where.
+pub fn parse(text: &[u8], file: u32, most: usize) -> Result<Vec<Directive>, Fault> {
+    let mut tokens = Tokens::new(text, file);
+    // What is open: the words of each block's directive, and what stands in it so far.
+    let mut open: Vec<(Vec<Word>, Vec<Directive>)> = Vec::new();
+    let (mut here, mut words, mut count): (Vec<Directive>, Vec<Word>, usize) = Default::default();
+    fn made(mut words: Vec<Word>, body: Body) -> Option<Directive> {
+        (!words.is_empty()).then(|| Directive { name: words.remove(0), words, body })
+    }
+    while let Some(token) = tokens.token()? {
+        let (mark, at) = match token {
+            Token::Word(word) => {
+                words.push(word);
+                continue;
+            }
+            Token::Mark(mark, at) => (mark, at),
+        };
+        let unexpected = Fault { at, why: Why::Unexpected(char::from(mark)) };
+        if mark != b'}' {
+            count += 1;
+            if count > most.min(MOST) {
+                return Err(Fault { at, why: Why::Many });
+            }
+        }
+        match mark {
+            b';' => here.push(made(std::mem::take(&mut words), Body::None).ok_or(unexpected)?),
+            b'{' => {
+                if words.is_empty() {
+                    return Err(unexpected);
+                }
+                if open.len() == DEEPEST {
+                    return Err(Fault { at, why: Why::Deep });
+                }
+                open.push((std::mem::take(&mut words), std::mem::take(&mut here)));
+            }
+            _ => {
+                if !words.is_empty() {
+                    return Err(unexpected);
+                }
+                let (words, outer) = open.pop().ok_or_else(|| unexpected.clone())?;
+                let within = std::mem::replace(&mut here, outer);
+                here.push(made(words, Body::Block(within)).ok_or(unexpected)?);
+            }
+        }
+    }
+    let named = |words: &[Word]| words.first().map_or_else(String::new, |word| word.text().into_owned());
+    if let Some(word) = words.first() {
+        return Err(Fault { at: word.at, why: Why::Unended(named(&words)) });
+    }
+    match open.pop() {
+        Some((words, _)) => {
+            let at = words.first().map_or(tokens.at, |word| word.at);
+            Err(Fault { at, why: Why::OpenBlock(named(&words)) })
+        }
+        None => Ok(here),
+    }
+}
+
+/// A word as it can be written: in quotes where it would be read as something else.
+fn write_word(word: &[u8], to: &mut Vec<u8>) {
+    let plain = |byte: &u8| byte.is_ascii_graphic() && !b"\"'\\;{}#$".contains(byte);
+    if !word.is_empty() && word.iter().all(plain) {
+        return to.extend(word);
+    }
+    to.push(b'"');
+    for byte in word {
+        match byte {
+            b'"' | b'\\' => to.extend([b'\\', *byte]),
+            byte => to.push(*byte),
+        }
+    }
+    to.push(b'"');
+}
+
+/// Directives as text that reads as the same directives. Includes are written as what they included.
+pub fn write(directives: &[Directive]) -> Vec<u8> {
+    fn within(directives: &[Directive], depth: usize, to: &mut Vec<u8>) {
+        for directive in directives {
+            if let Body::Included(included) = &directive.body {
+                within(included, depth, to);
+                continue;
+            }
+            to.extend(std::iter::repeat_n(b' ', 4 * depth));
+            write_word(&directive.name.bytes, to);
+            for word in &directive.words {
+                to.push(b' ');
+                write_word(&word.bytes, to);
+            }
+            match &directive.body {
+                Body::Block(block) => {
+                    to.extend(b" {\n");
+                    within(block, depth + 1, to);
+                    to.extend(std::iter::repeat_n(b' ', 4 * depth));
+                    to.extend(b"}\n");
+                }
+                _ => to.extend(b";\n"),
+            }
+        }
+    }
+    let mut text = Vec::new();
+    within(directives, 0, &mut text);
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn read(text: &str) -> Result<Vec<Directive>, Fault> {
+        parse(text.as_bytes(), 0, MOST)
+    }
+
+    fn words(directive: &Directive) -> Vec<String> {
+        std::iter::once(&directive.name)
+            .chain(&directive.words)
+            .map(|word| word.text().into_owned())
+            .collect()
+    }
+
+    #[test]
+    fn words_quotes_escapes_comments_and_variables() {
+        let text = "a  b\t'c d' \"e\\\"f\" g\\.h; # no; {\r\nset $x \"${y}z\"; w ${v}x#y {i 1;}j '';";
+        let all = read(text).unwrap();
+        let said: Vec<_> = all.iter().map(words).collect();
+        assert_eq!(said[0], ["a", "b", "c d", "e\"f", "g\\.h"]);
+        assert_eq!(said[1], ["set", "$x", "${y}z"]);
+        assert_eq!(said[2], ["w", "${v}x#y"]);
+        assert_eq!(words(&all[2].block()[0]), ["i", "1"]);
+        assert_eq!(said[3], ["j", ""]);
+        assert_eq!(all[1].name.at, Place { file: 0, line: 2, column: 1 });
+        assert_eq!(all[0].words[1].at, Place { file: 0, line: 1, column: 6 });
+        assert_eq!(read("\u{feff}a;").unwrap().len(), 1);
+        assert_eq!(parse(b"a \xff\xfe;", 0, MOST).unwrap()[0].words[0].bytes, b"\xff\xfe");
+    }
+
+    #[test]
+    fn what_is_wrong_is_said_with_its_place() {
+        let wrong = |text: &str| read(text).unwrap_err().to_string();
+        assert_eq!(wrong("a;\n b {\n c;"), "2:2: the file ends within the block of `b`; a `}` is missing");
+        assert_eq!(wrong("a b"), "1:1: the file ends within `a`; a `;` is missing");
+        assert_eq!(wrong("a {\n b }"), "2:4: `}` does not belong here");
+        assert_eq!(wrong("a; }"), "1:4: `}` does not belong here");
+        assert_eq!(wrong(" ;"), "1:2: `;` does not belong here");
+        assert_eq!(wrong("a { { } }"), "1:5: `{` does not belong here");
+        assert_eq!(wrong("a 'b"), "1:3: the file ends within a quoted word");
+        assert_eq!(wrong("a 'b\\"), "1:3: the file ends within a quoted word");
+        assert!(wrong("a 'b'c;").starts_with("1:6: a quoted word must be followed"));
+        assert!(wrong(&format!("a {};", "x".repeat(LONGEST + 1))).contains("a word of more"));
+        assert!(wrong(&"a {".repeat(DEEPEST + 1)).contains("blocks within"));
+        assert_eq!(parse(b"a; b; c;", 0, 2).unwrap_err().why, Why::Many);
+    }
+
+    fn any_word() -> impl Strategy<Value = Word> {
+        prop::collection::vec(any::<u8>(), 0..8).prop_map(|bytes| Word { bytes, at: Place::default() })
+    }
+
+    fn any_directive() -> impl Strategy<Value = Directive> {
+        let simple = (any_word(), prop::collection::vec(any_word(), 0..4));
+        let simple = simple.prop_map(|(name, words)| Directive { name, words, body: Body::None });
+        simple.prop_recursive(4, 32, 4, |inner| {
+            (any_word(), prop::collection::vec(any_word(), 0..3), prop::collection::vec(inner, 0..4))
+                .prop_map(|(name, words, block)| Directive { name, words, body: Body::Block(block) })
+        })
+    }
+
+    fn without_places(directives: &mut [Directive]) {
+        for directive in directives {
+            directive.name.at = Place::default();
+            directive.words.iter_mut().for_each(|word| word.at = Place::default());
+            if let Body::Block(block) = &mut directive.body {
+                without_places(block);
+            }
+        }
+    }
+
+    proptest! {
+        #[test]
+        fn what_is_written_reads_as_it_was(all in prop::collection::vec(any_directive(), 0..5)) {
+            let mut read = parse(&write(&all), 0, MOST).unwrap();
+            without_places(&mut read);
+            prop_assert_eq!(read, all);
+        }
+
+        #[test]
+        fn no_text_makes_it_panic(text in prop::collection::vec(
+            prop_oneof![Just(b'{'), Just(b'}'), Just(b';'), Just(b'"'), Just(b'\\'), Just(b'$'), Just(b'#'),
+                Just(b' '), Just(b'\n'), any::<u8>()], 0..200,
+        )) {
+            if let Ok(read) = parse(&text, 0, MOST) {
+                prop_assert!(parse(&write(&read), 0, MOST).is_ok());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/nginx-importer/src/words.rs
@@ -0,0 +1,111 @@
+//! What single words of directives mean: spans, addresses, shares.
+
+use std::net::IpAddr;
+
+/// A span as nginx writes it: `90`, `1m30s`, `500ms`; in seconds.
+pub fn seconds(text: &str) -> Option<f64> {
+    const UNITS: [(&str, f64); 8] = [
+        ("ms", 0.001),
+        ("s", 1.0),
+        ("m", 60.0),
+        ("h", 3600.0),
+        ("d", 86_400.0),
+        ("w", 604_800.0),
+        ("M", 2_592_000.0),
+        ("y", 31_536_000.0),
+    ];
+    let (mut rest, mut all, mut any) = (text.trim(), 0.0, false);
+    while !rest.is_empty() {
+        let digits = rest.bytes().take_while(u8::is_ascii_digit).count();
+        if digits == 0 || digits > 12 {
+            return None;
+        }
+        let number: f64 = rest[..digits].parse().ok()?;
+        rest = &rest[digits..];
+        let unit = rest.bytes().take_while(u8::is_ascii_alphabetic).count();
+        let scale = match &rest[..unit] {
+            "" if rest.is_empty() => 1.0,
+            unit => UNITS.iter().find(|(name, _)| *name == unit)?.1,
+        };
+        rest = rest[unit..].trim_start();
+        (all, any) = (all + number * scale, true);
+    }
+    any.then_some(all)
+}
+
+/// What a `server` or a `proxy_pass` names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Target {
+    /// An address, `host:port`.
+    Address(String),
+    /// A name that has to be looked up, `host:port`.
+    Name(String),
+    Unix(String),
+}
+
+/// An address with an optional port; `otherwise`: the port where none is said.
+pub fn target(text: &str, otherwise: u16) -> Option<Target> {
+    if let Some(path) = text.strip_prefix("unix:") {
+        return (!path.is_empty()).then(|| Target::Unix(path.to_string()));
+    }
+    let (host, port) = match text.rfind(':') {
+        Some(at) if !text.ends_with(']') => (&text[..at], text[at + 1..].parse::<u16>().ok()?),
+        _ => (text, otherwise),
+    };
+    let address = match host.strip_prefix('[').and_then(|host| host.strip_suffix(']')) {
+        Some(six) => six.parse::<std::net::Ipv6Addr>().is_ok().then_some(true)?,
+        None => host.parse::<IpAddr>().is_ok(),
+    };
+    let name = |byte: u8| byte.is_ascii_alphanumeric() || b".-_".contains(&byte);
+    if port == 0 || host.is_empty() || !address && !host.bytes().all(name) {
+        return None;
+    }
+    let text = format!("{host}:{port}");
+    Some(if address { Target::Address(text) } else { Target::Name(text) })
+}
+
+/// `12.5%` as a part of one.
+pub fn share(text: &str) -> Option<f64> {
+    let number: f64 = text.strip_suffix('%')?.parse().ok()?;
+    (0.0..=100.0).contains(&number).then_some(number / 100.0)
+}
+
+/// Letters, digits and `-`, for names of groups and pools.
+pub fn name(text: &str) -> String {
+    let mut name = String::new();
+    for byte in text.bytes() {
+        match byte {
+            byte if byte.is_ascii_alphanumeric() => name.push(char::from(byte.to_ascii_lowercase())),
+            _ if name.ends_with('-') || name.is_empty() => {}
+            _ => name.push('-'),
+        }
+    }
+    name.truncate(48);
+    name.trim_end_matches('-').to_string()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn spans_addresses_and_shares_as_nginx_writes_them() {
+        let spans = ["60", "500ms", "1m30s", "1h 5m", "2d", "", "x", "5q", "-1", "s"].map(seconds);
+        let wanted = [Some(60.0), Some(0.5), Some(90.0), Some(3900.0), Some(172_800.0)];
+        assert_eq!(spans[..5], wanted);
+        assert_eq!(spans[5..], [None; 5]);
+        let address = |text: &str| Some(Target::Address(text.into()));
+        assert_eq!(target("10.0.0.1", 80), address("10.0.0.1:80"));
+        assert_eq!(target("10.0.0.1:8080", 80), address("10.0.0.1:8080"));
+        assert_eq!(target("[::1]", 80), address("[::1]:80"));
+        assert_eq!(target("[::1]:81", 80), address("[::1]:81"));
+        assert_eq!(target("gate.example", 80), Some(Target::Name("gate.example:80".into())));
+        assert_eq!(target("unix:/run/gate.sock", 80), Some(Target::Unix("/run/gate.sock".into())));
+        assert_eq!(
+            ["", ":80", "a:0", "a:x", "[::", "a b", "$x", "unix:"].map(|one| target(one, 80)),
+            [const { None }; 8]
+        );
+        assert_eq!(["12.5%", "0%", "101%", "x%", "5"].map(share), [Some(0.125), Some(0.0), None, None, None]);
+        assert_eq!([name("/Api/v1/"), name("~ ^/x$"), name("/")], ["api-v1", "x", ""]);
+    }
+}
--- /dev/null
+++ b/crates/nginx-importer/src/write.rs
@@ -0,0 +1,130 @@
+//! Fleets as files: the settings script and the roster, each part with the line that it comes from. The same
+//! fleet is written the same.
+
+use std::fmt::Write;
+
+use serde_json::{Value, json};
+
+use crate::fleet::{Fleet, Replica, Routes};
+
+/// What a configuration of proxies does not say.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Terms {
+    /// Proxies that will follow, of all governors together.
+    pub proxies: u64,
+    pub governors: u64,
+    /// Ports of the first fleet (gRPC, HTTP, long-poll); each further one has those ten higher.
+    pub ports: (u16, u16, u16),
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms { proxies: 16, governors: 1, ports: (15010, 15011, 15012) }
+    }
+}
+
+/// A text as Starlark spells it.
+fn quoted(text: &str) -> String {
+    let mut out = String::from("\"");
+    for letter in text.chars() {
+        match letter {
+            '"' | '\\' => out.extend(['\\', letter]),
+            '\n' => out += "\\n",
+            '\r' => out += "\\r",
+            '\t' => out += "\\t",
+            letter if letter.is_control() => {}
+            letter => out.push(letter),
+        }
+    }
+    out.push('"');
+    out
+}
+
+/// A text for a comment: on one line.
+fn plain(text: &str) -> String {
+    text.chars().map(|letter| if letter.is_control() { ' ' } else { letter }).collect()
+}
+
+fn number(value: f64) -> String {
+    let rounded = (value * 1000.0).round() / 1000.0;
+    format!("{rounded}")
+}
+
+/// The settings script. `place`: the fleet's among those of one import.
+pub fn settings(fleet: &Fleet, place: usize, terms: &Terms) -> String {
+    let mut text = String::new();
+    let zones: Vec<String> = fleet.zones.iter().map(|zone| quoted(zone)).collect();
+    let ready = |one: &&Replica| one.phase == "ready" && !one.backup;
+    let ready = fleet.replicas.iter().filter(ready).count();
+    let lines = ready.clamp(1, 12);
+    let _ = writeln!(text, "# From {}.", plain(&fleet.origin));
+    let _ = writeln!(text, "# Latency budgets are nginx's timeouts: say what clients really have.");
+    let _ = writeln!(text, "# Groups are non-retriable unless nginx says that repeats do no harm.");
+    let governors = match terms.governors {
+        1 => String::new(),
+        governors => format!(", governors = {governors}"),
+    };
+    let _ = writeln!(
+        text,
+        "fleet(\n    zones = [{}],\n    proxies = {}{governors},\n    standing_lines = {lines},\n    tries = {},\n)",
+        zones.join(", "),
+        terms.proxies,
+        quoted(fleet.tries.word()),
+    );
+    if terms.governors > 1 {
+        let _ = writeln!(text, "governor(name = {})", quoted(&fleet.name));
+    }
+    if let Some(warm_after) = fleet.warm_after {
+        // nginx begins with nothing; a share of 0 could never be seen to be well.
+        let _ = writeln!(text, "# slow_start");
+        let _ = writeln!(text, "replicas(cold_share = 0.05, warm_after = {})", number(warm_after));
+    }
+    let _ = writeln!(text, "roster(file = \"roster.json\")");
+    let port = |base: u16| base.saturating_add((place as u16).saturating_mul(10));
+    let (grpc, http, poll) = terms.ports;
+    let _ = writeln!(
+        text,
+        "listen(grpc = \"127.0.0.1:{}\", http = \"127.0.0.1:{}\", poll = \"127.0.0.1:{}\")",
+        port(grpc),
+        port(http),
+        port(poll)
+    );
+    for group in &fleet.groups {
+        text.push('\n');
+        for origin in &group.origins {
+            let _ = writeln!(text, "# {}", plain(origin));
+        }
+        let routes = match &group.routes {
+            Routes::Header(header) => format!("header = {}", quoted(header)),
+            Routes::Paths(paths) => {
+                let paths: Vec<String> = paths.iter().map(|path| quoted(path)).collect();
+                format!("paths = [{}]", paths.join(", "))
+            }
+        };
+        let effect = if group.retriable { "retriable" } else { "non-retriable" };
+        let _ = writeln!(
+            text,
+            "group(\n    {},\n    effect = \"{effect}\",\n    latency_budget = {},\n    expiry = {},\n    {routes},\n)",
+            quoted(&group.name),
+            number(group.latency_budget),
+            number(group.expiry),
+        );
+    }
+    text
+}
+
+/// The roster.
+pub fn roster(fleet: &Fleet) -> String {
+    let entry = |one: &Replica| -> Value {
+        let mut entry = json!({
+            "id": one.id, "address": one.address, "zone": one.zone, "weight": one.weight, "phase": one.phase,
+            "origin": one.origin,
+        });
+        if one.backup {
+            entry["backup"] = true.into();
+        }
+        entry
+    };
+    let lines: Vec<String> = fleet.replicas.iter().map(|one| format!("  {}", entry(one))).collect();
+    format!("{{\"replicas\": [\n{}\n]}}\n", lines.join(",\n"))
+}
