`wrenthread import nginx`: upstream and location blocks to settings and rosters, with an account

Partner car parks describe their backends in nginx configuration, and copying by hand is where mistakes creep in. A pool of replicas becomes a folder with settings and a roster that `check` and `run` take; each directive and each parameter of a server ends as carried over, carried over with a stated difference, or not, with its line, the reason and advice. `--strict`, `--explain`, `--diff` against a folder or a governor, `--report json`. Settings that somebody has changed since are left, and the new ones put beside them.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 mod clock;
 mod host;
 mod http;
+mod nginx;
 mod roster_file;
 mod run;
 mod show;
@@ -20,7 +21,7 @@
     version,
     about,
     after_help = "Exit codes: 0 done; 1 it failed, with the reason on standard error; \
-    2 the command line or the settings are wrong; 3 a rehearsal, or a check of tables, did not pass."
+    2 the command line or the settings are wrong; 3 a rehearsal, a check of tables or a strict import did not pass, or something differs."
 )]
 struct Cli {
     /// How logs are written
@@ -101,6 +102,92 @@
     }
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum ZoneRule {
+    /// All in one zone
+    One,
+    /// By the network of the address: the first three numbers, or four groups
+    Network,
+}
+
+#[derive(Subcommand)]
+enum Source {
+    /// nginx's upstream and location blocks; a folder for each pool of replicas
+    #[command(after_help = "Examples:\n  wrenthread import nginx /etc/nginx/nginx.conf --output fleets/\n  \
+        wrenthread import nginx nginx.conf --diff fleets/\n  wrenthread import nginx --explain slow_start")]
+    Nginx(Nginx),
+}
+
+#[derive(clap::Args)]
+struct Nginx {
+    #[arg(required_unless_present = "explain")]
+    file: Option<PathBuf>,
+    /// Write settings and rosters here; nothing is written without it
+    #[arg(long)]
+    output: Option<PathBuf>,
+    /// How the account of all directives is given
+    #[arg(long, value_enum, default_value = "text")]
+    report: Output,
+    /// Fail where something that bears on routing is not carried over
+    #[arg(long)]
+    strict: bool,
+    /// Say what becomes of a kind of directive
+    #[arg(long)]
+    explain: Option<String>,
+    /// Say what differs from an earlier import's folder, or from the governor at an address
+    #[arg(long)]
+    diff: Option<String>,
+    /// How zones are told
+    #[arg(long, value_enum, default_value = "one")]
+    zones: ZoneRule,
+    /// Proxies that will follow, of all governors together
+    #[arg(long, default_value = "16")]
+    proxies: u64,
+    #[arg(long, default_value = "1")]
+    governors: u64,
+    /// Ports of the first fleet, as gRPC,HTTP,long-poll; each further one has those ten higher
+    #[arg(long, value_delimiter = ',', num_args = 3, default_values = ["15010", "15011", "15012"])]
+    ports: Vec<u16>,
+}
+
+impl Nginx {
+    fn carry_out(&self) -> Result<ExitCode> {
+        if let Some(name) = &self.explain {
+            let (value, text) = nginx::explain(name)?;
+            print(self.report, &value, || text);
+            return Ok(ExitCode::SUCCESS);
+        }
+        let zones = match self.zones {
+            ZoneRule::One => wrenthread_nginx::fleet::Zones::One,
+            ZoneRule::Network => wrenthread_nginx::fleet::Zones::Network,
+        };
+        let [grpc, http, poll] = self.ports[..] else { anyhow::bail!("`--ports` takes three") };
+        let terms = wrenthread_nginx::write::Terms {
+            proxies: self.proxies,
+            governors: self.governors,
+            ports: (grpc, http, poll),
+        };
+        let file = self.file.as_deref().context("which file?")?;
+        let import = nginx::import(file, zones, terms)?;
+        if let Some(against) = &self.diff {
+            let differences = import.difference(against)?;
+            print(self.report, &differences, || nginx::differences(&differences));
+            return Ok(if nginx::any(&differences) { ExitCode::from(3) } else { ExitCode::SUCCESS });
+        }
+        print(self.report, &import.report(), || import.summary());
+        if self.strict && import.losses() > 0 {
+            eprintln!("{} directives that bear on routing are not carried over", import.losses());
+            return Ok(ExitCode::from(3));
+        }
+        if let Some(folder) = &self.output {
+            for path in import.write(folder)? {
+                eprintln!("{}", path.display());
+            }
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
 #[derive(clap::Args)]
 #[group(required = true, multiple = false)]
 struct Scope {
@@ -251,6 +338,11 @@
         #[arg(long, default_value = "127.0.0.1:15011")]
         at: String,
     },
+    /// Turn the configuration of other proxies into settings and a roster, and say what could not be carried over
+    Import {
+        #[command(subcommand)]
+        from: Source,
+    },
     /// Read settings within bounds, and write what they came to as JSON
     #[command(hide = true)]
     ReadSettings { settings: PathBuf },
@@ -372,6 +464,7 @@
             let released = show::fetch(&at, "/release", Some(&scope.said()))?;
             println!("{} tables are released", released["released"]);
         }
+        Command::Import { from: Source::Nginx(nginx) } => return nginx.carry_out(),
         Command::Rehearse { day, seeds, front, suspect, no_refusals, tape, output } => {
             return rehearse(&day, &seeds, front, &suspect, no_refusals, tape, output);
         }
--- /dev/null
+++ b/crates/daemon/src/nginx.rs
@@ -0,0 +1,276 @@
+//! `wrenthread import nginx`: a configuration in, settings and rosters out, and what became of each directive.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result, bail};
+use serde_json::{Value, json};
+use wrenthread_nginx::difference::{self, Known};
+use wrenthread_nginx::fates::{self, Outcome};
+use wrenthread_nginx::files::{self, Disk, Whole};
+use wrenthread_nginx::fleet::{self, Fleet, Imported, Zones};
+use wrenthread_nginx::write::{self, Terms};
+use wrenthread_settings::{PathRoute, Route};
+
+use crate::{show, trial};
+
+/// An import: the configuration as it was read, and what it came to.
+pub struct Import {
+    whole: Whole,
+    imported: Imported,
+    terms: Terms,
+}
+
+/// Reads and imports a configuration.
+///
+/// Errors: it can't be read, with file, line and column; what it came to would not be taken as settings.
+pub fn import(file: &Path, zones: Zones, terms: Terms) -> Result<Import> {
+    let whole = files::read(&Disk, file)?;
+    let imported = fleet::import(&whole, zones);
+    for (place, fleet) in imported.fleets.iter().enumerate() {
+        let script = write::settings(fleet, place, &terms);
+        wrenthread_settings::parse(&format!("{}/settings.star", fleet.name), &script)
+            .with_context(|| format!("what `{}` came to is not taken as settings", fleet.name))?;
+    }
+    Ok(Import { whole, imported, terms })
+}
+
+/// Replaces a file whole.
+fn replace(path: &Path, text: &str) -> Result<()> {
+    let new = path.with_extension("new~");
+    std::fs::write(&new, text).with_context(|| new.display().to_string())?;
+    std::fs::rename(&new, path).with_context(|| path.display().to_string())
+}
+
+impl Import {
+    /// Directives that bear on routing and are not carried over.
+    pub fn losses(&self) -> usize {
+        self.imported.account.losses()
+    }
+
+    /// Writes a folder for each fleet. Settings that somebody has changed since they were imported stay, and the
+    /// new ones are put beside them.
+    ///
+    /// Errors: a file or folder can't be written.
+    pub fn write(&self, folder: &Path) -> Result<Vec<PathBuf>> {
+        let mut written = Vec::new();
+        for (place, fleet) in self.imported.fleets.iter().enumerate() {
+            let folder = folder.join(&fleet.name);
+            std::fs::create_dir_all(&folder).with_context(|| folder.display().to_string())?;
+            let roster = folder.join("roster.json");
+            replace(&roster, &write::roster(fleet))?;
+            let script = write::marked(&write::settings(fleet, place, &self.terms));
+            let mut settings = folder.join("settings.star");
+            let own = std::fs::read_to_string(&settings).is_ok_and(|text| !write::untouched(&text));
+            if own {
+                settings = folder.join("settings.imported.star");
+            }
+            replace(&settings, &script)?;
+            written.extend([settings, roster]);
+        }
+        Ok(written)
+    }
+
+    pub fn report(&self) -> Value {
+        let Imported { fleets, account } = &self.imported;
+        let count = |outcome| account.tally().get(&outcome).copied().unwrap_or(0);
+        json!({
+            "fleets": fleets,
+            "directives": account.told(&self.whole),
+            "carried": count(Outcome::Carried), "differs": count(Outcome::Differs), "left": count(Outcome::Left),
+            "losses": account.losses(),
+        })
+    }
+
+    /// For people: fleets, and what is not carried over as it is, but for the proxy's own business.
+    pub fn summary(&self) -> String {
+        let Imported { fleets, account } = &self.imported;
+        let rows: Vec<Vec<String>> = fleets
+            .iter()
+            .map(|fleet| {
+                let ready = fleet.replicas.iter().filter(|one| one.phase == "ready" && !one.backup).count();
+                vec![
+                    fleet.name.clone(),
+                    fleet.groups.iter().map(|group| group.name.as_str()).collect::<Vec<_>>().join(" "),
+                    format!("{ready} of {}", fleet.replicas.len()),
+                    fleet.zones.join(" "),
+                    fleet.origin.clone(),
+                ]
+            })
+            .collect();
+        let mut text = show::columns(&["fleet", "groups", "ready", "zones", "from"], &rows);
+        let told = account.told(&self.whole);
+        let rows: Vec<Vec<String>> = told
+            .iter()
+            .filter(|one| one.fate.routing && one.fate.outcome != Outcome::Carried)
+            .map(|one| {
+                let outcome = match one.fate.outcome {
+                    Outcome::Left => "NOT CARRIED OVER",
+                    _ => "differs",
+                };
+                let advice = if one.fate.advice.is_empty() { "" } else { "; " };
+                let why = format!("{}{advice}{}", one.fate.why, one.fate.advice);
+                vec![format!("{}:{}", one.at, one.column), one.directive.clone(), outcome.to_string(), why]
+            })
+            .collect();
+        if !rows.is_empty() {
+            text += &format!("\n{}", show::columns(&["at", "directive", "outcome", "why"], &rows));
+        }
+        let tally = account.tally();
+        let count = |outcome| tally.get(&outcome).copied().unwrap_or(0);
+        let own = told.iter().filter(|one| one.fate.outcome == Outcome::Left && !one.fate.routing).count();
+        text += &format!(
+            "\n{} carried over, {} with a difference, {} not: {} bear on routing, {own} are the proxy's own business\n",
+            count(Outcome::Carried),
+            count(Outcome::Differs),
+            count(Outcome::Left),
+            account.losses(),
+        );
+        text
+    }
+
+    /// What it would change against an earlier import's folder, or the governor at an address.
+    ///
+    /// Errors: neither is there, or can't be read.
+    pub fn difference(&self, against: &str) -> Result<Value> {
+        let folder = Path::new(against);
+        let mut all = Vec::new();
+        if !folder.is_dir() {
+            let recording = trial::recording(against)?;
+            let known = running(&recording);
+            // A governor runs one of the fleets: the one with most of its groups and replicas.
+            let shared = |fleet: &&Fleet| {
+                let later = Known::from(*fleet);
+                let groups = later.groups.keys().filter(|name| known.groups.contains_key(*name)).count();
+                groups + later.replicas.keys().filter(|name| known.replicas.contains_key(*name)).count()
+            };
+            let fleet = self.imported.fleets.iter().max_by_key(shared).context("nothing was imported")?;
+            all.push((fleet.name.clone(), difference::between(&known, &fleet.into())));
+        } else {
+            for fleet in &self.imported.fleets {
+                let known = written(&folder.join(&fleet.name))?;
+                all.push((fleet.name.clone(), difference::between(&known, &fleet.into())));
+            }
+            for entry in std::fs::read_dir(folder).with_context(|| against.to_string())? {
+                let entry = entry.with_context(|| against.to_string())?;
+                let name = entry.file_name().to_string_lossy().into_owned();
+                let is_fleet = entry.path().join("roster.json").exists();
+                if is_fleet && self.imported.fleets.iter().all(|fleet| fleet.name != name) {
+                    all.push((name, difference::between(&written(&entry.path())?, &Known::default())));
+                }
+            }
+        }
+        let row = |(fleet, differences): &(String, Vec<difference::Difference>)| json!({"fleet": fleet, "differences": differences});
+        Ok(json!({"against": against, "fleets": all.iter().map(row).collect::<Vec<_>>()}))
+    }
+}
+
+/// What a governor that runs knows.
+fn running(recording: &wrenthread_core::recording::Recording) -> Known {
+    let replica = |one: &wrenthread_core::recording::Replica| {
+        let zone = recording.zones.get(one.zone).cloned().unwrap_or_default();
+        let phase = format!("{:?}", one.phase).to_lowercase();
+        let known = [
+            ("address", one.address.to_string()),
+            ("zone", zone),
+            ("weight", one.weight.to_string()),
+            ("phase", phase),
+        ];
+        (one.id.to_string(), known.into())
+    };
+    let groups = recording.groups.iter().map(|name| (name.clone(), BTreeMap::new()));
+    Known { replicas: recording.replicas.iter().map(replica).collect(), groups: groups.collect() }
+}
+
+/// What a folder of an import says; nothing where it is not there.
+fn written(folder: &Path) -> Result<Known> {
+    let mut known = Known::default();
+    let settings = folder.join("settings.star");
+    if settings.exists() {
+        for group in crate::run::load(&settings)?.groups {
+            let path = |path: &PathRoute| match path {
+                PathRoute::Prefix(path) => path.clone(),
+                PathRoute::Exact(path) => format!("= {path}"),
+                PathRoute::Firm(path) => format!("^~ {path}"),
+                PathRoute::Pattern(path) => format!("~ {path}"),
+                PathRoute::AnyCase(path) => format!("~* {path}"),
+            };
+            let routes = match &group.route {
+                Route::Prefix(prefix) => prefix.clone(),
+                Route::Header(name, value) => format!("{name}: {value}"),
+                Route::Paths(paths) => paths.iter().map(path).collect::<Vec<_>>().join(", "),
+            };
+            let figures = [
+                ("effect", group.effect),
+                ("latency_budget", group.latency_budget.to_string()),
+                ("expiry", group.expiry.to_string()),
+                ("routes", routes),
+            ];
+            known.groups.insert(group.name, figures.into());
+        }
+    }
+    let roster = folder.join("roster.json");
+    if roster.exists() {
+        let name = roster.display().to_string();
+        let text = std::fs::read_to_string(&roster).with_context(|| name.clone())?;
+        let list: Value = serde_json::from_str(&text).with_context(|| name.clone())?;
+        for one in list["replicas"].as_array().with_context(|| format!("{name} has no `replicas`"))? {
+            let id = one["id"].as_str().with_context(|| format!("{name}: a replica without its `id`"))?;
+            let text = |field: &str, otherwise: &str| one[field].as_str().unwrap_or(otherwise).to_string();
+            let figures = [
+                ("address", text("address", "")),
+                ("zone", text("zone", "")),
+                ("weight", one["weight"].as_f64().unwrap_or(1.0).to_string()),
+                ("phase", text("phase", "ready")),
+                ("backup", one["backup"].as_bool().unwrap_or(false).to_string()),
+            ];
+            known.replicas.insert(id.to_string(), figures.into());
+        }
+    }
+    Ok(known)
+}
+
+/// For people: what differs.
+pub fn differences(value: &Value) -> String {
+    let mut rows = Vec::new();
+    for fleet in value["fleets"].as_array().into_iter().flatten() {
+        for one in fleet["differences"].as_array().into_iter().flatten() {
+            let (what, from, to) = match &one["what"]["changed"] {
+                Value::Array(changed) => {
+                    let text = |at: usize| changed.get(at).and_then(Value::as_str).unwrap_or("").to_string();
+                    (text(0), text(1), text(2))
+                }
+                _ => (one["what"].as_str().unwrap_or("").to_string(), String::new(), String::new()),
+            };
+            let text = |value: &Value| value.as_str().unwrap_or("").to_string();
+            rows.push(vec![text(&fleet["fleet"]), text(&one["kind"]), text(&one["name"]), what, from, to]);
+        }
+    }
+    match rows.is_empty() {
+        true => "nothing differs\n".to_string(),
+        false => show::columns(&["fleet", "kind", "name", "what", "from", "to"], &rows),
+    }
+}
+
+/// What becomes of a kind of directive.
+///
+/// Errors: it is not known.
+pub fn explain(name: &str) -> Result<(Value, String)> {
+    let Some(rule) = fates::explain(name) else {
+        bail!("this importer does not know `{name}`: where it stands it is not carried over");
+    };
+    let outcome = match (rule.outcome, rule.routing) {
+        (Outcome::Carried, _) => "carried over",
+        (Outcome::Differs, _) => "carried over, with a difference",
+        (Outcome::Left, true) => "not carried over, though it bears on routing",
+        (Outcome::Left, false) => "not carried over",
+    };
+    let advice = if rule.advice.is_empty() { String::new() } else { format!("\nadvice: {}", rule.advice) };
+    Ok((serde_json::to_value(rule)?, format!("{name}: {outcome}: {}{advice}\n", rule.why)))
+}
+
+/// Whether anything differs.
+pub fn any(value: &Value) -> bool {
+    let fleets = value["fleets"].as_array().into_iter().flatten();
+    fleets.flat_map(|fleet| fleet["differences"].as_array()).any(|all| !all.is_empty())
+}
--- /dev/null
+++ b/crates/nginx-importer/src/difference.rs
@@ -0,0 +1,110 @@
+//! What a new import changes against what stands: an earlier one's files, or a governor that runs.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::fleet::{Fleet, Routes};
+
+/// Replicas and groups by name, each with what is known of it. Only what both sides know is compared.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Known {
+    pub replicas: BTreeMap<String, BTreeMap<&'static str, String>>,
+    pub groups: BTreeMap<String, BTreeMap<&'static str, String>>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    Added,
+    Gone,
+    /// Which figure, from what to what.
+    Changed(&'static str, String, String),
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Difference {
+    /// `replica` or `group`.
+    pub kind: &'static str,
+    pub name: String,
+    pub what: What,
+}
+
+impl From<&Fleet> for Known {
+    fn from(fleet: &Fleet) -> Self {
+        let replica = |one: &crate::fleet::Replica| {
+            let known = [
+                ("address", one.address.clone()),
+                ("zone", one.zone.clone()),
+                ("weight", one.weight.to_string()),
+                ("phase", one.phase.to_string()),
+                ("backup", one.backup.to_string()),
+            ];
+            (one.id.clone(), known.into())
+        };
+        let group = |one: &crate::fleet::Group| {
+            let known = [
+                ("effect", if one.retriable { "retriable" } else { "non-retriable" }.to_string()),
+                ("latency_budget", one.latency_budget.to_string()),
+                ("expiry", one.expiry.to_string()),
+                (
+                    "routes",
+                    match &one.routes {
+                        Routes::Paths(paths) => paths.join(", "),
+                        Routes::Header(header) => header.clone(),
+                    },
+                ),
+            ];
+            (one.name.clone(), known.into())
+        };
+        Known {
+            replicas: fleet.replicas.iter().map(replica).collect(),
+            groups: fleet.groups.iter().map(group).collect(),
+        }
+    }
+}
+
+/// What stands differently in the later one.
+pub fn between(now: &Known, later: &Known) -> Vec<Difference> {
+    let mut all = Vec::new();
+    for (kind, now, later) in
+        [("group", &now.groups, &later.groups), ("replica", &now.replicas, &later.replicas)]
+    {
+        let mut add = |name: &String, what| all.push(Difference { kind, name: name.clone(), what });
+        now.keys().filter(|name| !later.contains_key(*name)).for_each(|name| add(name, What::Gone));
+        for (name, known) in later {
+            let Some(before) = now.get(name) else {
+                add(name, What::Added);
+                continue;
+            };
+            for (field, value) in known {
+                if let Some(was) = before.get(field).filter(|was| *was != value) {
+                    add(name, What::Changed(field, was.clone(), value.clone()));
+                }
+            }
+        }
+    }
+    all
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_known_on_both_sides_is_compared() {
+        let replica = |weight: &str| BTreeMap::from([("weight", weight.to_string())]);
+        let now = Known {
+            replicas: [("a".into(), replica("1")), ("b".into(), replica("1"))].into(),
+            groups: [("entry".into(), BTreeMap::new())].into(),
+        };
+        let later = Known {
+            replicas: [("b".into(), replica("2")), ("c".into(), replica("1"))].into(),
+            groups: [("entry".into(), BTreeMap::from([("expiry", "3".to_string())]))].into(),
+        };
+        let said: Vec<_> = between(&now, &later).into_iter().map(|one| (one.name, one.what)).collect();
+        let changed = What::Changed("weight", "1".into(), "2".into());
+        assert_eq!(said, [("a".into(), What::Gone), ("b".into(), changed), ("c".into(), What::Added)]);
+        assert_eq!(between(&now, &now), []);
+    }
+}
--- a/crates/nginx-importer/src/fates.rs
+++ b/crates/nginx-importer/src/fates.rs
@@ -458,6 +458,16 @@
         self.fates.entry(at).or_default().push((name.to_string(), fate));
     }
 
+    /// A directive and its words come to nothing after all, whatever was said of them.
+    pub fn void(&mut self, directive: &Directive, routing: bool, why: &str, advice: &str) {
+        let words = directive.words.iter().map(|word| word.at);
+        for at in std::iter::once(directive.name.at).chain(words) {
+            for (_, fate) in self.fates.get_mut(&at).into_iter().flatten() {
+                *fate = Fate::new(Left, routing, why.to_string(), advice.to_string());
+            }
+        }
+    }
+
     /// Ends all that nothing was said of: what would be carried over elsewhere is not where it stands.
     pub fn close(&mut self, directives: &[Directive]) {
         for directive in directives {
@@ -493,6 +503,11 @@
         .collect()
     }
 
+    /// Whether something was said of what stands at a place.
+    pub fn knows(&self, at: Place) -> bool {
+        self.fates.contains_key(&at)
+    }
+
     /// How many ended in each way.
     pub fn tally(&self) -> BTreeMap<Outcome, usize> {
         let mut tally = BTreeMap::new();
--- a/crates/nginx-importer/src/fleet.rs
+++ b/crates/nginx-importer/src/fleet.rs
@@ -115,6 +115,8 @@
     servers: Vec<Server>,
     slow_start: Option<f64>,
     at: Place,
+    /// Itself and what stands in it, for their fates.
+    heads: Vec<Directive>,
 }
 
 /// What is said outside a location, and holds within it unless it says otherwise.
@@ -128,10 +130,12 @@
     reads_only: bool,
 }
 
+/// Upstreams, and the part of flows that each gets.
+type Parts = Vec<(String, f64)>;
+
 /// One location that passes flows on.
 struct Lead {
-    /// Upstreams, and the part of flows that each gets.
-    to: Vec<(String, f64)>,
+    to: Parts,
     route: LeadRoute,
     retriable: bool,
     latency_budget: f64,
@@ -140,6 +144,8 @@
     at: Place,
     /// As it is written.
     written: String,
+    /// The location and what passes its flows on, for their fates.
+    heads: [Directive; 2],
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -151,7 +157,7 @@
 /// A variable that chooses an upstream.
 enum Choice {
     /// By chance: upstreams and their parts.
-    Split(Vec<(String, f64)>),
+    Split(Parts),
     /// By a header: its name, upstreams by value, and by default.
     Header(String, Vec<(String, String)>, Option<String>),
 }
@@ -161,10 +167,9 @@
     zones: Zones,
     account: Account,
     upstreams: BTreeMap<String, Upstream>,
-    choices: BTreeMap<String, Choice>,
+    /// By the variable, with the directive that says it.
+    choices: BTreeMap<String, (Choice, Directive)>,
     leads: Vec<Lead>,
-    /// Directives by the place of their name, for fates that are known only later.
-    passes: Vec<(usize, Directive)>,
 }
 
 /// Directives with what is included among them in its place.
@@ -188,7 +193,6 @@
         upstreams: BTreeMap::new(),
         choices: BTreeMap::new(),
         leads: Vec::new(),
-        passes: Vec::new(),
     };
     let top = each(&whole.directives);
     let mut blocks: Vec<Vec<&Directive>> = Vec::new();
@@ -238,7 +242,9 @@
             }
             self.account.end(directive, Fate::of("upstream"));
             let mut upstream = Upstream { at: directive.name.at, ..Upstream::default() };
+            upstream.heads.push(directive.head());
             for one in each(directive.block()) {
+                upstream.heads.push(one.head());
                 if one.is("server") {
                     self.server(one, &mut upstream);
                 } else {
@@ -321,7 +327,7 @@
             };
             // Whether it chooses upstreams is known once a location uses it.
             match choice {
-                Ok(Some(choice)) => drop(self.choices.insert(variable, choice)),
+                Ok(Some(choice)) => drop(self.choices.insert(variable, (choice, directive.head()))),
                 Ok(None) => {
                     let why = "it chooses no upstream";
                     self.account.end(directive, Fate::new(Outcome::Left, false, why, "keep it in the proxy"));
@@ -480,7 +486,10 @@
                     self.account.end(directive, fate);
                 }
                 [pass] => self.pass(directive, pass, &path, &here),
-                [_, second, ..] => self.left(second, "a second one in one location"),
+                [first, second, ..] => {
+                    self.left(second, "a second one in one location");
+                    self.nowhere(directive, first, "nginx takes one in a location".to_string());
+                }
             }
             if within.is_some() && path.starts_with('~') {
                 let why = "a pattern within a location counts for all paths, and not only for those there";
@@ -513,17 +522,17 @@
         }
         let path_route = || LeadRoute::Path(path.to_string());
         let variable = to.strip_prefix("${").and_then(|to| to.strip_suffix('}')).or(to.strip_prefix('$'));
-        let leads: Result<Vec<(Vec<(String, f64)>, LeadRoute)>, String> = match variable {
+        let leads: Result<Vec<(Parts, LeadRoute)>, String> = match variable {
             Some(variable) => match self.choices.get(variable) {
-                Some(Choice::Split(parts)) => Ok(vec![(parts.clone(), path_route())]),
-                Some(Choice::Header(header, values, otherwise)) if path == "/" => {
+                Some((Choice::Split(parts), _)) => Ok(vec![(parts.clone(), path_route())]),
+                Some((Choice::Header(header, values, otherwise), _)) if path == "/" => {
                     let by_value = |(value, to): &(String, String)| {
                         (vec![(to.clone(), 1.0)], LeadRoute::Header(format!("{header}: {value}")))
                     };
                     let otherwise = otherwise.iter().map(|to| (vec![(to.clone(), 1.0)], path_route()));
                     Ok(values.iter().map(by_value).chain(otherwise).collect())
                 }
-                Some(Choice::Header(..)) => {
+                Some((Choice::Header(..), _)) => {
                     Err("a group is told by paths or by a header: with both only the location `/` is"
                         .to_string())
                 }
@@ -540,7 +549,8 @@
                         backup: false,
                         at: pass.name.at,
                     };
-                    let upstream = Upstream { servers: vec![server], slow_start: None, at: pass.name.at };
+                    let at = pass.name.at;
+                    let upstream = Upstream { servers: vec![server], at, ..Upstream::default() };
                     self.upstreams.entry(address.clone()).or_insert(upstream);
                     Ok(vec![(vec![(address, 1.0)], path_route())])
                 }
@@ -556,6 +566,9 @@
             return self.nowhere(location, pass, "none of its servers can be listed".to_string());
         }
         self.account.end(pass, fate);
+        if let Some((_, said)) = variable.and_then(|variable| self.choices.get(variable)) {
+            self.account.end(said, Fate::of(&said.name.text()));
+        }
         let attempt = (here.connect.unwrap_or(CONNECT) + here.read.unwrap_or(READ)).clamp(0.001, LONGEST);
         let next: Vec<&str> = match &here.next {
             Some(next) => next.iter().map(String::as_str).collect(),
@@ -575,7 +588,6 @@
         };
         for (to, route) in leads {
             let written = location.words.iter().map(Word::text).collect::<Vec<_>>().join(" ");
-            self.passes.push((self.leads.len(), location.clone_head()));
             self.leads.push(Lead {
                 to,
                 route,
@@ -585,6 +597,7 @@
                 tries,
                 at: location.name.at,
                 written,
+                heads: [location.head(), pass.head()],
             });
         }
     }
@@ -615,6 +628,16 @@
             };
             self.group(place, at, &mut fleets);
         }
+        let led: BTreeSet<&String> = self.leads.iter().flat_map(|lead| &lead.to).map(|(to, _)| to).collect();
+        for (_, upstream) in self.upstreams.iter().filter(|(name, _)| !led.contains(name)) {
+            if upstream.servers.is_empty() {
+                let why = "none of its servers can be listed";
+                upstream.heads.first().into_iter().for_each(|head| self.account.void(head, true, why, ""));
+                continue;
+            }
+            let (why, advice) = ("no location leads to this upstream", "import the file that does, too");
+            upstream.heads.iter().for_each(|head| self.account.void(head, false, why, advice));
+        }
         self.shared(&fleets);
         fleets.retain(|fleet| !fleet.groups.is_empty());
         for fleet in &mut fleets {
@@ -693,22 +716,13 @@
         if let LeadRoute::Path(path) = &lead.route {
             let holds = |group: &Group| matches!(&group.routes, Routes::Paths(paths) if paths.contains(path));
             if let Some(known) = groups.iter_mut().find(|group| holds(group)) {
-                let alike = alike(known, lead);
-                known.origins.push(origin);
-                if !alike {
-                    let why =
-                        format!("`{path}` leads to group `{}` already, said otherwise there", known.name);
-                    let (_, location) = &self.passes[place];
-                    self.account.end(
-                        location,
-                        Fate::new(
-                            Outcome::Left,
-                            true,
-                            why,
-                            "governors do not tell hosts apart: run one for each",
-                        ),
-                    );
+                if alike(known, lead) {
+                    known.origins.push(origin);
+                    return;
                 }
+                let why = format!("`{path}` leads to group `{}` already, said otherwise there", known.name);
+                let advice = "governors do not tell hosts apart: run one for each";
+                lead.heads.iter().for_each(|head| self.account.void(head, true, &why, advice));
                 return;
             }
             let joins = |group: &&mut Group| matches!(group.routes, Routes::Paths(_)) && alike(group, lead);
@@ -730,10 +744,10 @@
                 true => format!("a governor has {MOST_GROUPS} groups at the most"),
                 false => "the same header leads to a group already".to_string(),
             };
-            let (_, location) = &self.passes[place];
-            return self
-                .account
-                .end(location, Fate::new(Outcome::Left, true, why, "run a governor of its own"));
+            lead.heads
+                .iter()
+                .for_each(|head| self.account.void(head, true, &why, "run a governor of its own"));
+            return;
         }
         let (said, routes) = match &lead.route {
             LeadRoute::Path(path) => (name(path), Routes::Paths(vec![path.clone()])),
@@ -773,7 +787,7 @@
 
 impl Directive {
     /// Itself without its block, to be named later.
-    fn clone_head(&self) -> Directive {
+    fn head(&self) -> Directive {
         Directive { name: self.name.clone(), words: self.words.clone(), body: Body::None }
     }
 }
--- a/crates/nginx-importer/src/lib.rs
+++ b/crates/nginx-importer/src/lib.rs
@@ -16,9 +16,13 @@
 //! assert_eq!(imported.account.losses(), 0);
 //! ```
 
+pub mod access_log;
+pub mod blocks;
+pub mod difference;
 pub mod fates;
 pub mod files;
 pub mod fleet;
+pub mod pacer;
 pub mod syntax;
 pub mod words;
 pub mod write;
--- a/crates/nginx-importer/src/write.rs
+++ b/crates/nginx-importer/src/write.rs
@@ -128,3 +128,16 @@
     let lines: Vec<String> = fleet.replicas.iter().map(|one| format!("  {}", entry(one))).collect();
     format!("{{\"replicas\": [\n{}\n]}}\n", lines.join(",\n"))
 }
+
+const MARK: &str = "# wrenthread import nginx ";
+
+/// A script with a first line by which it is known later whether somebody has changed it.
+pub fn marked(script: &str) -> String {
+    format!("{MARK}{}\n{script}", &blake3::hash(script.as_bytes()).to_hex()[..16])
+}
+
+/// Whether a file is an import's as it was written.
+pub fn untouched(file: &str) -> bool {
+    let told = file.strip_prefix(MARK).and_then(|rest| rest.split_once('\n'));
+    told.is_some_and(|(mark, script)| mark == &blake3::hash(script.as_bytes()).to_hex()[..16])
+}
--- /dev/null
+++ b/crates/nginx-importer/tests/corpus.rs
@@ -0,0 +1,215 @@
+//! Sample configurations, realistic and hostile, each with what it comes to and what becomes of every
+//! directive. `WRITE=1 cargo test -p wrenthread-nginx --test corpus` writes the expected results anew, to be
+//! read before they are committed.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::{Path, PathBuf};
+
+use proptest::prelude::*;
+use wrenthread_nginx::fates::{Outcome, TABLES};
+use wrenthread_nginx::files::{self, Disk, Whole};
+use wrenthread_nginx::fleet::{Imported, Routes, Zones, import};
+use wrenthread_nginx::syntax::{self, Body, Directive, MOST};
+use wrenthread_nginx::write::{self, Terms};
+
+fn folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/corpus")
+}
+
+fn names() -> Vec<String> {
+    let entries = std::fs::read_dir(folder()).unwrap().map(|entry| entry.unwrap().file_name());
+    let mut names: Vec<String> = entries.map(|name| name.to_string_lossy().into_owned()).collect();
+    names.retain(|name| name.ends_with(".conf"));
+    names.sort();
+    names
+}
+
+fn read(name: &str) -> (Whole, Imported) {
+    let mut whole = files::read(&Disk, &folder().join(name)).unwrap();
+    // Origins are told as in the corpus, wherever that is.
+    for file in &mut whole.files {
+        *file = file.strip_prefix(folder()).unwrap().to_path_buf();
+    }
+    let zones = if name == "zones.conf" { Zones::Network } else { Zones::One };
+    let imported = import(&whole, zones);
+    (whole, imported)
+}
+
+fn told(whole: &Whole, imported: &Imported) -> String {
+    let mut text = String::new();
+    for fleet in &imported.fleets {
+        let warm = fleet.warm_after.map_or(String::new(), |span| format!(", warm after {span}"));
+        let _ =
+            writeln!(text, "fleet {} from {}, tries {}{warm}", fleet.name, fleet.origin, fleet.tries.word());
+        for one in &fleet.replicas {
+            let backup = if one.backup { " backup" } else { "" };
+            let _ =
+                writeln!(text, "  {} in {} weight {} {}{backup}", one.id, one.zone, one.weight, one.phase);
+        }
+        for group in &fleet.groups {
+            let routes = match &group.routes {
+                Routes::Paths(paths) => paths.join(" | "),
+                Routes::Header(header) => format!("header {header}"),
+            };
+            let effect = if group.retriable { "retriable" } else { "non-retriable" };
+            let _ = writeln!(
+                text,
+                "  group {}: {routes}; {effect}, {} s of {} s, {}",
+                group.name,
+                group.latency_budget,
+                group.expiry,
+                group.tries.word()
+            );
+        }
+    }
+    for one in imported.account.told(whole) {
+        let outcome = match (one.fate.outcome, one.fate.routing) {
+            (Outcome::Carried, _) => "carried",
+            (Outcome::Differs, _) => "differs",
+            (Outcome::Left, true) => "LEFT",
+            (Outcome::Left, false) => "own",
+        };
+        let _ = writeln!(text, "{}:{} {}: {outcome}: {}", one.at, one.column, one.directive, one.fate.why);
+    }
+    text
+}
+
+/// Every directive, with what is included, but for entries of tables.
+fn all(directives: &[Directive]) -> Vec<&Directive> {
+    let mut found = Vec::new();
+    for directive in directives {
+        found.push(directive);
+        match &directive.body {
+            Body::Block(within) | Body::Included(within) if !TABLES.contains(&&*directive.name.text()) => {
+                found.extend(all(within));
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+#[test]
+fn every_sample_comes_to_what_is_expected_of_it() {
+    for name in names() {
+        let (whole, imported) = read(&name);
+        let (now, path) = (told(&whole, &imported), folder().join(&name).with_extension("expected"));
+        if std::env::var_os("WRITE").is_some() {
+            std::fs::write(&path, &now).unwrap();
+        }
+        let expected = std::fs::read_to_string(&path).unwrap_or_default();
+        assert!(now == expected, "{name}; it comes to\n{now}");
+    }
+}
+
+#[test]
+fn every_directive_is_accounted_for_and_what_is_written_is_accepted() {
+    for name in names() {
+        let (whole, imported) = read(&name);
+        for directive in all(&whole.directives) {
+            let (at, name) = (directive.name.at, directive.name.text());
+            assert!(imported.account.knows(at), "{}: `{name}`", whole.origin(at));
+        }
+        for (place, fleet) in imported.fleets.iter().enumerate() {
+            let script = write::settings(fleet, place, &Terms::default());
+            let settings = wrenthread_settings::parse(&name, &script).unwrap();
+            assert_eq!(settings.groups.len(), fleet.groups.len(), "{name}");
+            let marked = write::marked(&script);
+            assert!(
+                write::untouched(&marked)
+                    && !write::untouched(&marked.replace("proxies = 16", "proxies = 9"))
+            );
+            assert!(serde_json::from_str::<serde_json::Value>(&write::roster(fleet)).is_ok());
+        }
+        // Again: the same.
+        let again = read(&name).1;
+        assert_eq!(again.fleets, imported.fleets, "{name}");
+    }
+}
+
+#[test]
+fn what_is_printed_imports_as_the_same() {
+    for name in names() {
+        let (whole, imported) = read(&name);
+        let text = syntax::write(&whole.directives);
+        let directives = syntax::parse(&text, 0, MOST).unwrap();
+        let printed = Whole { files: vec![name.clone().into()], directives };
+        let zones = if name == "zones.conf" { Zones::Network } else { Zones::One };
+        let again = import(&printed, zones);
+        let bare = |imported: &Imported| {
+            let fleets = imported.fleets.iter().map(|fleet| {
+                let groups: Vec<_> =
+                    fleet.groups.iter().map(|one| (one.name.clone(), one.routes.clone())).collect();
+                let replicas = fleet.replicas.iter().map(|one| (one.id.clone(), one.weight, one.phase));
+                (fleet.name.clone(), groups, replicas.collect::<Vec<_>>())
+            });
+            fleets.collect::<Vec<_>>()
+        };
+        assert_eq!(bare(&again), bare(&imported), "{name}");
+    }
+}
+
+#[test]
+fn groups_beyond_a_governors_are_named_and_left() {
+    let text = std::fs::read_to_string(folder().join("many-groups.conf")).unwrap();
+    let many: String = (1..70)
+        .map(|at| {
+            format!("server {{ location /{at} {{ proxy_pass http://gates; proxy_read_timeout {at}s; }} }}\n")
+        })
+        .collect();
+    let directives = syntax::parse((text + &many).as_bytes(), 0, MOST).unwrap();
+    let whole = Whole { files: vec!["many.conf".into()], directives };
+    let imported = import(&whole, Zones::One);
+    assert_eq!((imported.fleets[0].groups.len(), imported.account.losses()), (64, 12));
+    assert!(told(&whole, &imported).contains("a governor has 64 groups at the most"));
+}
+
+#[test]
+fn a_large_configuration_is_read_and_bounds_hold() {
+    let mut text = String::from("http {\n");
+    for upstream in 0..500 {
+        let _ = writeln!(text, "upstream u{upstream} {{");
+        for server in 0..40 {
+            let _ = writeln!(text, "    server 10.{}.{}.{server}:80;", upstream / 250, upstream % 250);
+        }
+        let _ = writeln!(text, "}}\nserver {{ location /{upstream} {{ proxy_pass http://u{upstream}; }} }}");
+    }
+    text += "}\n";
+    let directives = syntax::parse(text.as_bytes(), 0, MOST).unwrap();
+    let imported = import(&Whole { files: vec!["large.conf".into()], directives }, Zones::One);
+    assert_eq!((imported.fleets.len(), imported.fleets[499].replicas.len()), (500, 40));
+    let replicas: BTreeMap<_, _> =
+        imported.fleets.iter().flat_map(|one| &one.replicas).map(|one| (&one.id, 1)).collect();
+    assert_eq!(replicas.len(), 20_000);
+}
+
+proptest! {
+    /// A sample with bytes changed, cut or doubled is imported or refused with its place, and never a panic.
+    #[test]
+    fn mutated_samples_do_no_harm(
+        sample in 0usize..20, cuts in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>(), 0u8..3), 1..6),
+    ) {
+        let names = names();
+        let mut text = std::fs::read(folder().join(&names[sample % names.len()])).unwrap();
+        for (at, byte, how) in cuts {
+            if text.is_empty() {
+                break;
+            }
+            let at = at.index(text.len());
+            match how {
+                0 => text[at] = byte,
+                1 => text.truncate(at),
+                _ => text.insert(at, byte),
+            }
+        }
+        if let Ok(directives) = syntax::parse(&text, 0, MOST) {
+            let whole = Whole { files: vec!["x.conf".into()], directives };
+            let imported = import(&whole, Zones::Network);
+            prop_assert!(imported.account.told(&whole).len() >= whole.directives.len());
+            for (place, fleet) in imported.fleets.iter().enumerate() {
+                prop_assert!(wrenthread_settings::parse("x", &write::settings(fleet, place, &Terms::default())).is_ok());
+            }
+        }
+    }
+}
