`wrenthread export nginx`: a proxy that stays nginx follows by files, and its log is heard

For fleets whose proxies stay nginx: an agent beside it follows the governor as a proxy does, by long-poll, and puts what it is told into a file of upstream blocks, replaced whole and read back by our own parser before it is used. A reload command may be named in the settings and is off by default; where it fails the file is as it was. Drains are written soon, the rest seldom, failures again after longer waits. An access log in our format is read over rotations, cuts and old lines, and reported. `--print PROXY` writes what a proxy holds now.

--- a/crates/client/src/keeper.rs
+++ b/crates/client/src/keeper.rs
@@ -258,6 +258,13 @@
         self.tries.get(group).copied().unwrap_or_default()
     }
 
+    /// A flow was blocked before any try, by somebody else than [`Keeper::pick`].
+    pub fn blocked(&mut self, group: usize) {
+        if let Some(blocked) = self.stats.blocked.get_mut(group) {
+            *blocked += 1;
+        }
+    }
+
     /// A try goes out.
     pub fn began(&mut self, group: usize, at: &Arc<str>) {
         self.stats.met.entry((group, at.clone())).or_default().issued += 1;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! `wrenthread`: a control service that hands weights to plain proxies.
 
 mod clock;
+mod export;
 mod host;
 mod http;
 mod nginx;
@@ -118,6 +119,62 @@
     Nginx(Nginx),
 }
 
+#[derive(Subcommand)]
+enum Target {
+    /// An nginx: upstream blocks in a file that it includes, replaced whole (`nginx(...)` in the settings)
+    #[command(
+        after_help = "Examples:\n  wrenthread export nginx deploy/settings.star --name nginx-1 --zone north\n  \
+        wrenthread export nginx deploy/settings.star --print relay-3"
+    )]
+    Nginx(Export),
+}
+
+#[derive(clap::Args)]
+struct Export {
+    settings: PathBuf,
+    /// The nginx's name among proxies
+    #[arg(long, required_unless_present = "print")]
+    name: Option<String>,
+    /// Its zone; the only one, where there is one
+    #[arg(long)]
+    zone: Option<String>,
+    /// Flows a second that it ordinarily receives
+    #[arg(long, default_value = "1")]
+    usual: f64,
+    /// The governor's long-poll port, as http://HOST:PORT; else as the settings say
+    #[arg(long)]
+    at: Option<String>,
+    /// End once the file is written and read
+    #[arg(long)]
+    once: bool,
+    /// Print the blocks of a joined proxy's present tables instead, and follow nobody
+    #[arg(long)]
+    print: Option<String>,
+}
+
+impl Export {
+    fn carry_out(self) -> Result<()> {
+        let settings = run::load(&self.settings)?;
+        if let Some(proxy) = &self.print {
+            let tables = show::fetch(&settings.http.to_string(), &format!("/tables/{proxy}"), None)?;
+            print!("{}", export::print(&tables)?);
+            return Ok(());
+        }
+        let zone = match (self.zone, settings.zones.as_slice()) {
+            (Some(zone), _) => zone,
+            (None, [only]) => only.clone(),
+            (None, zones) => anyhow::bail!("which zone? `--zone`, of {}", zones.join(", ")),
+        };
+        let at = match (self.at, settings.poll) {
+            (Some(at), _) => at.trim_end_matches('/').to_string(),
+            (None, Some(at)) => format!("http://{at}"),
+            (None, None) => anyhow::bail!("the settings have no `poll` to listen on: say `--at`"),
+        };
+        let who = wrenthread_client::Who { name: self.name.unwrap_or_default(), zone, usual: self.usual };
+        export::run(&settings, export::Place { who, at }, self.once)
+    }
+}
+
 #[derive(clap::Args)]
 struct Nginx {
     #[arg(required_unless_present = "explain")]
@@ -146,7 +203,7 @@
     #[arg(long, default_value = "1")]
     governors: u64,
     /// Ports of the first fleet, as gRPC,HTTP,long-poll; each further one has those ten higher
-    #[arg(long, value_delimiter = ',', num_args = 3, default_values = ["15010", "15011", "15012"])]
+    #[arg(long, value_delimiter = ',', default_value = "15010,15011,15012")]
     ports: Vec<u16>,
 }
 
@@ -343,6 +400,11 @@
         #[command(subcommand)]
         from: Source,
     },
+    /// Have proxies follow that can't by themselves
+    Export {
+        #[command(subcommand)]
+        to: Target,
+    },
     /// Read settings within bounds, and write what they came to as JSON
     #[command(hide = true)]
     ReadSettings { settings: PathBuf },
@@ -465,6 +527,7 @@
             println!("{} tables are released", released["released"]);
         }
         Command::Import { from: Source::Nginx(nginx) } => return nginx.carry_out(),
+        Command::Export { to: Target::Nginx(export) } => export.carry_out()?,
         Command::Rehearse { day, seeds, front, suspect, no_refusals, tape, output } => {
             return rehearse(&day, &seeds, front, &suspect, no_refusals, tape, output);
         }
--- a/crates/daemon/src/nginx.rs
+++ b/crates/daemon/src/nginx.rs
@@ -145,7 +145,12 @@
                 groups + later.replicas.keys().filter(|name| known.replicas.contains_key(*name)).count()
             };
             let fleet = self.imported.fleets.iter().max_by_key(shared).context("nothing was imported")?;
-            all.push((fleet.name.clone(), difference::between(&known, &fleet.into())));
+            let mut later = Known::from(fleet);
+            // What is listed as gone, or as a backup that is not called, a governor does not hold.
+            let held =
+                |figures: &BTreeMap<_, String>| figures["phase"] != "gone" && figures["backup"] != "true";
+            later.replicas.retain(|id, figures| known.replicas.contains_key(id) || held(figures));
+            all.push((fleet.name.clone(), difference::between(&known, &later)));
         } else {
             for fleet in &self.imported.fleets {
                 let known = written(&folder.join(&fleet.name))?;
--- /dev/null
+++ b/crates/daemon/tests/nginx.rs
@@ -0,0 +1,267 @@
+//! The importer and the export at the command line, with a stand-in that follows nginx's file format.
+
+mod common;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{Governor, port, until};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use wrenthread_client::keeper::Keeper;
+use wrenthread_client::poll::Session;
+use wrenthread_client::{Unwatched, Who};
+use wrenthread_nginx::blocks;
+
+fn wrenthread(arguments: &[&str]) -> (Option<i32>, String) {
+    let ran = Command::new(env!("CARGO_BIN_EXE_wrenthread")).args(arguments).output().unwrap();
+    (ran.status.code(), String::from_utf8([ran.stdout, ran.stderr].concat()).unwrap())
+}
+
+/// nginx's round, as its documentation has it: of as many flows as the weights come to, each server gets its
+/// weight, and those of one server are spread among the others'.
+fn round(weights: &[(String, f64)], flows: usize) -> BTreeMap<String, usize> {
+    let (mut owed, all) = (vec![0.0; weights.len()], weights.iter().map(|(_, weight)| weight).sum::<f64>());
+    let mut got = BTreeMap::new();
+    for _ in 0..flows {
+        owed.iter_mut().zip(weights).for_each(|(owed, (_, weight))| *owed += weight);
+        let most = (0..owed.len()).max_by(|one, other| owed[*one].total_cmp(&owed[*other])).unwrap();
+        owed[most] -= all;
+        *got.entry(weights[most].0.clone()).or_default() += 1;
+    }
+    got
+}
+
+#[tokio::test]
+async fn an_imported_fleet_runs_and_spreads_flows_as_nginx_would() {
+    let folder = std::env::temp_dir().join(format!("wrenthread-test-{}-import", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let conf = folder.join("nginx.conf");
+    std::fs::write(
+        &conf,
+        "upstream gates { server 10.0.0.1:80 weight=5; server 10.0.0.2:80; server 10.0.0.3:80 weight=3;\n\
+         server 10.0.0.4:80 down; server 10.0.0.5:80 backup; }\n\
+         server { location /entry { proxy_pass http://gates; proxy_read_timeout 2s; } sticky on; }\n",
+    )
+    .unwrap();
+    let (grpc, http, poll) = (port(), port(), port());
+    let (file, output, ports) =
+        (conf.to_str().unwrap(), folder.to_str().unwrap(), format!("{grpc},{http},{poll}"));
+    let import = |more: &[&str]| wrenthread(&[&["import", "nginx", file, "--ports", &ports], more].concat());
+    let (code, said) = import(&["--output", output]);
+    assert!(code == Some(0) && said.contains("upstream gates") && said.contains("backup"), "{said}");
+    assert!(said.contains("NOT CARRIED OVER"), "{said}");
+    assert_eq!(import(&["--strict"]).0, Some(3));
+    assert_eq!(import(&["--diff", output]), (Some(0), "nothing differs\n".to_string()));
+    let report: serde_json::Value = serde_json::from_str(&import(&["--report", "json"]).1).unwrap();
+    assert_eq!((&report["losses"], &report["fleets"][0]["name"]), (&1.into(), &"gates".into()));
+    let mut governor = Governor {
+        child: Command::new("true").spawn().unwrap(),
+        folder: folder.join("gates"),
+        grpc,
+        http,
+        poll,
+        joined_most: 4,
+    };
+    let checked = governor.folder.join("settings.star");
+    assert_eq!(wrenthread(&["check", checked.to_str().unwrap()]).0, Some(0));
+    governor.spawn().await;
+    let (code, said) = import(&["--diff", &format!("127.0.0.1:{http}")]);
+    assert_eq!(
+        (code, said.as_str()),
+        (Some(0), "nothing differs\n"),
+        "neither `down` nor a backup is listed"
+    );
+    std::fs::write(&conf, std::fs::read_to_string(&conf).unwrap().replace("weight=5", "weight=4")).unwrap();
+    let (code, said) = import(&["--diff", &format!("127.0.0.1:{http}")]);
+    assert!(code == Some(3) && said.contains("10.0.0.1:80  weight"), "{said}");
+
+    let keeper = Rc::new(RefCell::new(Keeper::new(vec!["entry".into()], vec![], None)));
+    let who = Who { name: "relay".into(), zone: "all".into(), usual: 1.0 };
+    let session = Session::join(&format!("http://127.0.0.1:{poll}"), &who, &keeper).await.unwrap();
+    while keeper.borrow().ordered().get("entry").is_none_or(|(lines, _)| lines.len() != 3) {
+        session.ask(&keeper, &Unwatched).await.unwrap();
+    }
+    let weights = [("10.0.0.1:80", 5.0), ("10.0.0.2:80", 1.0), ("10.0.0.3:80", 3.0)];
+    let weights = weights.map(|(at, weight)| (at.to_string(), weight));
+    let flows = 9 * 2000;
+    let reference = round(&weights, flows);
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut chance = || (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+    let mut got: BTreeMap<String, usize> = BTreeMap::new();
+    for _ in 0..flows {
+        let at = keeper.borrow_mut().pick(Duration::ZERO, 0, (0.0, chance()), None).unwrap();
+        *got.entry(at.to_string()).or_default() += 1;
+    }
+    for (at, wanted) in reference {
+        let part = wanted as f64 / flows as f64;
+        // Four standard deviations of what chance does: our proxies draw, and nginx goes round.
+        let bound = 4.0 * (part * (1.0 - part) / flows as f64).sqrt();
+        let seen = got[&at] as f64 / flows as f64;
+        assert!((seen - part).abs() < bound, "{at}: {seen} of {part}");
+    }
+}
+
+/// What stands for an nginx: it reads the file when it is told to, spreads flows by it, and logs them.
+struct Nginx {
+    folder: PathBuf,
+    rng: ChaCha8Rng,
+}
+
+impl Nginx {
+    fn new(folder: &Path) -> Self {
+        // The command that has it read the file: it fails while `refuse` is there.
+        let script = format!(
+            "#!/bin/sh\ncd '{}'\nif [ -e refuse ]; then echo 'no such host in upstream' >&2; exit 1; fi\n\
+             cp wrenthread.conf loaded.new && mv loaded.new loaded.conf\n",
+            folder.display()
+        );
+        std::fs::write(folder.join("reload.sh"), script).unwrap();
+        std::fs::write(folder.join("access.log"), "match|10.0.0.0:80|502|0.001\nhalf a li").unwrap();
+        Nginx { folder: folder.to_path_buf(), rng: ChaCha8Rng::seed_from_u64(3) }
+    }
+
+    fn said(&self) -> blocks::Said {
+        let text = std::fs::read_to_string(self.folder.join("loaded.conf")).unwrap_or_default();
+        blocks::read(&text).unwrap()
+    }
+
+    fn servers(&self) -> Vec<String> {
+        let said = self.said();
+        said.get(&blocks::upstream("match"))
+            .map_or(vec![], |(lines, _)| lines.iter().map(|one| one.0.clone()).collect())
+    }
+
+    fn chance(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// So many flows, of which those at one address are answered badly.
+    fn flows(&mut self, flows: usize, bad: &str) {
+        let said = self.said();
+        let (lines, blocked) = said[&blocks::upstream("match")].clone();
+        let all: f64 = lines.iter().map(|(_, weight)| weight).sum();
+        let mut text = String::new();
+        for _ in 0..flows {
+            if self.chance() < blocked {
+                text += "match|-|-|-\n";
+                continue;
+            }
+            let mut left = self.chance() * all;
+            let at = lines.iter().find(|(_, weight)| {
+                left -= weight;
+                left < 0.0
+            });
+            let at = &at.or(lines.last()).unwrap().0;
+            let _ = match at == bad {
+                true => writeln!(text, "match|{at}|502|0.001"),
+                false => writeln!(text, "match|{at}|200|0.020"),
+            };
+        }
+        let mut log =
+            std::fs::File::options().create(true).append(true).open(self.folder.join("access.log")).unwrap();
+        log.write_all(text.as_bytes()).unwrap();
+    }
+}
+
+struct Agent(Child);
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[tokio::test]
+async fn an_nginx_follows_by_files_and_its_log_is_heard() {
+    let mut governor = Governor::start("export", 4).await;
+    let folder = governor.folder.clone();
+    let mut nginx = Nginx::new(&folder);
+    let settings = folder.join("settings.star");
+    let script = std::fs::read_to_string(&settings).unwrap();
+    let reload = folder.join("reload.sh");
+    std::fs::write(
+        &settings,
+        format!(
+            "{script}reports(every = 0.2)\nnginx(reload = [\"sh\", {reload:?}], every = 0.4, drains_every = 0.1, \
+             access_log = \"access.log\")\n"
+        ),
+    )
+    .unwrap();
+    governor.child.kill().unwrap();
+    governor.child.wait().unwrap();
+    governor.spawn().await;
+    let log = std::fs::File::create(folder.join("agent.log")).unwrap();
+    let mut agent = Agent(
+        Command::new(env!("CARGO_BIN_EXE_wrenthread"))
+            .args(["export", "nginx", settings.to_str().unwrap(), "--name", "nginx-1"])
+            .stderr(log)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap(),
+    );
+    until("four servers", || (nginx.servers().len() == 4).then_some(())).await;
+    assert_eq!(nginx.said()[&blocks::upstream("charge")].0.len(), 4);
+    let (code, printed) = wrenthread(&["export", "nginx", settings.to_str().unwrap(), "--print", "nginx-1"]);
+    assert!(code == Some(0) && blocks::read(&printed).unwrap() == nginx.said(), "{printed}");
+
+    // A drain reaches it, and what nginx would not take is not left where it may find it.
+    governor.list(4, &[1]);
+    until("three servers", || (nginx.servers().len() == 3).then_some(())).await;
+    assert!(!nginx.servers().contains(&"10.0.0.1:80".to_string()));
+    std::fs::write(folder.join("refuse"), "").unwrap();
+    governor.list(4, &[1, 2]);
+    let failed = || {
+        let text = std::fs::read_to_string(folder.join("agent.log")).unwrap();
+        text.contains("no such host in upstream").then_some(())
+    };
+    until("a reload that fails", failed).await;
+    until("the file as it was", || {
+        let file = std::fs::read_to_string(folder.join("wrenthread.conf")).unwrap();
+        (file == std::fs::read_to_string(folder.join("loaded.conf")).unwrap()).then_some(())
+    })
+    .await;
+    assert_eq!(nginx.servers().len(), 3);
+    std::fs::remove_file(folder.join("refuse")).unwrap();
+    until("two servers", || (nginx.servers().len() == 2).then_some(())).await;
+    governor.list(4, &[]);
+    until("all four again", || (nginx.servers().len() == 4).then_some(())).await;
+
+    // Its log is heard: a worker that answers badly is held back. Old lines and half ones don't count.
+    let bad = "10.0.0.3:80";
+    let held_back = |nginx: &Nginx| !nginx.servers().contains(&bad.to_string());
+    let began = std::time::Instant::now();
+    let mut rotated = false;
+    while !held_back(&nginx) {
+        assert!(began.elapsed() < Duration::from_secs(30), "it is never held back");
+        nginx.flows(20, bad);
+        if !rotated && began.elapsed() > Duration::from_millis(700) {
+            rotated = true;
+            std::fs::rename(folder.join("access.log"), folder.join("access.log.1")).unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let status = governor.status();
+    let worker = status["replicas"].as_array().unwrap().iter().find(|one| one["id"] == "w3").unwrap().clone();
+    assert_eq!(worker["state"], "withdrawn", "{worker}");
+    assert!(governor.get("/metrics").unwrap().contains("wrenthread_reports_total"));
+
+    // Without a governor it goes on with what it has; the agent ends when it is asked to.
+    let before = nginx.servers();
+    governor.child.kill().unwrap();
+    governor.child.wait().unwrap();
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(nginx.servers(), before);
+    assert!(agent.0.try_wait().unwrap().is_none(), "it waits for the governor");
+    let id = agent.0.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    let ended = until("its end", || agent.0.try_wait().unwrap()).await;
+    assert_eq!(ended.code(), Some(0));
+}
