--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -410,7 +410,7 @@
     ReadSettings { settings: PathBuf },
     /// Rehearse a bad day on stand-in relays and workers, and judge it by what crossed the sockets
     #[command(after_help = "Example: wrenthread rehearse bad-day --seed 3\nDays: bad-day, short, takeover, \
-        split, stall, roll, dark, friday")]
+        split, stall, roll, dark, friday, imported")]
     Rehearse {
         day: String,
         /// Seeds; each is a day of its own
--- /dev/null
+++ b/crates/nginx-importer/benches/import.rs
@@ -0,0 +1,99 @@
+//! What an import costs, what becomes of the corpus' directives, and how far the spread is from nginx's round.
+//! `cargo bench -p wrenthread-nginx --bench import`
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::path::Path;
+use std::time::Instant;
+
+use wrenthread_nginx::fates::Outcome;
+use wrenthread_nginx::files::{self, Disk, Whole};
+use wrenthread_nginx::fleet::{Zones, import};
+use wrenthread_nginx::syntax::{self, MOST};
+use wrenthread_nginx::{blocks, write};
+
+/// So many lines: upstreams of twenty servers, each with a location of its own.
+fn large(lines: usize) -> String {
+    let mut text = String::from("http {\n");
+    for upstream in 0..lines / 24 {
+        let _ = writeln!(text, "upstream u{upstream} {{");
+        for server in 0..20 {
+            let (a, b) = (upstream / 200, upstream % 200);
+            let _ = writeln!(text, "    server 10.{a}.{b}.{server}:80 weight={};", 1 + server % 5);
+        }
+        let _ = writeln!(
+            text,
+            "}}\nserver {{ listen 80;\n    location /{upstream} {{ proxy_pass http://u{upstream}; }}\n}}"
+        );
+    }
+    text + "}\n"
+}
+
+/// The most memory that this process ever had, in MiB, as the system tells.
+fn most_memory() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    line.and_then(|line| line.trim().trim_end_matches(" kB").trim().parse::<f64>().ok()).unwrap_or(f64::NAN)
+        / 1024.0
+}
+
+fn median(mut all: Vec<f64>) -> (f64, f64, f64) {
+    all.sort_by(f64::total_cmp);
+    (all[0], all[all.len() / 2], all[all.len() - 1])
+}
+
+fn main() {
+    println!("lines  parse ms  import ms  write ms  (least, median, most of 7)");
+    for lines in [500, 5000, 50_000] {
+        let text = large(lines);
+        let (mut parse, mut imports, mut writes) = (vec![], vec![], vec![]);
+        for _ in 0..7 {
+            let ms = |began: Instant| began.elapsed().as_secs_f64() * 1e3;
+            let began = Instant::now();
+            let directives = syntax::parse(text.as_bytes(), 0, MOST).expect("it is sound");
+            parse.push(ms(began));
+            let whole = Whole { files: vec!["large.conf".into()], directives };
+            let began = Instant::now();
+            let imported = import(&whole, Zones::One);
+            imports.push(ms(began));
+            let began = Instant::now();
+            let terms = write::Terms::default();
+            for (place, fleet) in imported.fleets.iter().enumerate() {
+                std::hint::black_box((write::settings(fleet, place, &terms), write::roster(fleet)));
+            }
+            writes.push(ms(began));
+        }
+        let (parse, imports, writes) = (median(parse), median(imports), median(writes));
+        println!("{lines}  {parse:.1?}  {imports:.1?}  {writes:.1?}; {:.0} MiB at the most", most_memory());
+    }
+
+    let corpus = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/corpus");
+    let mut outcomes: BTreeMap<(Outcome, bool), usize> = BTreeMap::new();
+    let mut entries: Vec<_> = std::fs::read_dir(corpus).expect("the corpus").flatten().collect();
+    entries.sort_by_key(std::fs::DirEntry::path);
+    for entry in entries.iter().filter(|entry| entry.path().extension().is_some_and(|one| one == "conf")) {
+        let whole = files::read(&Disk, &entry.path()).expect("a sample");
+        for one in import(&whole, Zones::One).account.told(&whole) {
+            *outcomes.entry((one.fate.outcome, one.fate.routing)).or_default() += 1;
+        }
+    }
+    println!("\nin the corpus (outcome, whether it bears on routing): {outcomes:?}");
+
+    println!("\nwhole weights of a file for nginx: the largest error of a share, by weight set");
+    let sets: [(&str, Vec<f64>); 4] = [
+        ("5 1 1", vec![5.0, 1.0, 1.0]),
+        ("1 to 20", (1..=20).map(f64::from).collect()),
+        ("solved, 60 lines", (0..60).map(|at| 1.0 + (f64::from(at) * 0.618).fract()).collect()),
+        ("a cold one of 24", (0..24).map(|at| if at == 0 { 0.05 } else { 1.0 }).collect()),
+    ];
+    for (name, weights) in sets {
+        let lines: Vec<(String, f64)> = weights.iter().map(|weight| (String::new(), *weight)).collect();
+        let whole = blocks::weights(&lines);
+        let (sum, all): (f64, u64) = (weights.iter().sum(), whole.iter().sum());
+        let error = |(weight, whole): (&f64, &u64)| {
+            (weight / sum - *whole as f64 / all as f64).abs() / (weight / sum)
+        };
+        let worst = weights.iter().zip(&whole).map(error).fold(0.0, f64::max);
+        println!("{name}: {:.2e} of the share itself", worst);
+    }
+}
--- a/crates/nginx-importer/src/fleet.rs
+++ b/crates/nginx-importer/src/fleet.rs
@@ -611,18 +611,20 @@
 
     fn fleets(&mut self) -> Vec<Fleet> {
         let mut fleets: Vec<Fleet> = Vec::new();
+        let (mut known, mut taken): (BTreeMap<String, usize>, BTreeSet<String>) = Default::default();
         for place in 0..self.leads.len() {
             let lead = &self.leads[place];
             let (replicas, warm_after) = self.pool(&lead.to);
-            let same = |fleet: &Fleet| {
-                let bare = |one: &Replica| Replica { origin: String::new(), ..one.clone() };
-                fleet.warm_after == warm_after
-                    && fleet.replicas.iter().map(bare).eq(replicas.iter().map(bare))
-            };
-            let at = match fleets.iter().position(same) {
-                Some(at) => at,
+            let bare = |one: &Replica| (one.id.clone(), one.weight, one.phase, one.backup);
+            // Upstreams that say the same are one pool.
+            let same = format!("{warm_after:?} {:?}", replicas.iter().map(bare).collect::<Vec<_>>());
+            let at = match known.get(&same) {
+                Some(at) => *at,
                 None => {
-                    fleets.push(self.fleet(lead, replicas, warm_after, &fleets));
+                    let fleet = self.fleet(lead, replicas, warm_after, &taken);
+                    taken.insert(fleet.name.clone());
+                    known.insert(same, fleets.len());
+                    fleets.push(fleet);
                     fleets.len() - 1
                 }
             };
@@ -692,13 +694,18 @@
         }
     }
 
-    fn fleet(&self, lead: &Lead, replicas: Vec<Replica>, warm_after: Option<f64>, others: &[Fleet]) -> Fleet {
+    fn fleet(
+        &self,
+        lead: &Lead,
+        replicas: Vec<Replica>,
+        warm_after: Option<f64>,
+        taken: &BTreeSet<String>,
+    ) -> Fleet {
         let names: Vec<&str> = lead.to.iter().map(|(to, _)| to.as_str()).collect();
-        let taken = others.iter().map(|fleet| fleet.name.clone()).collect();
         let first = &self.upstreams[names[0]];
         let zones: BTreeSet<String> = replicas.iter().map(|replica| replica.zone.clone()).collect();
         Fleet {
-            name: unlike(&name(&names.join(" ")), "pool", &taken),
+            name: unlike(&name(&names.join(" ")), "pool", taken),
             origin: format!("upstream {} ({})", names.join(" and "), self.whole.origin(first.at)),
             zones: zones.into_iter().collect(),
             replicas,
--- a/crates/nginx-importer/tests/corpus.rs
+++ b/crates/nginx-importer/tests/corpus.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 
 use proptest::prelude::*;
+use wrenthread_nginx::blocks;
 use wrenthread_nginx::fates::{Outcome, TABLES};
 use wrenthread_nginx::files::{self, Disk, Whole};
 use wrenthread_nginx::fleet::{Imported, Routes, Zones, import};
@@ -150,6 +151,47 @@
     }
 }
 
+/// What is imported, exported and imported again has the same replicas and shares.
+#[test]
+fn an_export_imports_as_what_it_was_made_of() {
+    let mut compared = 0;
+    for name in names() {
+        for fleet in read(&name).1.fleets {
+            let ready = |one: &&wrenthread_nginx::fleet::Replica| one.phase == "ready" && !one.backup;
+            let lines: Vec<(String, f64)> =
+                fleet.replicas.iter().filter(ready).map(|one| (one.address.clone(), one.weight)).collect();
+            let tables: blocks::Tables = fleet
+                .groups
+                .iter()
+                .map(|group| (group.name.clone(), blocks::Lines { lines: lines.clone(), level: 0.75 }))
+                .collect();
+            let mut text = blocks::write(&tables, "a test").unwrap();
+            for group in &fleet.groups {
+                let to = blocks::upstream(&group.name);
+                let _ = writeln!(text, "server {{ location /{} {{ proxy_pass http://{to}; }} }}", group.name);
+            }
+            let directives = syntax::parse(text.as_bytes(), 0, MOST).unwrap();
+            let again = import(&Whole { files: vec!["again.conf".into()], directives }, Zones::One);
+            if lines.is_empty() {
+                assert_eq!(again.fleets[0].replicas.iter().filter(ready).count(), 0, "{name}");
+                continue;
+            }
+            // All groups have the same lines, so that they come to one pool again.
+            assert_eq!(again.fleets.len(), 1, "{name}");
+            let all: f64 = lines.iter().map(|(_, weight)| weight).sum();
+            let replicas: Vec<_> = again.fleets[0].replicas.iter().filter(ready).collect();
+            let sum: f64 = replicas.iter().map(|one| one.weight).sum();
+            assert_eq!(replicas.len(), lines.len(), "{name}");
+            for (one, (address, weight)) in replicas.iter().zip(&lines) {
+                assert_eq!(one.address, *address, "{name}");
+                assert!((one.weight / sum - weight / all).abs() < 1e-4, "{name}: {address}");
+                compared += 1;
+            }
+        }
+    }
+    assert!(compared > 40, "{compared}");
+}
+
 #[test]
 fn groups_beyond_a_governors_are_named_and_left() {
     let text = std::fs::read_to_string(folder().join("many-groups.conf")).unwrap();
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -34,12 +34,12 @@
 
 use check::Ruled;
 use links::Links;
-use relay::{Front, Relay, name};
+use relay::{Front, Relay};
 use tape::{End, Entry, FLOWS, GROUPS, Listed, Tape, What};
 use worker::{Mode, Worker};
 use wrenthread_client::Who;
 
-const DAYS: [(&str, &str); 8] = [
+const DAYS: [(&str, &str); 9] = [
     ("bad-day", include_str!("../days/bad-day.star")),
     ("short", include_str!("../days/short.star")),
     ("takeover", include_str!("../days/takeover.star")),
@@ -48,6 +48,7 @@
     ("roll", include_str!("../days/roll.star")),
     ("dark", include_str!("../days/dark.star")),
     ("friday", include_str!("../days/friday.star")),
+    ("imported", include_str!("../days/imported.star")),
 ];
 /// Lines of a standing table.
 const STANDING: usize = 8;
@@ -345,7 +346,12 @@
                     governor.peers = peers;
                 }
             }
-            governors.iter().try_for_each(|governor| governor.settle(&self.day))?;
+            for governor in &governors {
+                match self.day.nginx {
+                    true => governor.import(&self.day, &self.workers)?,
+                    false => governor.settle(&self.day)?,
+                }
+            }
         }
         let governors: Vec<Rc<Governor>> = governors.into_iter().map(Rc::new).collect();
         let halls = self.day.halls.len();
@@ -355,7 +361,11 @@
         });
         let mut tasks = Vec::new();
         if !governors.is_empty() {
-            self.list(&governors)?;
+            // An imported roster is there already.
+            match self.day.nginx {
+                true => self.tape_list(),
+                false => self.list(&governors)?,
+            }
             for governor in &governors {
                 governor.start(&self.tape).await?;
             }
@@ -408,7 +418,7 @@
         let entry = |worker: &Rc<Worker>| {
             let phase = if draining.contains(&worker.place) { "draining" } else { "ready" };
             json!({
-                "id": name(worker.place), "address": worker.address, "phase": phase, "weight": 1.0,
+                "id": worker.id, "address": worker.address, "phase": phase, "weight": 1.0,
                 "zone": self.day.halls[worker.place % self.day.halls.len()],
                 "started": worker.started().map(|at| self.calendar + at),
             })
@@ -420,12 +430,17 @@
             std::fs::write(&written, format!("{list:#}"))?;
             std::fs::rename(written, governor.folder.join("roster.json"))?;
         }
+        self.tape_list();
+        Ok(())
+    }
+
+    fn tape_list(&self) {
+        let draining = self.draining.borrow();
         let listed = self
             .workers
             .iter()
             .map(|worker| Listed { worker: worker.place, ready: !draining.contains(&worker.place) });
         self.tape.add(What::Roster { listed: listed.collect() });
-        Ok(())
     }
 
     /// A governor's roster file is not replaced any more, or is again.
@@ -672,6 +687,59 @@
         Ok(())
     }
 
+    /// Has its settings and its first roster imported from an nginx's configuration of this fleet; what that does
+    /// not say is added as an operator would.
+    fn import(&self, day: &Day, workers: &[Rc<Worker>]) -> Result<()> {
+        let server = |worker: &Rc<Worker>| {
+            format!("    server {} slow_start={}ms;\n", worker.address, (day.warm_after * 1000.0) as u64)
+        };
+        let servers: String = workers.iter().map(server).collect();
+        let location = |(place, (group, (budget, _, _))): (usize, (&&str, (f64, f64, f64)))| {
+            let repeats = if place == tape::NON_RETRIABLE { "" } else { "error timeout non_idempotent" };
+            let next =
+                if repeats.is_empty() { String::new() } else { format!("proxy_next_upstream {repeats}; ") };
+            let read = (budget * 1000.0) as u64 - 250;
+            format!(
+                "    location /{group} {{ proxy_pass http://gates; proxy_connect_timeout 250ms; \
+                 proxy_read_timeout {read}ms; {next}}}\n"
+            )
+        };
+        let locations: String = GROUPS.iter().zip(FLOWS).enumerate().map(location).collect();
+        let conf = self.folder.join("nginx.conf");
+        std::fs::write(&conf, format!("upstream gates {{\n{servers}}}\nserver {{\n{locations}}}\n"))?;
+        let (grpc, poll) = self.ports;
+        let http = self.http.rsplit_once(':').map_or("", |(_, port)| port);
+        let ran = std::process::Command::new(&self.program.path)
+            .args(["import", "nginx", "--zones", "network", "--strict"])
+            .args(["--proxies", &day.relays.to_string(), "--ports", &format!("{grpc},{http},{poll}")])
+            .arg("--output")
+            .arg(&self.folder)
+            .arg(&conf)
+            .output()?;
+        if !ran.status.success() {
+            bail!("the import failed: {}", String::from_utf8_lossy(&ran.stderr));
+        }
+        let imported = std::fs::read_to_string(self.folder.join("gates/settings.star"))?;
+        let key = self.folder.join("../fleet.key");
+        let added = format!(
+            "roster(file = \"roster.json\", look_every = 0.05)\n\
+             governor(name = \"g{}\", keys = [{key:?}])\n\
+             channel(lines_per_s = {}, head_lines = {}, waiting_most = {}, \
+             messages_most = {}, messages_over = {})\n\
+             reports(every = 0.5, metrics = [\"waiting\"])",
+            self.place,
+            tape::LINES_PER_S,
+            tape::HEAD_LINES,
+            tape::WAITING_MOST,
+            tape::MESSAGES.0,
+            tape::MESSAGES.1,
+        );
+        let settings = imported.replace("roster(file = \"roster.json\")", &added);
+        std::fs::write(self.folder.join("settings.star"), settings)?;
+        std::fs::copy(self.folder.join("gates/roster.json"), self.folder.join("roster.json"))?;
+        Ok(())
+    }
+
     async fn start(&self, tape: &Tape) -> Result<()> {
         let log =
             std::fs::File::options().create(true).append(true).open(self.folder.join("governor.log"))?;
--- a/crates/rehearsal/src/relay.rs
+++ b/crates/rehearsal/src/relay.rs
@@ -111,7 +111,7 @@
         tape: Tape,
     ) -> Rc<Relay> {
         let line = |worker: &Rc<Worker>| Standing {
-            replica: name(worker.place),
+            replica: worker.id.clone(),
             address: worker.address.as_str().into(),
             weight: 1.0,
         };
@@ -379,11 +379,6 @@
     }
 }
 
-/// A worker's name in roster and tables.
-pub fn name(worker: usize) -> String {
-    format!("worker-{worker:02}")
-}
-
 async fn exchange(address: &str, flow: u64, group: usize) -> Result<Tried> {
     let Ok(Ok(mut connection)) = timeout(CONNECT, TcpStream::connect(address)).await else {
         return Ok(Tried::Refused);
--- a/crates/rehearsal/src/worker.rs
+++ b/crates/rehearsal/src/worker.rs
@@ -36,6 +36,8 @@
 
 pub struct Worker {
     pub place: usize,
+    /// Its name in roster and tables.
+    pub id: String,
     pub address: String,
     day: Rc<Day>,
     tape: Tape,
@@ -48,11 +50,16 @@
     ///
     /// Errors: no socket on loopback.
     pub async fn start(place: usize, day: Rc<Day>, tape: Tape) -> Result<Rc<Worker>> {
-        let listener = TcpListener::bind("127.0.0.1:0").await.context("a worker's socket")?;
+        // On a day that is imported, zones are told by the networks of addresses.
+        let host =
+            if day.nginx { format!("{}.1", day.halls[place % day.halls.len()]) } else { "127.0.0.1".into() };
+        let listener = TcpListener::bind(format!("{host}:0")).await.context("a worker's socket")?;
         let process = Process { started: None, hands: Semaphore::new(HANDS), waiting: Cell::new(0) };
+        let address = listener.local_addr()?.to_string();
         let worker = Rc::new(Worker {
             place,
-            address: listener.local_addr()?.to_string(),
+            id: if day.nginx { address.clone() } else { format!("worker-{place:02}") },
+            address,
             day,
             tape,
             mode: Cell::new(Mode::Well),
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -59,6 +59,8 @@
     pub drain_grace: f64,
     pub governors: usize,
     pub talk: bool,
+    /// Settings and roster are imported from an nginx configuration.
+    pub nginx: bool,
     pub care_for: f64,
     pub bare_for: f64,
     pub fall_multiple: f64,
@@ -144,6 +146,7 @@
         drain_grace: day.number("drain_grace"),
         governors: day.whole("governors") as usize,
         talk: day.truth("talk"),
+        nginx: day.truth("nginx"),
         care_for: day.number("care_for"),
         bare_for: day.number("bare_for"),
         fall_multiple: day.number("fall_multiple"),
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -320,6 +320,12 @@
             ),
             field("governors", Takes::Whole(1, 8), Number(1.0), "governors that share the relays"),
             field("talk", Takes::Truth, Truth(false), "they may talk to each other"),
+            field(
+                "nginx",
+                Takes::Truth,
+                Truth(false),
+                "settings and roster are imported from nginx's; halls are networks as `127.0.1`",
+            ),
             field(
                 "care_for",
                 Takes::Seconds(0.1, 60.0),
