--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -307,7 +307,7 @@
                 return Ok(Err(Untried::Twice(one.proxy.clone())));
             }
             let proxy = &self.proxies[number];
-            let open = |(id, weight): &(ReplicaId, f64)| line(proxy.zone, (id, *weight, !out.contains(id)));
+            let open = |(id, weight): &(ReplicaId, f64)| line(proxy.zone, (id, *weight, true));
             let mut table = Table { lines: one.lines.iter().map(open).collect(), level: one.level };
             table.lines.sort_by(|one, other| one.replica.cmp(&other.replica));
             changes.push(Change {
