--- a/crates/client/tests/model.rs
+++ b/crates/client/tests/model.rs
@@ -110,6 +110,7 @@
             standing: vec![],
             holds_orders,
             claim: None,
+            proven: None,
         };
         self.engine.joined(now, stream, &join).unwrap();
         match &mut self.proxies[place] {
--- a/crates/core/benches/guard.rs
+++ b/crates/core/benches/guard.rs
@@ -50,7 +50,8 @@
     engine.roster(now, list(None));
     for n in 0..proxies {
         let (name, standing) = (format!("relay-{n}").into(), vec![]);
-        let join = Join { name, zone: n % 3, usual: 5.0, standing, holds_orders: true, claim: None };
+        let join =
+            Join { name, zone: n % 3, usual: 5.0, standing, holds_orders: true, claim: None, proven: None };
         engine.joined(now, n as u64, &join).expect("there is room");
     }
     for _ in 0..100 {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -18,7 +18,7 @@
 //!     started: None, backup: false,
 //! }]);
 //! let (name, standing) = ("p".into(), vec![]);
-//! let join = Join { name, zone: 0, usual: 1.0, standing, holds_orders: false, claim: None };
+//! let join = Join { name, zone: 0, usual: 1.0, standing, holds_orders: false, claim: None, proven: None };
 //! let number = engine.joined(now, 1, &join).unwrap().number;
 //! // The module gives its holdings to who came with none that it knows.
 //! let later = now + Duration::from_millis(250);
@@ -39,7 +39,7 @@
 use std::time::Duration;
 
 use wrenthread::interface::{
-    Decision, Effect, FurtherTries, Group, GroupSet, Phase, ProxyId, ReplicaId, Settings, TableId,
+    Decision, Effect, FurtherTries, Group, GroupSet, Met, Phase, ProxyId, ReplicaId, Settings, TableId,
 };
 use wrenthread::rules::Governor;
 
@@ -52,6 +52,7 @@
 use crate::recording::{self, Recording};
 use crate::reports::{Discarded, Report, Reports, Told};
 use crate::roster::{Entry, Known, Roster, Taken};
+use crate::snapshot::{self, Item, Knowledge, Recalled};
 use crate::standby::Standby;
 use crate::tables::{Kept, Table, Tables};
 use crate::versions::{Said, Whole};
@@ -228,6 +229,9 @@
     overrides: Overrides,
     guard: Guard,
     recheck_all: bool,
+    /// What an earlier life knew, as far as it is not used yet; and until when its levels hold.
+    recalled: Recalled,
+    levels_until: Duration,
     groups: usize,
     /// Lines that a proxy costs which is given all of its tables.
     join_cost: f64,
@@ -237,6 +241,7 @@
     set_aside: f64,
     version: u64,
     beat_at: Duration,
+    sums_every: Duration,
     causes: BTreeSet<Cause>,
     out: VecDeque<Step>,
     offered: Option<ProxyId>,
@@ -285,12 +290,15 @@
             overrides: Overrides::default(),
             guard: Guard::new(limits),
             recheck_all: false,
+            recalled: Recalled::default(),
+            levels_until: Duration::ZERO,
             groups,
             join_cost,
             lobby: VecDeque::new(),
             set_aside: 0.0,
             version: 1,
             beat_at: now,
+            sums_every: module.sums_every,
             causes: BTreeSet::new(),
             out: VecDeque::new(),
             offered: None,
@@ -329,10 +337,15 @@
             known.is_some_and(|one| one.zone == join.zone || self.roster.ready_in(join.zone) < 3)
                 && *weight > 0.0
         };
-        let fresh = !join.holds_orders
-            && join.claim.is_none()
-            && !join.standing.is_empty()
-            && join.standing.iter().all(drawn);
+        let bare = !join.holds_orders && join.claim.is_none();
+        // It holds what an earlier life told it last, by its own proven word: then it is known what that is.
+        let recalled = self
+            .recalled
+            .proxies
+            .remove(&join.name)
+            .filter(|known| join.proven == Some((known.epoch, known.version)) && known.zone == join.zone);
+        let still = recalled.as_ref().is_some_and(|known| !known.own);
+        let fresh = (bare || still) && !join.standing.is_empty() && join.standing.iter().all(drawn);
         // A join has a version of its own: what the number's tables were before is another state.
         let tries = (self.version + 1, self.tables.tries());
         let joined = self.fleet.join(now, stream, join, fresh, self.groups, tries)?;
@@ -355,15 +368,170 @@
         }
         self.out.extend(joined.replaced.map(Step::Close));
         self.guard.left(joined.number);
-        self.guard.joined(joined.number, join.usual, &join.standing);
+        let usual = self.usual(join, recalled.as_ref());
+        self.guard.joined(joined.number, usual, &join.standing);
+        if let Some(known) = recalled {
+            self.resume(now, joined.number, known);
+        }
         // What is withdrawn holds for it from now on, whatever it stands on; levels likewise.
         self.refresh(now, &[joined.number], None);
         self.remember(now, joined.number);
-        self.lobby.push_back((joined.number, join.usual));
+        self.lobby.push_back((joined.number, usual));
         self.causes.insert(Cause::Joined);
         Ok(joined)
     }
 
+    /// What a proxy ordinarily receives: its own word, mixed with what an earlier life saw of it.
+    fn usual(&self, join: &Join, recalled: Option<&snapshot::Proxy>) -> f64 {
+        let Some(known) = recalled else { return join.usual };
+        let left = snapshot::counts(self.recalled.age, snapshot::DEMAND);
+        join.usual + (known.flows.iter().sum::<f64>() - join.usual) * left
+    }
+
+    /// A proxy that has just joined holds what an earlier life told it: it is told only what differs. Tables of
+    /// the module's hold until it has spoken, less what the rules forbid.
+    fn resume(&mut self, now: Duration, number: ProxyId, known: snapshot::Proxy) {
+        let version = self.version;
+        let tries: Vec<FurtherTries> = known.tries.iter().map(|tries| (*tries).into()).collect();
+        let why: Arc<str> = "known from before a restart".into();
+        for (group, held) in known.tables.into_iter().enumerate().take(self.groups) {
+            let Some(held) = held else { continue };
+            let table = Table::from(held);
+            self.guard.stands(number, group, known.flows.get(group).copied().unwrap_or(0.0), Some(&table));
+            if known.own {
+                let said = Said::of(&table, tries.get(group).copied().unwrap_or_default());
+                let (told_at, until) = (now.saturating_sub(self.recalled.age), now + HANDED_FOR);
+                let hold = Hold { version, told_at, said, since: now, until, why: why.clone(), handed: true };
+                self.holds.entry((number, group)).or_insert(hold);
+            }
+            if let Some(proxy) = self.fleet.get_mut(number) {
+                proxy.tables[group] = Some(Kept { version, table: Arc::new(table) });
+            }
+        }
+        if let Some(proxy) = self.fleet.get_mut(number).filter(|proxy| proxy.tries.1.len() == tries.len()) {
+            proxy.tries = (version, tries);
+        }
+    }
+
+    /// What an earlier life knew. To be told before the first list and the first proxy.
+    pub fn recall(&mut self, now: Duration, recalled: Recalled) {
+        self.levels_until = now + recalled.levels_for;
+        for ((id, zone), per_s) in &recalled.seen {
+            self.guard.saw(now, id, *zone, *per_s);
+        }
+        self.recalled = recalled;
+    }
+
+    /// What is to be known beyond this life, by name. `before`: what it was the last time; `calendar`: what time it
+    /// is; `epoch`: which life it is; `groups`: their names.
+    pub fn known(
+        &self,
+        now: Duration,
+        before: &Knowledge,
+        calendar: f64,
+        epoch: u64,
+        groups: &[String],
+    ) -> Knowledge {
+        let mut known = Knowledge::new();
+        for (number, proxy) in self.fleet.iter() {
+            let (name, version) = (format!("proxy/{}", proxy.name), proxy.newest());
+            let flows: Vec<f64> =
+                (0..self.groups).map(|group| snapshot::stepped(self.guard.flows(number, group))).collect();
+            // Tables are of their version: they are not copied and compared again each time.
+            let same = before.get(&name).filter(|item| {
+                matches!(&***item, Item::Proxy(old)
+                    if old.epoch == epoch && old.version == version && old.flows == flows)
+            });
+            if let Some(same) = same {
+                known.insert(name, same.clone());
+                continue;
+            }
+            let held = |kept: &Option<Kept>| kept.as_ref().map(|kept| (&*kept.table).into());
+            let item = snapshot::Proxy {
+                zone: proxy.zone,
+                epoch,
+                version,
+                own: proxy.kind() == Kind::Own,
+                tables: proxy.tables.iter().map(held).collect(),
+                tries: proxy.tries.1.iter().map(|tries| (*tries).into()).collect(),
+                flows,
+            };
+            known.insert(name, Arc::new(Item::Proxy(item)));
+        }
+        // Who has not come back yet is not forgotten by a second restart.
+        for (name, proxy) in &self.recalled.proxies {
+            known.entry(format!("proxy/{name}")).or_insert_with(|| Arc::new(Item::Proxy(proxy.clone())));
+        }
+        let mut replicas: BTreeMap<&ReplicaId, snapshot::Replica> = BTreeMap::new();
+        for (id, zone, per_s) in self.guard.seen(now) {
+            replicas.entry(id).or_default().seen.push((zone, snapshot::stepped(per_s)));
+        }
+        let ready =
+            |one: &(&ReplicaId, &Known)| one.1.phase == Phase::Ready && self.tables.is_withdrawn(one.0);
+        for (id, _) in self.roster.iter().filter(ready) {
+            replicas.entry(id).or_default().withdrawn = true;
+        }
+        let named = |(id, item): (&ReplicaId, snapshot::Replica)| {
+            (format!("replica/{id}"), Arc::new(Item::Replica(item)))
+        };
+        known.extend(replicas.into_iter().map(named));
+        for ((level, tries), group) in
+            self.tables.levels().iter().zip(groups).filter(|((level, _), _)| *level < 1.0)
+        {
+            known.insert(
+                format!("level/{group}"),
+                Arc::new(Item::Level { level: *level, tries: (*tries).into() }),
+            );
+        }
+        for (id, one) in self.overrides.iter() {
+            let weight = match one.what {
+                Overridden::Exclude => None,
+                Overridden::Weight(factor) => Some(factor),
+            };
+            let until = (calendar + one.until.saturating_sub(now).as_secs_f64()).round();
+            known.insert(
+                format!("override/{id}"),
+                Arc::new(Item::Override { weight, until, why: one.why.clone() }),
+            );
+        }
+        known
+    }
+
+    fn tell_met(&mut self, now: Duration, zone: usize, replica: ReplicaId, tries: u64, dropped: u64) {
+        let (span, load) = (self.sums_every, Vec::new());
+        self.rules.met(now, Met { zone, replica, tries, dropped, mean: None, span, load });
+        self.causes.insert(Cause::Reports);
+    }
+
+    /// What an earlier life knew of replicas, now that there is a list of them.
+    fn recall_replicas(&mut self, now: Duration) {
+        let seen = std::mem::take(&mut self.recalled.seen);
+        if !self.recalled.withdrawn.is_empty() {
+            for ((id, zone), per_s) in seen {
+                let delivered = (per_s * snapshot::LAST.as_secs_f64()).round().min(1e6) as u64;
+                let here = self.roster.get(&id).is_some_and(|known| known.phase == Phase::Ready);
+                if here && delivered > 0 && !self.recalled.withdrawn.contains_key(&id) {
+                    self.tell_met(now, zone, id, delivered, 0);
+                }
+            }
+        }
+        for (id, tries) in std::mem::take(&mut self.recalled.withdrawn) {
+            let Some(known) = self.roster.get(&id).filter(|known| known.phase == Phase::Ready) else {
+                continue;
+            };
+            // Replaced under its name since: what was known is of another process.
+            if known.started.is_some_and(|started| now.saturating_sub(started) < self.recalled.age) {
+                continue;
+            }
+            self.tell_met(now, known.zone, id, tries, tries);
+        }
+        for (id, (weight, left, why)) in std::mem::take(&mut self.recalled.overrides) {
+            let what = weight.map_or(Overridden::Exclude, Overridden::Weight);
+            // One that is not listed any more needs no word.
+            let _ = self.override_replica(now, &id, what, now + left, &why);
+        }
+    }
+
     /// A proxy that has just joined was handed over by another governor: until the module speaks for it, it
     /// is told what it was told there, less what the rules forbid here now; and what it met last is heard.
     /// How many of its tables that keeps. A proxy that the module has spoken for is left as it is.
@@ -676,6 +844,7 @@
             self.pace.next_due(now),
             holds,
             overrides,
+            (!self.recalled.levels.is_empty()).then_some(self.levels_until),
         ];
         dues.into_iter().flatten().fold(self.beat_at, Duration::min)
     }
@@ -690,6 +859,10 @@
         if self.holds.values().any(|hold| hold.until <= now) {
             self.end_holds(now, Over::Time, |_, hold| hold.until <= now);
         }
+        if !self.recalled.levels.is_empty() && now >= self.levels_until {
+            self.recalled.levels.clear();
+            self.refresh(now, &self.fleet.numbers(), None);
+        }
         let over = self.overrides.due(now);
         if !over.is_empty() {
             self.out.extend(over.into_iter().map(|id| Step::Note(Note::OverrideOver(id))));
@@ -769,6 +942,7 @@
 
     fn listed(&mut self, now: Duration, listed: &[wrenthread::interface::Listed]) {
         self.rules.listed(now, listed, true);
+        self.recall_replicas(now);
         let tables = &self.tables;
         let held: BTreeSet<&ReplicaId> =
             self.fleet.iter().flat_map(|(_, one)| &one.standing).map(|(id, _)| id).collect();
@@ -834,6 +1008,11 @@
                     What::Follow(self.name_of(Some(number)), groups)
                 }
                 Decision::Level(groups, level, tries) => {
+                    // It has seen for itself: what an earlier life said of these gives way. That all is let in it
+                    // says at its start, having seen nothing.
+                    if level < 1.0 {
+                        self.recalled.levels.retain(|group, _| groups >> *group & 1 == 0);
+                    }
                     for (groups, tries) in self.guard.tries(now, groups, tries) {
                         self.tables.level(groups, level, tries);
                     }
@@ -910,6 +1089,13 @@
         let overridden = proxy.standing.iter().any(|(id, _)| self.overrides.names(id));
         let (follows, told) = (proxy.follows[group], proxy.tables[group].is_some() || overridden);
         let wanted = self.tables.wanted(&self.roster, group, follows, &proxy.standing, told);
+        // A level of before a restart holds until the module says another, and for some seconds at the most: it
+        // begins with all let in, and an overload that goes on would be let in until it is seen again.
+        let level = self.recalled.levels.get(&group).copied();
+        let wanted = match (wanted, level) {
+            (Some(wanted), Some(level)) => Some(Table { level: wanted.level.min(level), ..wanted }),
+            (wanted, _) => wanted,
+        };
         let nothing = Table { lines: Vec::new(), level: 1.0 };
         let (mut table, bare) = match self.holds.get(&(number, group)) {
             None => (wanted?, false),
--- a/crates/core/src/engine/hostile.rs
+++ b/crates/core/src/engine/hostile.rs
@@ -42,7 +42,7 @@
     for (stream, name) in ["p", "q", "r", "s"].into_iter().enumerate() {
         let standing = if stream < 2 { vec![] } else { REPLICAS.map(|id| (id.into(), 1.0)).to_vec() };
         let (name, holds_orders) = (name.into(), stream < 2);
-        let join = Join { name, zone: 0, usual: 20.0, standing, holds_orders, claim: None };
+        let join = Join { name, zone: 0, usual: 20.0, standing, holds_orders, claim: None, proven: None };
         engine.joined(at(1), stream as u64, &join).unwrap();
     }
     let mut broken: BTreeMap<&'static str, usize> = BTreeMap::new();
@@ -127,7 +127,8 @@
     engine.roster(at(0), list(&[], None));
     for n in 0..8 {
         let (name, standing) = (format!("p{n}").into(), vec![]);
-        let join = Join { name, zone: 0, usual: 20.0, standing, holds_orders: true, claim: None };
+        let join =
+            Join { name, zone: 0, usual: 20.0, standing, holds_orders: true, claim: None, proven: None };
         engine.joined(at(1), n, &join).unwrap();
     }
     for now in (100..30_000).step_by(100) {
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -23,7 +23,7 @@
 
 fn join(name: &str, standing: &[&str]) -> Join {
     let standing = standing.iter().map(|id| ((*id).into(), 1.0)).collect();
-    Join { name: name.into(), zone: 0, usual: 5.0, standing, holds_orders: false, claim: None }
+    Join { name: name.into(), zone: 0, usual: 5.0, standing, holds_orders: false, claim: None, proven: None }
 }
 
 fn engine(names: &[&str]) -> Engine {
@@ -535,3 +535,121 @@
         }
     }
 }
+
+/// A life that ends, and the next one with what is known of it, so many seconds later.
+fn next_life(before: &Engine, later: f64, names: &[&str]) -> Engine {
+    let groups = ["one".to_string(), "other".to_string()];
+    let names_of = Item::Names { governor: "g".into(), zones: vec!["z".into()], groups: groups.to_vec() };
+    let mut known = before.known(ms(5000), &Knowledge::new(), 1000.0, 7, &groups);
+    known.insert(snapshot::NAMES.into(), Arc::new(names_of.clone()));
+    known.insert(snapshot::ALIVE.into(), Arc::new(Item::Alive { at: 1000.0 }));
+    let known = known
+        .into_iter()
+        .map(|(name, item)| (name, Arc::new(snapshot::decode(&snapshot::encode(&item)).unwrap())));
+    let (recalled, unfit) = snapshot::recall(known.collect(), 1000.0 + later, &names_of);
+    assert_eq!(unfit, []);
+    let mut engine = Engine::new(Setup::example(2), ms(0));
+    engine.recall(ms(0), recalled);
+    engine.roster(ms(0), ready(names));
+    engine
+}
+
+fn proven(name: &str, standing: &[&str], version: u64) -> Join {
+    Join { holds_orders: true, claim: Some("x".into()), proven: Some((7, version)), ..join(name, standing) }
+}
+
+#[test]
+fn a_proxy_that_holds_what_an_earlier_life_told_it_is_not_told_again() {
+    let all = ["a", "b", "c", "d"];
+    let mut before = engine(&all);
+    let number = before.joined(ms(1), 1, &join("p", &["a", "b", "c"])).unwrap().number;
+    let bound = before.joined(ms(1), 2, &join("q", &[])).unwrap().number;
+    run(&mut before, ms(600));
+    // Something is said of the standing one, too: it is told a table from then on.
+    before.override_replica(ms(700), &"c".into(), Overridden::Exclude, ms(60_000), "its disk").unwrap();
+    run(&mut before, ms(800));
+    let held = [number, bound].map(|number| (before.proxy(number).unwrap().newest(), open(&before, number)));
+    assert_eq!(held[0].1.len(), 2);
+
+    let mut after = next_life(&before, 1.0, &all);
+    let number = after.joined(ms(1), 1, &proven("p", &["a", "b", "c"], held[0].0)).unwrap().number;
+    let bound = after.joined(ms(1), 2, &proven("q", &[], held[1].0)).unwrap().number;
+    let stranger = after.joined(ms(1), 3, &proven("r", &["a", "b", "c"], 9)).unwrap().number;
+    assert!(after.proxy(number).unwrap().fresh, "the module is told that it stands on its own table");
+    assert!(!after.proxy(bound).unwrap().fresh && !after.proxy(stranger).unwrap().fresh);
+    let whole = |engine: &Engine, number| engine.history().newest(number).unwrap().digest;
+    let now = [number, bound].map(|number| whole(&after, number));
+    assert_eq!(now, [whole(&before, 0), whole(&before, 1)]);
+    run(&mut after, ms(900));
+    assert_eq!(whole(&after, number), now[0], "nothing is told to who stands");
+    assert_eq!(open(&after, number), held[0].1, "what operators exclude stays out");
+    assert_eq!(after.overrides().iter().count(), 1);
+    // Without the word, or with that of another version or life, nothing is known of it.
+    let mut after = next_life(&before, 1.0, &all);
+    let mut odd = proven("p", &["a", "b", "c"], held[0].0 - 1);
+    assert!(!after.joined(ms(1), 1, &odd).is_ok_and(|joined| after.proxy(joined.number).unwrap().fresh));
+    odd.proven = None;
+    let mut after = next_life(&before, 1.0, &all);
+    let number = after.joined(ms(1), 1, &odd).unwrap().number;
+    assert!(!after.proxy(number).unwrap().fresh);
+    // Nor after so long that it has been elsewhere.
+    let mut after = next_life(&before, 700.0, &all);
+    let joined = after.joined(ms(1), 1, &proven("p", &["a", "b", "c"], held[0].0)).unwrap();
+    assert!(!after.proxy(joined.number).unwrap().fresh);
+}
+
+#[test]
+fn a_held_table_is_told_less_what_was_lost_while_nobody_looked() {
+    let mut before = engine(&["a", "b", "c"]);
+    let number = before.joined(ms(1), 1, &join("q", &[])).unwrap().number;
+    run(&mut before, ms(600));
+    let version = before.proxy(number).unwrap().newest();
+    let mut after = next_life(&before, 2.0, &["a", "c"]);
+    let number = after.joined(ms(1), 1, &proven("q", &[], version)).unwrap().number;
+    assert_eq!(open(&after, number), ["a", "c"], "before the module has spoken");
+    let (flushed, _) = run(&mut after, ms(10));
+    assert!(flushed.contains(&number), "at once");
+}
+
+#[test]
+fn what_was_withdrawn_is_on_trial_by_the_modules_own_eyes_and_a_new_process_is_not() {
+    let all = ["a", "b", "c", "d"];
+    let mut before = engine(&all);
+    before.joined(ms(1), 1, &join("p", &all)).unwrap();
+    run(&mut before, ms(600));
+    before.tables.withdraw("b".into(), true);
+    ["a", "c", "d"].into_iter().for_each(|id| before.guard.saw(ms(5000), &id.into(), 0, 20.0));
+    before.tables.level(1, 0.25, FurtherTries::Never);
+    let mut after = next_life(&before, 1.0, &all);
+    after.joined(ms(1), 1, &join("p", &all)).unwrap();
+    let mut out_at = None;
+    for now in (10..20_000).step_by(50) {
+        run(&mut after, ms(now));
+        if out_at.is_none() && after.is_withdrawn(&"b".into()) {
+            out_at = Some(now);
+        }
+    }
+    assert!(out_at.is_some_and(|at| at < 2000), "{out_at:?}");
+    assert!(!after.is_withdrawn(&"a".into()));
+    assert!(!after.is_withdrawn(&"b".into()), "and let back once its time is over, with nothing against it");
+    // The level held for what was left of its time, and no longer.
+    let mut levels = next_life(&before, 4.0, &all);
+    let number = levels.joined(ms(1), 1, &join("p", &all)).unwrap().number;
+    run(&mut levels, ms(300));
+    let level =
+        |engine: &Engine| engine.proxy(number).unwrap().tables[0].as_ref().map(|kept| kept.table.level);
+    assert_eq!(level(&levels), Some(0.25));
+    for now in (300..6100).step_by(100) {
+        run(&mut levels, ms(now));
+    }
+    assert_eq!(level(&levels), Some(1.0));
+    // Replaced under its name while nobody looked: it is judged by nothing that the old one did.
+    let mut anew = next_life(&before, 5.0, &[]);
+    let mut list = ready(&all);
+    list[1].started = Some(ms(0).saturating_sub(Duration::from_secs(2)));
+    anew.roster(ms(0), list);
+    for now in (10..4000).step_by(50) {
+        run(&mut anew, ms(now));
+        assert!(!anew.is_withdrawn(&"b".into()));
+    }
+}
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -40,6 +40,8 @@
     pub holds_orders: bool,
     /// Its signed word of whose they are, if it has one.
     pub claim: Option<String>,
+    /// The life and the version of this governor's that the word is proven to name.
+    pub proven: Option<(u64, u64)>,
 }
 
 #[derive(Debug, Clone, PartialEq, thiserror::Error)]
@@ -334,7 +336,15 @@
     use super::*;
 
     fn join(name: &str) -> Join {
-        Join { name: name.into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: false, claim: None }
+        Join {
+            name: name.into(),
+            zone: 0,
+            usual: 1.0,
+            standing: vec![],
+            holds_orders: false,
+            claim: None,
+            proven: None,
+        }
     }
 
     fn put(fleet: &mut Fleet, now: u64, stream: StreamId, name: &str) -> Result<Joined, Refused> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! | --- | --- |
 //! | [`roster`] | the list of replicas, their starts and drains, and whether an empty list is believed |
 //! | [`fleet`] | who is joined under which number, what each holds, what is sent and not yet acknowledged |
+//! | [`snapshot`] | what is known beyond a governor's life, and how much of it counts |
 //! | [`standby`] | replicas that are on the list only while no other is ready |
 //! | [`tables`] | what the module's decisions make of each proxy's tables |
 //! | [`pace`] | which proxy may be written to next, and what waits |
@@ -31,6 +32,7 @@
 pub mod recording;
 pub mod reports;
 pub mod roster;
+pub mod snapshot;
 pub mod standby;
 #[cfg(any(test, feature = "suspect"))]
 pub mod suspect;
--- /dev/null
+++ b/crates/core/src/snapshot.rs
@@ -0,0 +1,448 @@
+//! What a governor knows beyond its life, as entries by name; and how much of it counts when it comes back.
+//!
+//! Nothing that was known is taken for present truth. Each kind of knowledge counts half after its half-life, and
+//! does something stated at the start (`docs/design/state.md`): demand is mixed with what a proxy says; a replica
+//! that was withdrawn is met by as many dropped tries as its age leaves, and the module judges; levels hold for
+//! some seconds; a proxy's tables are believed only if its own signed word says that it holds them. What operators
+//! said ends when it would have.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wrenthread::interface::{FurtherTries, ReplicaId};
+
+use crate::tables::{Line, Table};
+
+/// How long until knowledge counts half: of demand and of what was delivered; of withdrawals.
+pub const DEMAND: Duration = Duration::from_secs(60);
+pub const WITHDRAWN: Duration = Duration::from_secs(20);
+/// A level that held holds for so long, unless the module speaks before; one older than that is forgotten.
+pub const LEVELS: Duration = Duration::from_secs(10);
+/// Tables that proxies held are forgotten after so long: they have been elsewhere, or on their own, since.
+pub const TABLES: Duration = Duration::from_secs(600);
+/// Where the calendar says that an entry is of the future, it was set back, and nobody knows how old the entry is.
+pub const UNKNOWN: Duration = Duration::from_secs(60);
+/// What was delivered is told as that of so long: beside what drops all, the module has to see that others do not.
+pub const LAST: Duration = Duration::from_secs(2);
+/// Dropped tries by which a withdrawal that has just been is told.
+const TRIES: f64 = 20.0;
+/// Fewer say nothing.
+const LEAST_TRIES: u64 = 4;
+
+/// One entry. Groups and zones are by their places in [`Item::Names`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Item {
+    Names {
+        governor: String,
+        zones: Vec<String>,
+        groups: Vec<String>,
+    },
+    /// All entries held until now, by seconds of the calendar.
+    Alive {
+        at: f64,
+    },
+    Proxy(Proxy),
+    Replica(Replica),
+    Level {
+        level: f64,
+        tries: Tries,
+    },
+    Override {
+        weight: Option<f64>,
+        until: f64,
+        why: Arc<str>,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Proxy {
+    pub zone: usize,
+    /// The life and the version in which it was told its tables last.
+    pub epoch: u64,
+    pub version: u64,
+    /// It was bound to a table of the module's.
+    pub own: bool,
+    pub tables: Vec<Option<Held>>,
+    pub tries: Vec<Tries>,
+    /// Flows a second by group, in steps of a tenth.
+    pub flows: Vec<f64>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Held {
+    pub level: f64,
+    /// Replica, address, zone, weight, and whether it is open.
+    pub lines: Vec<(Arc<str>, Arc<str>, usize, f64, bool)>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Replica {
+    pub withdrawn: bool,
+    /// By zone: the most that was delivered a second lately, in steps of a tenth.
+    pub seen: Vec<(usize, f64)>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Tries {
+    Never,
+    IfNeverRan,
+    Once,
+}
+
+impl From<FurtherTries> for Tries {
+    fn from(tries: FurtherTries) -> Self {
+        match tries {
+            FurtherTries::Never => Tries::Never,
+            FurtherTries::IfNeverRan => Tries::IfNeverRan,
+            FurtherTries::Once => Tries::Once,
+        }
+    }
+}
+
+impl From<Tries> for FurtherTries {
+    fn from(tries: Tries) -> Self {
+        match tries {
+            Tries::Never => FurtherTries::Never,
+            Tries::IfNeverRan => FurtherTries::IfNeverRan,
+            Tries::Once => FurtherTries::Once,
+        }
+    }
+}
+
+/// Entries by name. What does not change is shared with what was known before.
+pub type Knowledge = BTreeMap<String, Arc<Item>>;
+
+/// Names of entries.
+pub const NAMES: &str = "names";
+pub const ALIVE: &str = "alive";
+
+/// A figure in steps of a tenth: what moves a little all the time is not written all the time.
+pub fn stepped(figure: f64) -> f64 {
+    if !(figure > 1e-3 && figure.is_finite()) {
+        return 0.0;
+    }
+    1.1f64.powf((figure.ln() / 1.1f64.ln()).round())
+}
+
+impl From<&Table> for Held {
+    fn from(table: &Table) -> Self {
+        let line =
+            |line: &Line| (line.replica.clone(), line.address.clone(), line.zone, line.weight, line.open);
+        Held { level: table.level, lines: table.lines.iter().map(line).collect() }
+    }
+}
+
+impl From<Held> for Table {
+    fn from(held: Held) -> Self {
+        let line = |(replica, address, zone, weight, open)| Line { replica, address, zone, weight, open };
+        Table { lines: held.lines.into_iter().map(line).collect(), level: held.level }
+    }
+}
+
+/// An entry that can't be meant, by its name: it is left out, and the rest counts.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Unfit {
+    #[error("`{0}` is no entry that this version knows")]
+    Unknown(String),
+    #[error("`{0}` names a zone or a group that is not there")]
+    Place(String),
+    #[error("`{0}` has a figure that can't be")]
+    Figure(String),
+    #[error("the entries do not say whose they are; nothing of them is used")]
+    Nameless,
+    #[error("the entries are of governor `{0}`; nothing of them is used")]
+    Another(String),
+    #[error("zones or groups of the settings have changed; what is by zone and group is not used")]
+    Changed,
+}
+
+/// What counts of what was known, at a start.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Recalled {
+    /// How long ago it was known, as far as the calendar can tell.
+    pub age: Duration,
+    pub proxies: BTreeMap<Arc<str>, Proxy>,
+    /// Replicas that were withdrawn, and the dropped tries that are left of that.
+    pub withdrawn: BTreeMap<ReplicaId, u64>,
+    /// Delivered a second, by replica and zone, counting less with age.
+    pub seen: BTreeMap<(ReplicaId, usize), f64>,
+    /// By group: levels, and for how long they still hold.
+    pub levels: BTreeMap<usize, f64>,
+    pub levels_for: Duration,
+    /// By replica: nothing or a multiple, for how long, and why.
+    pub overrides: BTreeMap<ReplicaId, (Option<f64>, Duration, Arc<str>)>,
+}
+
+/// How much of knowledge counts after a time.
+pub fn counts(age: Duration, half_life: Duration) -> f64 {
+    0.5f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
+
+/// What is left of knowledge at a start, and what of it can't be meant. `calendar`: what time it is; `names`: this
+/// governor's own.
+pub fn recall(known: Knowledge, calendar: f64, names: &Item) -> (Recalled, Vec<Unfit>) {
+    let mut unfit = Vec::new();
+    let none = |why| (Recalled::default(), vec![why]);
+    let own = |name: &str| known.get(name).map(|item| (**item).clone());
+    let Some(Item::Names { governor, zones, groups }) = own(NAMES) else {
+        return none(Unfit::Nameless);
+    };
+    let Item::Names { governor: here, zones: our_zones, groups: ours } = names else {
+        return none(Unfit::Nameless);
+    };
+    // A folder that was copied for another governor is not this one's memory.
+    if governor != *here {
+        return none(Unfit::Another(governor));
+    }
+    let same = zones == *our_zones && groups == *ours;
+    if !same {
+        unfit.push(Unfit::Changed);
+    }
+    let Some(Item::Alive { at: alive }) = own(ALIVE) else { return none(Unfit::Nameless) };
+    // A machine that slept has a calendar that went on; one whose calendar was set back can't tell.
+    let age = if calendar >= alive {
+        Duration::try_from_secs_f64(calendar - alive).unwrap_or(Duration::MAX)
+    } else {
+        UNKNOWN
+    };
+    let mut recalled = Recalled { age, levels_for: LEVELS.saturating_sub(age), ..Recalled::default() };
+    let sound = |figure: f64| figure.is_finite() && (0.0..1e12).contains(&figure);
+    for (name, item) in known {
+        let (kind, of) = name.split_once('/').unwrap_or((name.as_str(), ""));
+        match (kind, Arc::unwrap_or_clone(item)) {
+            (NAMES | ALIVE, _) => {}
+            ("proxy", Item::Proxy(proxy)) => {
+                let lines = proxy.tables.iter().flatten().flat_map(|held| &held.lines);
+                let placed = proxy.zone < zones.len()
+                    && proxy.tables.len() == groups.len()
+                    && proxy.flows.len() == groups.len()
+                    && proxy.tries.len() == groups.len()
+                    && lines.clone().all(|(_, _, zone, ..)| *zone < zones.len());
+                let levels = proxy.tables.iter().flatten().all(|held| (0.0..=1.0).contains(&held.level));
+                let figures = levels
+                    && lines.clone().all(|(_, _, _, weight, _)| sound(*weight))
+                    && proxy.flows.iter().all(|flows| sound(*flows));
+                match (placed, figures) {
+                    (false, _) => unfit.push(Unfit::Place(name)),
+                    (_, false) => unfit.push(Unfit::Figure(name)),
+                    _ if same && age < TABLES => drop(recalled.proxies.insert(of.into(), proxy)),
+                    _ => {}
+                }
+            }
+            ("replica", Item::Replica(replica)) => {
+                if !replica.seen.iter().all(|(_, per_s)| sound(*per_s)) {
+                    unfit.push(Unfit::Figure(name));
+                    continue;
+                }
+                let id: ReplicaId = of.into();
+                let tries = (TRIES * counts(age, WITHDRAWN)).round() as u64;
+                if replica.withdrawn && tries >= LEAST_TRIES {
+                    recalled.withdrawn.insert(id.clone(), tries);
+                }
+                let left = counts(age, DEMAND);
+                let seen = replica.seen.into_iter().filter(|(zone, _)| same && *zone < zones.len());
+                recalled.seen.extend(seen.map(|(zone, per_s)| ((id.clone(), zone), per_s * left)));
+            }
+            ("level", Item::Level { level, .. }) => match groups.iter().position(|group| *group == of) {
+                Some(_) if !(0.0..=1.0).contains(&level) => unfit.push(Unfit::Figure(name)),
+                Some(group) if same && age < LEVELS => drop(recalled.levels.insert(group, level)),
+                Some(_) => {}
+                None => unfit.push(Unfit::Place(name)),
+            },
+            ("override", Item::Override { weight, until, why }) => {
+                // As long as it would have held, and never longer for a calendar that was set back.
+                let left = (until - calendar).min(until - alive);
+                if !until.is_finite() || weight.is_some_and(|weight| !sound(weight)) {
+                    unfit.push(Unfit::Figure(name));
+                } else if let Some(left) =
+                    Duration::try_from_secs_f64(left).ok().filter(|left| !left.is_zero())
+                {
+                    recalled.overrides.insert(of.into(), (weight, left, why));
+                }
+            }
+            _ => unfit.push(Unfit::Unknown(name)),
+        }
+    }
+    (recalled, unfit)
+}
+
+/// An entry as bytes.
+pub fn encode(item: &Item) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    // Into memory, and of plain types: it can't fail but for a bug, and then nothing is kept.
+    if ciborium::into_writer(item, &mut bytes).is_err() {
+        bytes.clear();
+    }
+    bytes
+}
+
+/// What [`encode`] made; none if it is not of its making.
+pub fn decode(bytes: &[u8]) -> Option<Item> {
+    ciborium::from_reader(bytes).ok()
+}
+
+/// What differs from what was written before: names, and what they are from now on.
+pub fn changes<'a>(before: &Knowledge, now: &'a Knowledge) -> Vec<(String, Option<&'a Item>)> {
+    let same = |one: &Arc<Item>, other: &Arc<Item>| Arc::ptr_eq(one, other) || one == other;
+    let changed = now.iter().filter(|(name, item)| before.get(*name).is_none_or(|old| !same(old, item)));
+    let gone = before.keys().filter(|name| !now.contains_key(*name));
+    changed
+        .map(|(name, item)| (name.clone(), Some(&**item)))
+        .chain(gone.map(|name| (name.clone(), None)))
+        .collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn names(groups: &[&str]) -> Item {
+        let groups = groups.iter().map(|group| (*group).to_string()).collect();
+        Item::Names { governor: "g".into(), zones: vec!["z".into()], groups }
+    }
+
+    fn proxy() -> Proxy {
+        let line = ("a".into(), "a:1".into(), 0, 2.5, true);
+        Proxy {
+            zone: 0,
+            epoch: 7,
+            version: 9,
+            own: false,
+            tables: vec![Some(Held { level: 0.5, lines: vec![line] })],
+            tries: vec![Tries::IfNeverRan],
+            flows: vec![3.0],
+        }
+    }
+
+    fn known() -> Knowledge {
+        let all = [
+            (NAMES.to_string(), names(&["entry"])),
+            (ALIVE.to_string(), Item::Alive { at: 1000.0 }),
+            ("proxy/p".to_string(), Item::Proxy(proxy())),
+            ("replica/a".to_string(), Item::Replica(Replica { withdrawn: true, seen: vec![(0, 8.0)] })),
+            ("level/entry".to_string(), Item::Level { level: 0.5, tries: Tries::Never }),
+            ("override/a".to_string(), Item::Override { weight: None, until: 1100.0, why: "x".into() }),
+        ];
+        all.map(|(name, item)| (name, Arc::new(item))).into()
+    }
+
+    fn at(calendar: f64) -> Recalled {
+        let (recalled, unfit) = recall(known(), calendar, &names(&["entry"]));
+        assert_eq!(unfit, []);
+        recalled
+    }
+
+    #[test]
+    fn knowledge_counts_less_as_it_ages_each_kind_by_its_own_time() {
+        let soon = at(1001.0);
+        assert_eq!((soon.age, soon.withdrawn["a"]), (Duration::from_secs(1), 19));
+        assert!((soon.seen[&("a".into(), 0)] - 8.0 * 0.5f64.powf(1.0 / 60.0)).abs() < 1e-9);
+        assert_eq!((soon.levels[&0], soon.levels_for), (0.5, Duration::from_secs(9)));
+        assert_eq!(soon.overrides["a"].1, Duration::from_secs(99));
+        assert_eq!(soon.proxies["p"], proxy());
+        let later = at(1060.0);
+        assert_eq!(
+            (later.withdrawn.len(), later.levels.len()),
+            (0, 0),
+            "an eighth of twenty tries says nothing"
+        );
+        assert!((later.seen[&("a".into(), 0)] - 4.0).abs() < 1e-9);
+        let stale = at(1000.0 + 36_000.0);
+        assert_eq!((stale.proxies.len(), stale.overrides.len()), (0, 0));
+        assert!(stale.seen[&("a".into(), 0)] < 1e-9);
+    }
+
+    #[test]
+    fn a_calendar_that_stepped_makes_nothing_younger_and_nothing_last_longer() {
+        let back = at(500.0);
+        assert_eq!((back.age, back.levels.len(), back.withdrawn.len()), (UNKNOWN, 0, 0));
+        assert_eq!(back.overrides["a"].1, Duration::from_secs(100), "as long as was left, and no longer");
+        assert_eq!(at(f64::MAX).age, Duration::MAX);
+    }
+
+    #[test]
+    fn what_is_anothers_or_of_other_settings_or_can_not_be_is_left_out_and_said() {
+        let with = |change: fn(&mut Knowledge)| {
+            let mut known = known();
+            change(&mut known);
+            let (recalled, unfit) = recall(known, 1001.0, &names(&["entry"]));
+            (recalled, unfit.into_iter().map(|one| one.to_string()).collect::<Vec<_>>().join("; "))
+        };
+        let (_, said) = with(|known| drop(known.remove(NAMES)));
+        assert!(said.contains("do not say whose"));
+        let (_, said) = with(|known| drop(known.remove(ALIVE)));
+        assert!(said.contains("do not say whose"));
+        let another = Item::Names { governor: "h".into(), zones: vec![], groups: vec![] };
+        let (recalled, unfit) = recall(known(), 1001.0, &another);
+        assert_eq!((recalled, unfit), (Recalled::default(), vec![Unfit::Another("g".into())]));
+        let (recalled, unfit) = recall(known(), 1001.0, &names(&["entry", "exit"]));
+        assert_eq!((recalled.proxies.len(), recalled.levels.len(), unfit), (0, 0, vec![Unfit::Changed]));
+        assert_eq!(recalled.withdrawn.len(), 1, "replicas are by name");
+        let (recalled, said) = with(|known| {
+            let far = Proxy { zone: 4, ..proxy() };
+            known.insert("proxy/far".into(), Arc::new(Item::Proxy(far)));
+            known.insert(
+                "proxy/odd".into(),
+                Arc::new(Item::Proxy(Proxy { flows: vec![f64::NAN], ..proxy() })),
+            );
+            known.insert("level/none".into(), Arc::new(Item::Level { level: 1.0, tries: Tries::Once }));
+            known.insert("level/entry".into(), Arc::new(Item::Level { level: 7.0, tries: Tries::Once }));
+            known.insert("proxy/q".into(), Arc::new(Item::Alive { at: 0.0 }));
+        });
+        assert_eq!((recalled.proxies.len(), recalled.levels.len()), (1, 0));
+        assert!(said.contains("`proxy/far` names a zone") && said.contains("`level/none` names"), "{said}");
+        assert!(
+            said.contains("`proxy/odd` has a figure") && said.contains("`proxy/q` is no entry"),
+            "{said}"
+        );
+    }
+
+    #[test]
+    fn only_what_differs_is_written() {
+        let (before, mut now) = (known(), known());
+        assert_eq!(changes(&before, &now), []);
+        now.remove("level/entry");
+        now.insert(ALIVE.into(), Arc::new(Item::Alive { at: 1005.0 }));
+        let said: Vec<_> =
+            changes(&before, &now).into_iter().map(|(name, item)| (name, item.is_some())).collect();
+        assert_eq!(said, [(ALIVE.to_string(), true), ("level/entry".to_string(), false)]);
+        assert_eq!((stepped(0.0), stepped(f64::NAN), stepped(100.0) == stepped(101.0)), (0.0, 0.0, true));
+        assert!((stepped(100.0) / 100.0 - 1.0).abs() < 0.05);
+    }
+
+    proptest! {
+        #[test]
+        fn entries_come_back_as_they_were(weight in 1e-300f64..1e300, open in any::<bool>(), id in ".{0,9}") {
+            let mut proxy = proxy();
+            proxy.tables = vec![None, Some(Held { level: 0.1, lines: vec![(id.as_str().into(), "x".into(), 3, weight, open)] })];
+            let item = Item::Proxy(proxy);
+            prop_assert_eq!(decode(&encode(&item)), Some(item));
+        }
+
+        #[test]
+        fn no_bytes_make_it_panic(bytes in prop::collection::vec(any::<u8>(), 0..80)) {
+            if let Some(item) = decode(&bytes) {
+                let known = [(NAMES.to_string(), names(&[])), (ALIVE.to_string(), item.clone()), ("proxy/x".to_string(), item)];
+                recall(known.map(|(name, item)| (name, Arc::new(item))).into(), 5.0, &names(&[]));
+            }
+        }
+
+        /// Also where a whole entry was changed in the midst.
+        #[test]
+        fn mutated_entries_do_no_harm(at in any::<prop::sample::Index>(), byte in any::<u8>()) {
+            for (name, item) in known() {
+                let mut bytes = encode(&item);
+                let at = at.index(bytes.len());
+                bytes[at] = byte;
+                if let Some(item) = decode(&bytes) {
+                    let mut known = known();
+                    known.insert(name, Arc::new(item));
+                    recall(known, 1001.0, &names(&["entry"]));
+                }
+            }
+        }
+    }
+}
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -10,11 +10,12 @@
 use tonic::Status;
 use wrenthread::interface::{Phase, ProxyId};
 use wrenthread_core::engine::{Engine, NoStepBack, Note, Scope, Setup, Step, What};
-use wrenthread_core::fleet::{Kind, Proxy, Refused};
+use wrenthread_core::fleet::{self, Kind, Proxy, Refused};
 use wrenthread_core::guard::Refusal;
 use wrenthread_core::overrides::What as Overridden;
 use wrenthread_core::recording::Recording;
 use wrenthread_core::roster::Entry;
+use wrenthread_core::snapshot::Knowledge;
 use wrenthread_core::takeover::{self, Key};
 use wrenthread_core::versions;
 use wrenthread_poll::forms::{JoinTold, ReportTold, TablesTold, Terms, digest_of, tries_word};
@@ -148,10 +149,14 @@
     }
 
     fn asked(&mut self, now: Duration, stream: u64, request: Request) {
-        let Some(open) = self.streams.get_mut(&stream) else { return };
         let (mut claim, mut newly) = (None, None);
-        if open.session.is_none() {
+        if self.streams.get(&stream).is_some_and(|open| open.session.is_none()) {
             let join = decode::join(&self.wire, request.node(), self.usual, request.holds_orders());
+            let join = join.map(|join| {
+                let proven = self.proven(&join.name, join.claim.as_deref());
+                fleet::Join { proven, ..join }
+            });
+            let Some(open) = self.streams.get_mut(&stream) else { return };
             let joined =
                 join.map_err(|unclear| Status::invalid_argument(unclear.to_string())).and_then(|join| {
                     let joined = self.engine.joined(now, stream, &join).map_err(|refused| match refused {
@@ -411,7 +416,8 @@
         asked: wrenthread_poll::forms::JoinAsked,
     ) -> Result<JoinTold, poll::Refusal> {
         let unclear = |error: wrenthread_poll::forms::Unclear| poll::Refusal::Unclear(error.to_string());
-        let join = self.terms.join(proxy, asked, self.usual).map_err(unclear)?;
+        let mut join = self.terms.join(proxy, asked, self.usual).map_err(unclear)?;
+        join.proven = self.proven(proxy, join.claim.as_deref());
         let joined = self.engine.joined(now, session, &join).map_err(|refused| match refused {
             Refused::Full { .. } => poll::Refusal::Full(refused.to_string()),
             Refused::Contested { .. } => poll::Refusal::Conflict(refused.to_string()),
@@ -881,6 +887,17 @@
         })
     }
 
+    /// What is to be known beyond this life.
+    pub fn known(&self, now: Duration, calendar: f64, before: &Knowledge) -> Knowledge {
+        self.engine.known(now, before, calendar, self.wire.epoch, &self.terms.groups)
+    }
+
+    /// The life and version that a proxy's word proves to be this governor's, whichever life of it.
+    fn proven(&self, proxy: &str, claim: Option<&str>) -> Option<(u64, u64)> {
+        let claim = takeover::prove(&self.keys, proxy, claim?).ok()?;
+        (claim.governor == self.wire.governor).then_some((claim.epoch, claim.version))
+    }
+
     /// What is known now, for tables to be tried against. `calendar`: what time it is.
     pub fn record(&self, now: Duration, calendar: f64) -> Recording {
         Recording {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -8,6 +8,7 @@
 mod roster_file;
 mod run;
 mod show;
+mod state;
 mod talk;
 mod trial;
 
@@ -22,7 +23,7 @@
     version,
     about,
     after_help = "Exit codes: 0 done; 1 it failed, with the reason on standard error; \
-    2 the command line or the settings are wrong; 3 a rehearsal, a check of tables or a strict import did not pass, or something differs."
+    2 the command line or the settings are wrong; 3 a rehearsal, a check of tables or of state, or a strict import did not pass, or something differs."
 )]
 struct Cli {
     /// How logs are written
@@ -119,6 +120,49 @@
     Nginx(Nginx),
 }
 
+#[derive(Subcommand)]
+enum Kept {
+    /// What is there; the governor may run on
+    Show {
+        folder: PathBuf,
+        #[arg(long, value_enum, default_value = "text")]
+        output: Output,
+    },
+    /// Whether all of it is whole
+    Verify { folder: PathBuf },
+    /// Write all of it as JSON, as a copy to keep; the governor may run on
+    Export { folder: PathBuf },
+    /// Put an export in the place of all that is there; no governor may have the folder
+    Import { folder: PathBuf, file: PathBuf },
+    /// Fold the journal into a new snapshot; no governor may have the folder
+    Compact { folder: PathBuf },
+}
+
+impl Kept {
+    fn carry_out(self) -> Result<ExitCode> {
+        match self {
+            Kept::Show { folder, output } => {
+                let shown = state::show(&folder)?;
+                print(output, &shown, || state::summary(&shown));
+            }
+            Kept::Verify { folder } => {
+                let shown = state::show(&folder)?;
+                print!("{}", state::summary(&shown));
+                if shown["losses"].as_array().is_none_or(|losses| !losses.is_empty()) {
+                    return Ok(ExitCode::from(3));
+                }
+            }
+            Kept::Export { folder } => println!("{:#}", state::show(&folder)?),
+            Kept::Import { folder, file } => println!("{} entries", state::import(&folder, &file)?),
+            Kept::Compact { folder } => {
+                let (bytes, journal) = state::compact(&folder)?;
+                println!("{bytes} bytes, and {journal} in the journal");
+            }
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
 #[derive(Subcommand)]
 enum Target {
     /// An nginx: upstream blocks in a file that it includes, replaced whole (`nginx(...)` in the settings)
@@ -400,6 +444,11 @@
         #[command(subcommand)]
         from: Source,
     },
+    /// What a governor keeps beyond its life, in the folder that its settings name
+    State {
+        #[command(subcommand)]
+        what: Kept,
+    },
     /// Have proxies follow that can't by themselves
     Export {
         #[command(subcommand)]
@@ -410,7 +459,7 @@
     ReadSettings { settings: PathBuf },
     /// Rehearse a bad day on stand-in relays and workers, and judge it by what crossed the sockets
     #[command(after_help = "Example: wrenthread rehearse bad-day --seed 3\nDays: bad-day, short, takeover, \
-        split, stall, roll, dark, friday, imported")]
+        split, stall, roll, dark, friday, imported, storms, storms-bare")]
     Rehearse {
         day: String,
         /// Seeds; each is a day of its own
@@ -527,6 +576,7 @@
             println!("{} tables are released", released["released"]);
         }
         Command::Import { from: Source::Nginx(nginx) } => return nginx.carry_out(),
+        Command::State { what } => return what.carry_out(),
         Command::Export { to: Target::Nginx(export) } => export.carry_out()?,
         Command::Rehearse { day, seeds, front, suspect, no_refusals, tape, output } => {
             return rehearse(&day, &seeds, front, &suspect, no_refusals, tape, output);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -11,6 +11,7 @@
 use tokio::task::{JoinHandle, LocalSet};
 use tokio_stream::wrappers::TcpListenerStream;
 use wrenthread_core::roster::Entry;
+use wrenthread_core::snapshot::Item;
 use wrenthread_core::takeover::Key;
 use wrenthread_settings::{PathRoute, RosterSource, Route, Settings};
 use wrenthread_talk::{Talk, Terms};
@@ -20,7 +21,7 @@
 use crate::clock::Clock;
 use crate::host::{Chore, Host, WAIT_MOST};
 use crate::http::{self, Query};
-use crate::{roster_file, talk};
+use crate::{roster_file, state, talk};
 
 /// Events that may wait for the one task; streams beyond it wait on their sockets.
 const EVENTS: usize = 1024;
@@ -135,7 +136,18 @@
 ) -> Result<()> {
     let clock = Clock::start();
     let keys = keys(&settings)?;
-    let wire = Wire { key: keys.first().cloned(), ..wire(&settings, clock.epoch()) };
+    let names = Item::Names {
+        governor: settings.governor.clone(),
+        zones: settings.zones.clone(),
+        groups: settings.groups.iter().map(|group| group.name.clone()).collect(),
+    };
+    let start =
+        settings.state.as_ref().map(|folder| state::start(folder, names, clock.calendar(clock.now())));
+    let (epoch, recalled, mut keeper) = match start {
+        Some(start) => (start.epoch, Some(start.recalled), start.keeper),
+        None => (clock.epoch(), None, None),
+    };
+    let wire = Wire { key: keys.first().cloned(), ..wire(&settings, epoch) };
     let grpc =
         TcpListener::bind(settings.grpc).await.with_context(|| format!("gRPC on {}", settings.grpc))?;
     let pages =
@@ -195,8 +207,13 @@
         keys: if socket.is_some() { keys.clone() } else { Vec::new() },
         moves_per_s: settings.moves_per_s,
     };
-    let talking = Talk::new(terms, clock.epoch(), clock.now());
+    let talking = Talk::new(terms, epoch, clock.now());
     let mut host = Host::new(settings.setup(), wire.clone(), keys, settings.usual, talking, clock.now());
+    if let Some(recalled) = recalled {
+        host.engine.recall(clock.now(), recalled);
+    }
+    let mut keeps = tokio::time::interval(span(settings.state_every));
+    keeps.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     distrust(&mut host, suspect)?;
     let mut hangup = signal(SignalKind::hangup()).context("signals")?;
     let mut terminate = signal(SignalKind::terminate()).context("signals")?;
@@ -250,6 +267,12 @@
                 }
             }
             Some(stream) = done.recv() => host.roomy(stream),
+            _ = keeps.tick(), if keeper.is_some() => {
+                if let Some(keeper) = &mut keeper {
+                    let now = clock.now();
+                    keeper.keep(host.known(now, clock.calendar(now), keeper.before()), clock.calendar(now));
+                }
+            }
             Some(query) = asked.recv() => answer(&mut host, &clock, &metrics, query),
             () = tokio::time::sleep_until(due.into()) => {}
         }
@@ -277,6 +300,11 @@
         metrics::histogram!("wrenthread_pump_seconds").record(began.elapsed().as_secs_f64());
     };
     tracing::info!(why, "the governor stops; proxies keep their tables");
+    if let Some(mut keeper) = keeper {
+        let now = clock.now();
+        keeper.keep(host.known(now, clock.calendar(now), keeper.before()), clock.calendar(now));
+        keeper.end().await;
+    }
     host.stop(clock.now(), |at, datagram| talk::say(socket.as_ref(), at, datagram));
     if let Some(listening) = listening {
         listening.abort();
--- /dev/null
+++ b/crates/daemon/tests/state.rs
@@ -0,0 +1,174 @@
+//! What a governor knows beyond its life: killed, damaged, taken by another, shown and carried about.
+
+mod common;
+
+use std::cell::RefCell;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::process::Command;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use common::{Governor, until};
+use wrenthread_client::keeper::{Keeper, Standing};
+use wrenthread_client::poll::Session;
+use wrenthread_client::{Unwatched, Who};
+
+const SECRET: &str = "a secret that no file but its own may hold";
+
+fn wrenthread(arguments: &[&str]) -> (Option<i32>, String) {
+    let ran = Command::new(env!("CARGO_BIN_EXE_wrenthread")).args(arguments).output().unwrap();
+    (ran.status.code(), String::from_utf8([ran.stdout, ran.stderr].concat()).unwrap())
+}
+
+async fn governor(name: &str) -> Governor {
+    let mut governor = Governor::start(name, 4).await;
+    end(&mut governor);
+    std::fs::write(governor.folder.join("fleet.key"), SECRET).unwrap();
+    let path = governor.folder.join("settings.star");
+    let script = std::fs::read_to_string(&path).unwrap();
+    let more = "governor(name = \"g\", keys = [\"fleet.key\"])\nstate(folder = \"state\", every = 0.05)\n";
+    std::fs::write(path, script + more).unwrap();
+    governor.spawn().await;
+    governor
+}
+
+fn end(governor: &mut Governor) {
+    governor.child.kill().unwrap();
+    governor.child.wait().unwrap();
+}
+
+async fn session(governor: &Governor, keeper: &Rc<RefCell<Keeper>>) -> Session {
+    let who = Who { name: "p".into(), zone: "north".into(), usual: 1.0 };
+    Session::join(&format!("http://127.0.0.1:{}", governor.poll), &who, keeper).await.unwrap()
+}
+
+/// Asks until the proxy holds a table of so many lines.
+async fn follow(session: &Session, keeper: &Rc<RefCell<Keeper>>, wanted: usize) {
+    let began = Instant::now();
+    while keeper.borrow().ordered().get("match").is_none_or(|(lines, _)| lines.len() != wanted) {
+        assert!(began.elapsed() < Duration::from_secs(20), "never {wanted} lines");
+        session.ask(keeper, &Unwatched).await.unwrap();
+    }
+}
+
+fn file_of(state: &Path, kind: &str) -> std::path::PathBuf {
+    let names = std::fs::read_dir(state).unwrap().map(|entry| entry.unwrap().path());
+    let number = |path: &std::path::PathBuf| {
+        path.extension().and_then(|number| number.to_str()?.parse::<u64>().ok()).unwrap_or(0)
+    };
+    names.filter(|path| path.file_stem().is_some_and(|stem| stem == kind)).max_by_key(number).unwrap()
+}
+
+#[tokio::test]
+async fn a_killed_governor_knows_what_its_proxies_hold_and_what_operators_said() {
+    let mut governor = governor("state-kill").await;
+    let state = governor.folder.join("state");
+    let standing = |n: usize| Standing {
+        replica: format!("w{n}"),
+        address: format!("10.0.0.{n}:80").as_str().into(),
+        weight: 1.0,
+    };
+    let groups = vec!["match".to_string(), "charge".to_string()];
+    let keeper = Rc::new(RefCell::new(Keeper::new(groups, (0..4).map(standing).collect(), None)));
+    let first = session(&governor, &keeper).await;
+    let at = format!("127.0.0.1:{}", governor.http);
+    assert_eq!(wrenthread(&["exclude", "w2", "--why", "its disk", "--at", &at]).0, Some(0));
+    follow(&first, &keeper, 3).await;
+    let kept = || {
+        let (_, shown) = wrenthread(&["state", "show", state.to_str().unwrap(), "--output", "json"]);
+        let shown: serde_json::Value = serde_json::from_str(&shown).ok()?;
+        let version = shown["entries"]["proxy/p"]["Proxy"]["version"].as_u64()?;
+        let held = keeper.borrow().held().unwrap().0.split_once('.').unwrap().1.parse::<u64>().unwrap();
+        (version == held && !shown["entries"]["override/w2"].is_null()).then_some(())
+    };
+    until("all of it is kept", kept).await;
+    let held = keeper.borrow().held().cloned();
+    end(&mut governor);
+    governor.spawn().await;
+    let again = session(&governor, &keeper).await;
+    // It holds what it should: nothing is sent, and it is still known to stand on its own table.
+    let told = tokio::time::timeout(Duration::from_millis(700), again.ask(&keeper, &Unwatched)).await;
+    assert!(told.is_err(), "it is told nothing, but {:?}", keeper.borrow().held());
+    assert_eq!(keeper.borrow().held().cloned(), held);
+    assert_eq!(governor.status()["overrides"][0]["why"], "its disk");
+    assert!(governor.log().contains("what was known before a restart"));
+    assert!(governor.status()["proxies"][0]["kind"] == "standing", "{}", governor.status()["proxies"]);
+    // Of the same life in another folder nothing is known: it is told all anew.
+    end(&mut governor);
+    std::fs::rename(&state, governor.folder.join("elsewhere")).unwrap();
+    governor.spawn().await;
+    let anew = session(&governor, &keeper).await;
+    follow(&anew, &keeper, 4).await;
+    assert_eq!(governor.status()["overrides"], serde_json::json!([]));
+
+    // No file of it, nor the log, holds the secret; and nobody else may read them.
+    for entry in std::fs::read_dir(governor.folder.join("elsewhere")).unwrap() {
+        let path = entry.unwrap().path();
+        let bytes = std::fs::read(&path).unwrap();
+        assert!(!bytes.windows(SECRET.len()).any(|part| part == SECRET.as_bytes()), "{}", path.display());
+        assert_eq!(path.metadata().unwrap().permissions().mode() & 0o077, 0, "{}", path.display());
+    }
+    assert!(!governor.log().contains(SECRET) && !governor.status().to_string().contains(SECRET));
+}
+
+#[tokio::test]
+async fn whatever_is_wrong_with_the_folder_the_governor_starts_and_says_so() {
+    let mut governor = governor("state-damage").await;
+    let state = governor.folder.join("state");
+    let folder = state.to_str().unwrap().to_string();
+    until("something is kept", || (wrenthread(&["state", "verify", &folder]).0 == Some(0)).then_some(())).await;
+    // Another governor on the same folder runs, and keeps nothing.
+    let mut twin = Governor::start("state-twin", 4).await;
+    end(&mut twin);
+    let script = std::fs::read_to_string(twin.folder.join("settings.star")).unwrap();
+    std::fs::write(twin.folder.join("settings.star"), format!("{script}state(folder = {folder:?})\n")).unwrap();
+    twin.spawn().await;
+    assert!(twin.log().contains("another process has the folder"), "{}", twin.log());
+    // Who has it can't be written over, but can be copied.
+    let copy = governor.folder.join("copy.json");
+    let (code, exported) = wrenthread(&["state", "export", &folder]);
+    assert_eq!(code, Some(0));
+    std::fs::write(&copy, &exported).unwrap();
+    let (code, said) = wrenthread(&["state", "import", &folder, copy.to_str().unwrap()]);
+    assert!(code == Some(1) && said.contains("another process has the folder"), "{said}");
+    assert_eq!(wrenthread(&["state", "compact", &folder]).0, Some(1));
+    end(&mut governor);
+
+    // A bit is turned in its newest snapshot; its journal is cut; both are gone; a file stands where the folder was.
+    let snapshot = file_of(&state, "snapshot");
+    let mut bytes = std::fs::read(&snapshot).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 4;
+    std::fs::write(&snapshot, bytes).unwrap();
+    let (code, said) = wrenthread(&["state", "verify", &folder]);
+    assert!(code == Some(3) && said.contains("is not what was written"), "{said}");
+    governor.spawn().await;
+    assert!(governor.log().contains("of what was known, this is lost"), "{}", governor.log());
+    end(&mut governor);
+    let journal = file_of(&state, "journal");
+    let bytes = std::fs::read(&journal).unwrap();
+    std::fs::write(&journal, [&bytes[..], b"half a rec"].concat()).unwrap();
+    assert!(wrenthread(&["state", "verify", &folder]).1.contains("it ends within a record"));
+    governor.spawn().await;
+    end(&mut governor);
+    let (code, said) = wrenthread(&["state", "import", &folder, copy.to_str().unwrap()]);
+    assert!(code == Some(0) && said.contains("entries"), "{said}");
+    assert_eq!(wrenthread(&["state", "compact", &folder]).0, Some(0));
+    assert_eq!(wrenthread(&["state", "verify", &folder]).0, Some(0));
+    assert!(wrenthread(&["state", "show", &folder]).1.contains("names"));
+    std::fs::write(&copy, "{}").unwrap();
+    assert!(wrenthread(&["state", "import", &folder, copy.to_str().unwrap()]).1.contains("is no export"));
+    std::fs::remove_dir_all(&state).unwrap();
+    std::fs::write(&state, "a file").unwrap();
+    governor.spawn().await;
+    assert!(governor.log().contains("nothing is known beyond this life, and nothing will be"));
+    // Its disk goes while it runs: it decides on, and says that nothing is written.
+    end(&mut governor);
+    std::fs::remove_file(&state).unwrap();
+    governor.spawn().await;
+    std::fs::remove_dir_all(&state).unwrap();
+    until("an error of the disk", || governor.log().contains("could not be written").then_some(())).await;
+    assert_eq!(governor.get("/readyz").unwrap(), "ready\n");
+    assert!(governor.get("/metrics").unwrap().contains("wrenthread_state_errors"));
+}
--- a/crates/poll/src/forms.rs
+++ b/crates/poll/src/forms.rs
@@ -232,6 +232,7 @@
             standing: standing.collect(),
             holds_orders: asked.holds_orders,
             claim: asked.claim,
+            proven: None,
         })
     }
 
--- /dev/null
+++ b/crates/rehearsal/days/storms.star
@@ -0,0 +1,8 @@
+# The governor is killed ten times in a minute, at chance moments, in the midst of a deploy while a worker answers nothing.
+# It knows what it knew before.
+day(
+    seconds = 70, halls = ["north", "south", "east"], workers = 24, relays = 24, flows_per_s = 100, care_for = 6, state = True,
+)
+trouble("silent", at = 6, lasts = 40, count = 1)
+trouble("deploy", at = 10, lasts = 50, hall = "south", step = 4)
+trouble("storm", at = 8, lasts = 58, count = 10)
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -39,7 +39,7 @@
 use worker::{Mode, Worker};
 use wrenthread_client::Who;
 
-const DAYS: [(&str, &str); 9] = [
+const DAYS: [(&str, &str); 11] = [
     ("bad-day", include_str!("../days/bad-day.star")),
     ("short", include_str!("../days/short.star")),
     ("takeover", include_str!("../days/takeover.star")),
@@ -49,6 +49,8 @@
     ("dark", include_str!("../days/dark.star")),
     ("friday", include_str!("../days/friday.star")),
     ("imported", include_str!("../days/imported.star")),
+    ("storms", include_str!("../days/storms.star")),
+    ("storms-bare", include_str!("../days/storms-bare.star")),
 ];
 /// Lines of a standing table.
 const STANDING: usize = 8;
@@ -532,6 +534,21 @@
                 sleep(lasts).await;
                 governor.start(&self.tape).await?;
             }
+            Trouble::Storm { governor, count } => {
+                let Some(governor) = governors.get(*governor) else { return Ok(()) };
+                let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ 0x5707);
+                let each = planned.lasts / *count as f64;
+                for _ in 0..*count {
+                    let chance = (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+                    sleep(Duration::from_secs_f64(each * (0.1 + 0.8 * chance))).await;
+                    governor.kill();
+                    governor.ended().await;
+                    self.tape.add(What::Governor { governor: governor.place, up: false });
+                    // As soon as a supervisor would.
+                    sleep(Duration::from_millis(200)).await;
+                    governor.start(&self.tape).await?;
+                }
+            }
             Trouble::Stall { governor } => {
                 let Some(governor) = governors.get(*governor) else { return Ok(()) };
                 governor.signal(Signal::SIGSTOP)?;
@@ -661,8 +678,9 @@
                 )
             })
             .collect();
+        let state = if day.state { "state(folder = \"state\", every = 0.2)\n" } else { "" };
         let settings = format!(
-            "fleet(zones = {:?}, proxies = {}, governors = {}, \
+            "{state}fleet(zones = {:?}, proxies = {}, governors = {}, \
              standing_lines = {STANDING}, proxies_avoid = True)\n\
              governor(name = \"g{place}\", keys = [{key:?}]{talking})\n\
              replicas(cold_share = {}, warm_after = {})\n\
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -33,6 +33,8 @@
     Stale { governor: usize },
     /// All governors are drained, stopped and started again, one after another.
     Roll,
+    /// A governor is killed so many times within the span, at chance moments, and started again at once.
+    Storm { governor: usize, count: usize },
     /// An operator has the version of now told again at the end, for fifteen seconds.
     StepBack,
 }
@@ -61,6 +63,8 @@
     pub talk: bool,
     /// Settings and roster are imported from an nginx configuration.
     pub nginx: bool,
+    /// Governors know what they knew before a restart.
+    pub state: bool,
     pub care_for: f64,
     pub bare_for: f64,
     pub fall_multiple: f64,
@@ -68,7 +72,7 @@
     pub troubles: Vec<Planned>,
 }
 
-const KINDS: [&str; 12] = [
+const KINDS: [&str; 13] = [
     "silent",
     "quick_errors",
     "deploy",
@@ -81,6 +85,7 @@
     "stale_roster",
     "roll_governors",
     "step_back",
+    "storm",
 ];
 
 /// Checks a day's script.
@@ -115,6 +120,7 @@
             "cut_governor" => Trouble::Cut { governor },
             "one_way" => Trouble::OneWay { governor },
             "stale_roster" => Trouble::Stale { governor },
+            "storm" => Trouble::Storm { governor, count },
             "roll_governors" => Trouble::Roll,
             "step_back" => Trouble::StepBack,
             other => {
@@ -147,6 +153,7 @@
         governors: day.whole("governors") as usize,
         talk: day.truth("talk"),
         nginx: day.truth("nginx"),
+        state: day.truth("state"),
         care_for: day.number("care_for"),
         bare_for: day.number("bare_for"),
         fall_multiple: day.number("fall_multiple"),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -178,6 +178,9 @@
     pub keepalive: f64,
     pub keepalive_timeout: f64,
     pub nginx: Nginx,
+    /// Where what is known lasts.
+    pub state: Option<PathBuf>,
+    pub state_every: f64,
 }
 
 /// Reads and checks a script. Paths in it are taken from its own folder.
@@ -192,6 +195,7 @@
         if let RosterSource::File(roster) = &mut settings.roster {
             *roster = folder.join(&*roster);
         }
+        settings.state = settings.state.map(|state| folder.join(state));
         let nginx = &mut settings.nginx;
         nginx.include = folder.join(&nginx.include);
         nginx.access_log = nginx.access_log.as_ref().map(|log| folder.join(log));
@@ -288,6 +292,7 @@
     let roster = check.read("roster", one("roster"));
     let listen = check.read("listen", one("listen"));
     let nginx = check.read("nginx", one("nginx"));
+    let state = check.read("state", one("state"));
     let zones = fleet.texts("zones");
     if zones.is_empty() && one("fleet").is_some_and(|fleet| fleet.fields.contains_key("zones")) {
         check.fault(fleet.line, "`zones` is empty; name at least one".into());
@@ -379,6 +384,8 @@
             reload_within: nginx.number("reload_within"),
             access_log: nginx.text("access_log").map(PathBuf::from),
         },
+        state: state.text("folder").map(PathBuf::from),
+        state_every: state.number("every"),
     })
 }
 
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -229,6 +229,15 @@
             ),
         ],
     },
+    Section {
+        name: "state",
+        many: false,
+        says: "what is known beyond a restart",
+        fields: &[
+            field("folder", Takes::Text, Open, "where it lasts; nothing does without it"),
+            field("every", Takes::Seconds(0.05, 60.0), Number(0.5), "how often changes are written"),
+        ],
+    },
     Section {
         name: "nginx",
         many: false,
@@ -320,6 +329,7 @@
             ),
             field("governors", Takes::Whole(1, 8), Number(1.0), "governors that share the relays"),
             field("talk", Takes::Truth, Truth(false), "they may talk to each other"),
+            field("state", Takes::Truth, Truth(false), "governors know what they knew before a restart"),
             field(
                 "nginx",
                 Takes::Truth,
--- a/crates/settings/src/script.rs
+++ b/crates/settings/src/script.rs
@@ -146,6 +146,13 @@
         once!("roster", kwargs, eval)
     }
 
+    fn state<'v>(
+        #[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>,
+        eval: &mut Evaluator<'v, '_, '_>,
+    ) -> anyhow::Result<NoneType> {
+        once!("state", kwargs, eval)
+    }
+
     fn nginx<'v>(
         #[starlark(kwargs)] kwargs: SmallMap<String, Value<'v>>,
         eval: &mut Evaluator<'v, '_, '_>,
--- a/crates/store/src/tests.rs
+++ b/crates/store/src/tests.rs
@@ -14,6 +14,9 @@
     let Ok((mut store, _)) = Store::open(disk.clone()) else { return states };
     for step in 0..9 {
         let mut changes = vec![put(&format!("proxy/{}", step % 3), &format!("table {step}"))];
+        if step == 0 {
+            changes.push(put("level/entry", "said once"));
+        }
         if step % 4 == 3 {
             changes.push((format!("proxy/{}", (step + 1) % 3), None));
         }
--- a/crates/xds/src/decode.rs
+++ b/crates/xds/src/decode.rs
@@ -89,8 +89,15 @@
         }
     };
     let bad = |field, why: &str| Unclear::Metadata { node: name.into(), field, why: why.into() };
-    let mut join =
-        Join { name: Arc::from(name), zone, usual, standing: Vec::new(), holds_orders, claim: None };
+    let mut join = Join {
+        name: Arc::from(name),
+        zone,
+        usual,
+        standing: Vec::new(),
+        holds_orders,
+        claim: None,
+        proven: None,
+    };
     let metadata = node.metadata.as_ref().and_then(|metadata| field(metadata, METADATA));
     let Some(value::Kind::StructValue(said)) = metadata else { return Ok(join) };
     if said.fields.contains_key("usual") {
--- a/crates/xds/src/session/tests.rs
+++ b/crates/xds/src/session/tests.rs
@@ -51,8 +51,15 @@
         let now = Duration::from_secs(100);
         let mut engine = Engine::new(Setup::example(2), now);
         engine.roster(now, entries(&["a", "b", "c"]));
-        let join =
-            Join { name: "p".into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: true, claim: None };
+        let join = Join {
+            name: "p".into(),
+            zone: 0,
+            usual: 1.0,
+            standing: vec![],
+            holds_orders: true,
+            claim: None,
+            proven: None,
+        };
         engine.joined(now, 1, &join).unwrap();
         let mut rig = Rig { engine, now, session: Session::new(0xabc, &first) };
         rig.session.request(first).unwrap();
@@ -314,8 +321,15 @@
     let now = Duration::from_secs(100);
     let mut engine = Engine::new(Setup::example(2), now);
     engine.roster(now, entries(&["a", "b", "c"]));
-    let join =
-        Join { name: "p".into(), zone: 0, usual: 1.0, standing: vec![], holds_orders: true, claim: None };
+    let join = Join {
+        name: "p".into(),
+        zone: 0,
+        usual: 1.0,
+        standing: vec![],
+        holds_orders: true,
+        claim: None,
+        proven: None,
+    };
     engine.joined(now, 1, &join).unwrap();
     let mut first = delta(Kind::Endpoints, &["match", "nobody"], &[], "");
     first.initial_resource_versions = [("match".to_string(), "0123".to_string())].into();
