A restart measured: lines sent, a bad replica out again, the cost of keeping, with and without

The bench restarts a governor of 24, 200 and 1,000 relays in one run, with nothing known and with knowledge of one second, ten minutes and ten hours.

--- /dev/null
+++ b/crates/core/benches/restart.rs
@@ -0,0 +1,222 @@
+//! A governor's restart with and without what it knew, in one run: how long until it first decides and until its
+//! fleet is settled, what it sends, and what keeping it costs. `cargo bench -p wrenthread-core --bench restart`
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use wrenthread::interface::Phase;
+use wrenthread_core::engine::{Engine, Setup, Step};
+use wrenthread_core::fleet::Join;
+use wrenthread_core::overrides::What;
+use wrenthread_core::reports::{AtReplica, Report};
+use wrenthread_core::roster::Entry;
+use wrenthread_core::snapshot::{self, Item, Knowledge};
+use wrenthread_core::versions::{Digest, Whole};
+
+const REPLICAS: usize = 48;
+const GROUPS: usize = 3;
+
+fn ms(at: u64) -> Duration {
+    Duration::from_millis(100_000 + at)
+}
+
+fn list() -> Vec<Entry> {
+    let entry = |n: usize| Entry {
+        id: format!("r{n:02}").into(),
+        address: format!("10.0.0.{n}:80").into(),
+        zone: n % 3,
+        weight: 1.0,
+        phase: Phase::Ready,
+        started: None,
+        backup: false,
+    };
+    (0..REPLICAS).map(entry).collect()
+}
+
+/// What a proxy holds: the version by which it was told that, and the digest.
+type Held = BTreeMap<usize, (u64, Digest)>;
+
+struct Run {
+    engine: Engine,
+    held: Held,
+    numbers: BTreeMap<u16, usize>,
+    lines: usize,
+    messages: usize,
+    /// Lines in the first three seconds.
+    soon: usize,
+    began: u64,
+    first: Option<u64>,
+    last: u64,
+}
+
+impl Run {
+    fn new(relays: usize, now: u64) -> Run {
+        let mut setup = Setup::example(GROUPS);
+        setup.module.proxies = relays as u64;
+        setup.reports_per_s = 20_000.0;
+        setup.module.lines_per_s = 20_000.0;
+        setup.module.waiting_most = 400_000.0;
+        let engine = Engine::new(setup, ms(now));
+        Run {
+            engine,
+            held: Held::new(),
+            numbers: BTreeMap::new(),
+            lines: 0,
+            messages: 0,
+            soon: 0,
+            began: now,
+            first: None,
+            last: now,
+        }
+    }
+
+    fn join(&mut self, now: u64, relay: usize, epoch: u64) {
+        let standing = (0..REPLICAS).filter(|n| n % 3 == relay % 3).skip(relay % 5).take(8);
+        let proven = self.held.get(&relay).map(|(version, _)| (epoch, *version));
+        let join = Join {
+            name: format!("p{relay}").into(),
+            zone: relay % 3,
+            usual: 5.0,
+            standing: standing.map(|n| (format!("r{n:02}").into(), 1.0)).collect(),
+            holds_orders: proven.is_some(),
+            claim: proven.map(|_| "a word".into()),
+            proven,
+        };
+        let joined = self.engine.joined(ms(now), relay as u64, &join).expect("there is room");
+        self.numbers.insert(joined.number, relay);
+    }
+
+    /// Proxies that take all at once, and are told only what differs from what they hold.
+    fn pump(&mut self, now: u64) {
+        while let Some(step) = self.engine.step(ms(now)) {
+            let Step::Flush(number) = step else { continue };
+            let relay = self.numbers[&number];
+            let newest =
+                self.engine.history().newest(number).map(|one| (one.version, one.digest, one.whole.clone()));
+            let Some((version, digest, whole)) = newest else {
+                self.engine.sent(ms(now), number, 0, 0);
+                continue;
+            };
+            let known = self.held.get(&relay).is_some_and(|(_, held)| *held == digest);
+            let has_word = self.engine.proxy(number).is_some_and(|proxy| proxy.has_word());
+            let lines = if known || !has_word { 0 } else { Whole::lines(&whole) };
+            if lines > 0 {
+                self.held.insert(relay, (version, digest));
+                (self.lines, self.messages, self.last) = (self.lines + lines, self.messages + 1, now);
+                self.first.get_or_insert(now);
+                if now < self.began + 3000 {
+                    self.soon += lines;
+                }
+            }
+            self.engine.sent(ms(now), number, lines, usize::from(lines > 0));
+            self.engine.acked(ms(now), relay as u64, version);
+        }
+    }
+
+    /// All that proxies met in a second, with one replica that drops everything.
+    fn report(&mut self, now: u64, relays: usize) {
+        for relay in 0..relays {
+            let met =
+                (0..REPLICAS).filter(|n| n % 3 == relay % 3).skip(relay % 5).take(8).map(|n| AtReplica {
+                    group: 0,
+                    replica: format!("r{n:02}").into(),
+                    issued: 4,
+                    in_progress: 0,
+                    delivered: if n == 4 { 0 } else { 4 },
+                    dropped: if n == 4 { 4 } else { 0 },
+                    // Never quite the same: a report that is comes twice.
+                    answers: if n == 4 {
+                        (Duration::ZERO, 0)
+                    } else {
+                        (Duration::from_micros(80_000 + now), 4)
+                    },
+                    load: vec![0.0],
+                });
+            let report = Report { interval: Duration::from_secs(1), met: met.collect(), blocked: Vec::new() };
+            let _ = self.engine.report(ms(now), &format!("p{relay}"), relay as u64, &report);
+        }
+    }
+}
+
+fn main() {
+    for relays in [24, 200, 1000] {
+        let mut before = Run::new(relays, 0);
+        before.engine.roster(ms(0), list());
+        (0..relays).for_each(|relay| before.join(10, relay, 1));
+        for now in (20..20_000).step_by(20) {
+            if now % 1000 == 0 {
+                before.report(now, relays);
+            }
+            if now == 15_000 {
+                let (what, why) = (What::Weight(0.5), "half its cores are gone");
+                before
+                    .engine
+                    .override_replica(ms(now), &"r07".into(), what, ms(900_000), why)
+                    .expect("listed");
+            }
+            before.pump(now);
+        }
+        let groups: Vec<String> = (0..GROUPS).map(|group| format!("g{group}")).collect();
+        let names = Item::Names {
+            governor: "g".into(),
+            zones: ["a", "b", "c"].map(String::from).into(),
+            groups: groups.clone(),
+        };
+        let took = |before_known: &Knowledge| {
+            let began = Instant::now();
+            let known = before.engine.known(ms(20_000), before_known, 1000.0, 1, &groups);
+            let changed: usize = snapshot::changes(before_known, &known)
+                .into_iter()
+                .map(|(_, item)| item.map_or(0, |item| snapshot::encode(item).len()))
+                .sum();
+            (began.elapsed().as_secs_f64() * 1e3, changed, known)
+        };
+        let (whole_ms, whole_bytes, mut known) = took(&Knowledge::new());
+        let (again_ms, again_bytes, _) = took(&known);
+        known.insert(snapshot::NAMES.into(), std::sync::Arc::new(names.clone()));
+        known.insert(snapshot::ALIVE.into(), std::sync::Arc::new(Item::Alive { at: 1000.0 }));
+        let withdrawn = before.engine.is_withdrawn(&"r04".into());
+        for age in [None, Some(1.0), Some(600.0), Some(36_000.0)] {
+            let mut after = Run::new(relays, 20_500);
+            if let Some(age) = age {
+                let (recalled, unfit) = snapshot::recall(known.clone(), 1000.0 + age, &names);
+                assert!(unfit.is_empty());
+                after.engine.recall(ms(20_500), recalled);
+            }
+            after.held = before.held.clone();
+            after.engine.roster(ms(20_500), list());
+            // They come back within half a second, spread.
+            let mut left: BTreeSet<usize> = (0..relays).collect();
+            let mut out = None;
+            for now in (20_500..50_500).step_by(20) {
+                let due = (relays as f64 * f64::min((now - 20_500) as f64 / 500.0, 1.0)) as usize;
+                let come: Vec<usize> = left.iter().copied().take_while(|relay| *relay < due).collect();
+                for relay in come {
+                    left.remove(&relay);
+                    after.join(now, relay, 1);
+                }
+                if now % 1000 == 0 {
+                    after.report(now, relays);
+                }
+                after.pump(now);
+                if out.is_none() && after.engine.is_withdrawn(&"r04".into()) {
+                    out = Some(now - 20_500);
+                }
+            }
+            let known = age.map_or("nothing".to_string(), |age| format!("{age} s old"));
+            println!(
+                "{relays}, {known}: first {:?} ms, last {} ms, {} lines in 3 s, {} in 30 s, {} messages; the bad \
+                 replica is out again after {out:?} ms",
+                after.first.map(|first| first - 20_500),
+                after.last - 20_500,
+                after.soon,
+                after.lines,
+                after.messages,
+            );
+        }
+        println!(
+            "{relays}: all of it anew {whole_ms:.1} ms and {whole_bytes} bytes; nothing new {again_ms:.2} ms, {again_bytes} \
+             bytes; the bad replica was out before: {withdrawn}"
+        );
+    }
+}
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -73,10 +73,12 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Held {
     pub level: f64,
-    /// Replica, address, zone, weight, and whether it is open.
-    pub lines: Vec<(Arc<str>, Arc<str>, usize, f64, bool)>,
+    pub lines: Vec<HeldLine>,
 }
 
+/// Replica, address, zone, weight, and whether it is open.
+pub type HeldLine = (Arc<str>, Arc<str>, usize, f64, bool);
+
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Replica {
     pub withdrawn: bool,
--- a/crates/daemon/tests/state.rs
+++ b/crates/daemon/tests/state.rs
@@ -117,12 +117,14 @@
     let mut governor = governor("state-damage").await;
     let state = governor.folder.join("state");
     let folder = state.to_str().unwrap().to_string();
-    until("something is kept", || (wrenthread(&["state", "verify", &folder]).0 == Some(0)).then_some(())).await;
+    until("something is kept", || (wrenthread(&["state", "verify", &folder]).0 == Some(0)).then_some(()))
+        .await;
     // Another governor on the same folder runs, and keeps nothing.
     let mut twin = Governor::start("state-twin", 4).await;
     end(&mut twin);
     let script = std::fs::read_to_string(twin.folder.join("settings.star")).unwrap();
-    std::fs::write(twin.folder.join("settings.star"), format!("{script}state(folder = {folder:?})\n")).unwrap();
+    std::fs::write(twin.folder.join("settings.star"), format!("{script}state(folder = {folder:?})\n"))
+        .unwrap();
     twin.spawn().await;
     assert!(twin.log().contains("another process has the folder"), "{}", twin.log());
     // Who has it can't be written over, but can be copied.
