--- a/crates/daemon/benches/scale.rs
+++ b/crates/daemon/benches/scale.rs
@@ -210,6 +210,7 @@
             standing: vec![],
             holds_orders: false,
             claim: None,
+            proven: None,
         };
         engine.joined(now, place as u64, &join).unwrap();
     }
