--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -232,6 +232,8 @@
     /// What an earlier life knew, as far as it is not used yet; and until when its levels hold.
     recalled: Recalled,
     levels_until: Duration,
+    /// Holds of proxies that are not back yet: when they were told, and until when they hold.
+    recalled_holds: BTreeMap<(Arc<str>, usize), (Duration, Duration, snapshot::Hold)>,
     groups: usize,
     /// Lines that a proxy costs which is given all of its tables.
     join_cost: f64,
@@ -292,6 +294,7 @@
             recheck_all: false,
             recalled: Recalled::default(),
             levels_until: Duration::ZERO,
+            recalled_holds: BTreeMap::new(),
             groups,
             join_cost,
             lobby: VecDeque::new(),
@@ -373,6 +376,13 @@
         if let Some(known) = recalled {
             self.resume(now, joined.number, known);
         }
+        for group in 0..self.groups {
+            if let Some((told_at, until, held)) = self.recalled_holds.remove(&(join.name.clone(), group)) {
+                let (version, said, why) = (held.version, held.said(), held.why);
+                let hold = Hold { version, told_at, said, since: now, until, why, handed: false };
+                self.holds.insert((joined.number, group), hold);
+            }
+        }
         // What is withdrawn holds for it from now on, whatever it stands on; levels likewise.
         self.refresh(now, &[joined.number], None);
         self.remember(now, joined.number);
@@ -416,6 +426,10 @@
     /// What an earlier life knew. To be told before the first list and the first proxy.
     pub fn recall(&mut self, now: Duration, recalled: Recalled) {
         self.levels_until = now + recalled.levels_for;
+        let times = |(place, (ago, left, hold)): (_, (Duration, Duration, snapshot::Hold))| {
+            (place, (now.saturating_sub(ago), now + left, hold))
+        };
+        self.recalled_holds = recalled.holds.clone().into_iter().map(times).collect();
         for ((id, zone), per_s) in &recalled.seen {
             self.guard.saw(now, id, *zone, *per_s);
         }
@@ -483,6 +497,22 @@
                 Arc::new(Item::Level { level: *level, tries: (*tries).into() }),
             );
         }
+        for (name, group, hold) in self.holds().filter(|(.., hold)| !hold.handed) {
+            let line = |(id, line): (&ReplicaId, &crate::versions::SaidLine)| {
+                (id.clone(), line.address.clone(), line.zone, line.weight)
+            };
+            let item = snapshot::Hold {
+                version: hold.version,
+                told_at: (calendar - now.saturating_sub(hold.told_at).as_secs_f64()).round(),
+                until: (calendar + hold.until.saturating_sub(now).as_secs_f64()).round(),
+                why: hold.why.clone(),
+                lines: hold.said.lines.iter().map(line).collect(),
+                level: hold.said.level,
+                tries: hold.said.tries.into(),
+            };
+            let group = groups.get(group).map_or("", String::as_str);
+            known.insert(format!("hold/{group}/{name}"), Arc::new(Item::Hold(item)));
+        }
         for (id, one) in self.overrides.iter() {
             let weight = match one.what {
                 Overridden::Exclude => None,
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -584,6 +584,11 @@
     assert_eq!(whole(&after, number), now[0], "nothing is told to who stands");
     assert_eq!(open(&after, number), held[0].1, "what operators exclude stays out");
     assert_eq!(after.overrides().iter().count(), 1);
+    // Killed again before anybody was back: what is known of them is not forgotten with that.
+    let between = next_life(&before, 1.0, &all);
+    let mut third = next_life(&between, 1.0, &all);
+    let joined = third.joined(ms(1), 1, &proven("p", &["a", "b", "c"], held[0].0)).unwrap();
+    assert!(third.proxy(joined.number).unwrap().fresh);
     // Without the word, or with that of another version or life, nothing is known of it.
     let mut after = next_life(&before, 1.0, &all);
     let mut odd = proven("p", &["a", "b", "c"], held[0].0 - 1);
@@ -648,8 +653,38 @@
     let mut list = ready(&all);
     list[1].started = Some(ms(0).saturating_sub(Duration::from_secs(2)));
     anew.roster(ms(0), list);
+    anew.joined(ms(1), 1, &join("p", &all)).unwrap();
     for now in (10..4000).step_by(50) {
         run(&mut anew, ms(now));
         assert!(!anew.is_withdrawn(&"b".into()));
     }
 }
+
+#[test]
+fn what_operators_stepped_back_to_holds_beyond_a_restart_and_no_longer_than_it_would_have() {
+    let all = ["a", "b", "c"];
+    let mut before = engine(&all);
+    before.joined(ms(1), 1, &join("q", &[])).unwrap();
+    run(&mut before, ms(600));
+    let version = before.figures(ms(600)).version;
+    before.roster(ms(700), ready(&["a", "b"]));
+    run(&mut before, ms(1500));
+    // `c` is back, and the operator has the table of before it went.
+    before.roster(ms(1600), ready(&all));
+    before.rollback(ms(1700), &Scope::All, version, "a mistake", ms(15_000)).unwrap();
+    run(&mut before, ms(1800));
+    assert_eq!(before.holds().count(), 2);
+    let mut after = next_life(&before, 1.0, &all);
+    let number = after.joined(ms(1), 1, &join("q", &[])).unwrap().number;
+    run(&mut after, ms(900));
+    let held: Vec<_> =
+        after.holds().map(|(name, group, hold)| (name.to_string(), group, hold.why.clone())).collect();
+    assert_eq!(held, [("q".into(), 0, "a mistake".into()), ("q".into(), 1, "a mistake".into())]);
+    assert!(!open(&after, number).is_empty());
+    // Ten seconds were left at the last look.
+    for now in (1000..10_500).step_by(100) {
+        run(&mut after, ms(now));
+    }
+    assert_eq!(after.holds().count(), 0);
+    assert_eq!(next_life(&before, 11.0, &all).recalled_holds.len(), 0);
+}
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -14,6 +14,7 @@
 use wrenthread::interface::{FurtherTries, ReplicaId};
 
 use crate::tables::{Line, Table};
+use crate::versions::{MILLION, Said, SaidLine};
 
 /// How long until knowledge counts half: of demand and of what was delivered; of withdrawals.
 pub const DEMAND: Duration = Duration::from_secs(60);
@@ -54,6 +55,31 @@
         until: f64,
         why: Arc<str>,
     },
+    Hold(Hold),
+}
+
+/// A table that operators stepped back to or pinned, by proxy and group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Hold {
+    pub version: u64,
+    /// When it was told, and until when it holds, by the calendar.
+    pub told_at: f64,
+    pub until: f64,
+    pub why: Arc<str>,
+    /// Replica, address, zone and weight.
+    pub lines: Vec<(Arc<str>, Arc<str>, usize, u32)>,
+    /// In parts of a million.
+    pub level: u32,
+    pub tries: Tries,
+}
+
+impl Hold {
+    pub fn said(&self) -> Said {
+        let line = |(replica, address, zone, weight): &(Arc<str>, Arc<str>, usize, u32)| {
+            (replica.clone(), SaidLine { address: address.clone(), zone: *zone, weight: *weight })
+        };
+        Said { lines: self.lines.iter().map(line).collect(), level: self.level, tries: self.tries.into() }
+    }
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -175,6 +201,8 @@
     pub levels_for: Duration,
     /// By replica: nothing or a multiple, for how long, and why.
     pub overrides: BTreeMap<ReplicaId, (Option<f64>, Duration, Arc<str>)>,
+    /// By proxy and group: how long ago it was told, how long it holds, and what it is.
+    pub holds: BTreeMap<(Arc<str>, usize), (Duration, Duration, Hold)>,
 }
 
 /// How much of knowledge counts after a time.
@@ -264,6 +292,26 @@
                     recalled.overrides.insert(of.into(), (weight, left, why));
                 }
             }
+            ("hold", Item::Hold(hold)) => {
+                // A group's name may hold a `/`, and a proxy's, too: the group is one of those that are known.
+                let place = groups.iter().enumerate().find_map(|(place, group)| {
+                    Some((of.strip_prefix(group.as_str())?.strip_prefix('/')?, place))
+                });
+                let placed = hold.lines.iter().all(|(_, _, zone, weight)| *zone < zones.len() && *weight > 0);
+                let (Some((proxy, group)), true) = (place, placed) else {
+                    unfit.push(Unfit::Place(name));
+                    continue;
+                };
+                let left = (hold.until - calendar).min(hold.until - alive);
+                let ago = Duration::try_from_secs_f64((calendar - hold.told_at).max(0.0));
+                match (ago, Duration::try_from_secs_f64(left)) {
+                    _ if hold.level > MILLION || !hold.until.is_finite() => unfit.push(Unfit::Figure(name)),
+                    (Ok(ago), Ok(left)) if same && !left.is_zero() => {
+                        recalled.holds.insert((proxy.into(), group), (ago, left, hold));
+                    }
+                    _ => {}
+                }
+            }
             _ => unfit.push(Unfit::Unknown(name)),
         }
     }
@@ -319,6 +367,12 @@
         }
     }
 
+    fn hold() -> Hold {
+        let lines = vec![("a".into(), "a:1".into(), 0, 7)];
+        let (level, tries, why) = (MILLION, Tries::Never, "y".into());
+        Hold { version: 3, told_at: 900.0, until: 1200.0, why, lines, level, tries }
+    }
+
     fn known() -> Knowledge {
         let all = [
             (NAMES.to_string(), names(&["entry"])),
@@ -326,6 +380,7 @@
             ("proxy/p".to_string(), Item::Proxy(proxy())),
             ("replica/a".to_string(), Item::Replica(Replica { withdrawn: true, seen: vec![(0, 8.0)] })),
             ("level/entry".to_string(), Item::Level { level: 0.5, tries: Tries::Never }),
+            ("hold/entry/p".to_string(), Item::Hold(hold())),
             ("override/a".to_string(), Item::Override { weight: None, until: 1100.0, why: "x".into() }),
         ];
         all.map(|(name, item)| (name, Arc::new(item))).into()
@@ -345,6 +400,9 @@
         assert_eq!((soon.levels[&0], soon.levels_for), (0.5, Duration::from_secs(9)));
         assert_eq!(soon.overrides["a"].1, Duration::from_secs(99));
         assert_eq!(soon.proxies["p"], proxy());
+        let held = &soon.holds[&("p".into(), 0)];
+        assert_eq!((held.0, held.1), (Duration::from_secs(101), Duration::from_secs(199)));
+        assert_eq!(held.2.said().lines["a"].weight, 7);
         let later = at(1060.0);
         assert_eq!(
             (later.withdrawn.len(), later.levels.len()),
@@ -353,7 +411,7 @@
         );
         assert!((later.seen[&("a".into(), 0)] - 4.0).abs() < 1e-9);
         let stale = at(1000.0 + 36_000.0);
-        assert_eq!((stale.proxies.len(), stale.overrides.len()), (0, 0));
+        assert_eq!((stale.proxies.len(), stale.overrides.len(), stale.holds.len()), (0, 0, 0));
         assert!(stale.seen[&("a".into(), 0)] < 1e-9);
     }
 
@@ -362,6 +420,7 @@
         let back = at(500.0);
         assert_eq!((back.age, back.levels.len(), back.withdrawn.len()), (UNKNOWN, 0, 0));
         assert_eq!(back.overrides["a"].1, Duration::from_secs(100), "as long as was left, and no longer");
+        assert_eq!(back.holds[&("p".into(), 0)].1, Duration::from_secs(200));
         assert_eq!(at(f64::MAX).age, Duration::MAX);
     }
 
@@ -390,12 +449,19 @@
                 "proxy/odd".into(),
                 Arc::new(Item::Proxy(Proxy { flows: vec![f64::NAN], ..proxy() })),
             );
+            known.insert("hold/none/p".into(), Arc::new(Item::Hold(hold())));
+            known.insert("hold/entry/q".into(), Arc::new(Item::Hold(Hold { level: MILLION + 1, ..hold() })));
             known.insert("level/none".into(), Arc::new(Item::Level { level: 1.0, tries: Tries::Once }));
             known.insert("level/entry".into(), Arc::new(Item::Level { level: 7.0, tries: Tries::Once }));
             known.insert("proxy/q".into(), Arc::new(Item::Alive { at: 0.0 }));
         });
         assert_eq!((recalled.proxies.len(), recalled.levels.len()), (1, 0));
         assert!(said.contains("`proxy/far` names a zone") && said.contains("`level/none` names"), "{said}");
+        assert!(
+            said.contains("`hold/none/p` names") && said.contains("`hold/entry/q` has a figure"),
+            "{said}"
+        );
+        assert_eq!(recalled.holds.len(), 1);
         assert!(
             said.contains("`proxy/odd` has a figure") && said.contains("`proxy/q` is no entry"),
             "{said}"
--- /dev/null
+++ b/crates/store/benches/store.rs
@@ -0,0 +1,85 @@
+//! What a write costs that lasts, against the registry's `redb`, in one run on one folder; and an opening of what is
+//! there. `cargo bench -p wrenthread-store --bench store`
+
+use std::path::Path;
+use std::time::Instant;
+
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use wrenthread_store::disk::Folder;
+use wrenthread_store::{Change, Store};
+
+const TABLE: TableDefinition<&str, &[u8]> = TableDefinition::new("entries");
+const WRITES: usize = 300;
+
+/// A busy beat: so many entries of so many bytes change.
+fn beat(at: usize, entries: usize, bytes: usize) -> Vec<Change> {
+    let entry =
+        |n: usize| (format!("proxy/relay-{}", (at * entries + n) % 1000), Some(vec![at as u8; bytes]));
+    (0..entries).map(entry).collect()
+}
+
+fn spread(mut all: Vec<f64>) -> String {
+    all.sort_by(f64::total_cmp);
+    format!("{:.2} ms (p50), {:.2} (p99)", all[all.len() / 2], all[all.len() * 99 / 100])
+}
+
+fn ms(began: Instant) -> f64 {
+    began.elapsed().as_secs_f64() * 1e3
+}
+
+fn size(path: &Path) -> u64 {
+    let Ok(entries) = std::fs::read_dir(path) else {
+        return std::fs::metadata(path).map_or(0, |one| one.len());
+    };
+    entries.flatten().filter_map(|entry| entry.metadata().ok()).map(|one| one.len()).sum()
+}
+
+fn main() {
+    let folder = std::env::temp_dir().join(format!("wrenthread-store-bench-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    for (entries, bytes) in [(5, 600), (50, 1200)] {
+        let (ours, theirs) = (folder.join(format!("ours-{entries}")), folder.join(format!("redb-{entries}")));
+        let (mut store, _) = Store::open(Folder::take(&ours).expect("ours")).expect("it opens");
+        let database = Database::create(&theirs).expect("theirs");
+        let (mut one, mut other) = (Vec::new(), Vec::new());
+        // By turns, so that both meet the same disk.
+        for at in 0..WRITES {
+            let changes = beat(at, entries, bytes);
+            let began = Instant::now();
+            store.write(&changes).expect("a write");
+            one.push(ms(began));
+            let began = Instant::now();
+            let transaction = database.begin_write().expect("a transaction");
+            {
+                let mut table = transaction.open_table(TABLE).expect("a table");
+                for (name, content) in &changes {
+                    table.insert(name.as_str(), content.as_deref().unwrap_or_default()).expect("an insert");
+                }
+            }
+            transaction.commit().expect("a commit");
+            other.push(ms(began));
+        }
+        drop((store, database));
+        let began = Instant::now();
+        let found = wrenthread_store::read(&mut Folder::look(&ours)).expect("ours");
+        let opened = ms(began);
+        let began = Instant::now();
+        let database = Database::open(&theirs).expect("theirs");
+        let read = database.begin_read().expect("a read").open_table(TABLE).expect("a table");
+        let count = read.iter().expect("entries").count();
+        let theirs_opened = ms(began);
+        println!("{entries} entries of {bytes} bytes a write, {WRITES} writes:");
+        println!(
+            "  ours {}; read again in {opened:.1} ms ({} entries), {} bytes",
+            spread(one),
+            found.entries.len(),
+            size(&ours)
+        );
+        println!(
+            "  redb {}; read again in {theirs_opened:.1} ms ({count} entries), {} bytes",
+            spread(other),
+            size(&theirs)
+        );
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
--- /dev/null
+++ b/crates/store/tests/lives.rs
@@ -0,0 +1,175 @@
+//! A governor's engine that keeps what it knows on a disk that crashes at each of its calls in turn: the next life
+//! starts clean from whatever is left, and keeps the rules.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use wrenthread::interface::Phase;
+use wrenthread_core::engine::{Engine, Setup, Step};
+use wrenthread_core::fleet::Join;
+use wrenthread_core::overrides::What;
+use wrenthread_core::roster::Entry;
+use wrenthread_core::snapshot::{self, Item, Knowledge};
+use wrenthread_store::disk::{Fault, Leaves, Memory};
+use wrenthread_store::{Change, Store, epoch};
+
+const REPLICAS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+const PROXIES: usize = 4;
+
+fn ms(at: u64) -> Duration {
+    Duration::from_millis(100_000 + at)
+}
+
+fn list(draining: Option<&str>, anew: Option<Duration>) -> Vec<Entry> {
+    let entry = |id: &&str| Entry {
+        id: (*id).into(),
+        address: format!("{id}:1").into(),
+        zone: 0,
+        weight: 1.0,
+        phase: if draining == Some(*id) { Phase::Draining } else { Phase::Ready },
+        started: anew.filter(|_| *id == "f"),
+        backup: false,
+    };
+    REPLICAS.iter().map(entry).collect()
+}
+
+fn names() -> Item {
+    Item::Names { governor: "g".into(), zones: vec!["z".into()], groups: vec!["one".into(), "other".into()] }
+}
+
+/// What each proxy holds: the life and the version that told it.
+type Held = [Option<(u64, u64)>; PROXIES];
+
+struct Life {
+    engine: Engine,
+    epoch: u64,
+    store: Store<Memory>,
+    before: Knowledge,
+}
+
+impl Life {
+    fn start(disk: &Memory, calendar: f64, chance: u16) -> Life {
+        let (epoch, _) = epoch(&mut disk.clone(), (calendar * 1e6) as u64, chance);
+        let (store, found) = Store::open(disk.clone()).expect("a folder can be listed");
+        let known: Knowledge = found
+            .entries
+            .iter()
+            .filter_map(|(name, bytes)| Some((name.clone(), Arc::new(snapshot::decode(bytes)?))))
+            .collect();
+        let mut setup = Setup::example(2);
+        setup.module.proxies = PROXIES as u64;
+        let mut engine = Engine::new(setup, ms(0));
+        engine.recall(ms(0), snapshot::recall(known.clone(), calendar, &names()).0);
+        Life { engine, epoch, store, before: known }
+    }
+
+    fn keep(&mut self, now: u64, calendar: f64) -> bool {
+        let groups = ["one".to_string(), "other".to_string()];
+        let mut known = self.engine.known(ms(now), &self.before, calendar, self.epoch, &groups);
+        known.insert(snapshot::NAMES.into(), Arc::new(names()));
+        known.insert(snapshot::ALIVE.into(), Arc::new(Item::Alive { at: calendar }));
+        let changes: Vec<Change> = snapshot::changes(&self.before, &known)
+            .into_iter()
+            .map(|(name, item)| (name, item.map(snapshot::encode)))
+            .collect();
+        self.before = known;
+        self.store.write(&changes).is_ok()
+    }
+
+    fn join(&mut self, now: u64, held: &Held) {
+        for (place, held) in held.iter().enumerate() {
+            // A standing table that names a drain is no draw, and is answered by another at once.
+            let drawn = REPLICAS.into_iter().filter(|id| place < 2 && *id != "b");
+            let standing = drawn.map(|id| (id.into(), 1.0)).collect();
+            let join = Join {
+                name: format!("p{place}").into(),
+                zone: 0,
+                usual: 10.0,
+                standing,
+                holds_orders: held.is_some(),
+                claim: held.map(|_| "a word".into()),
+                proven: *held,
+            };
+            self.engine.joined(ms(now), place as u64, &join).expect("there is room");
+        }
+    }
+
+    /// Proxies that take all at once. No rule is broken at any time.
+    fn pump(&mut self, now: u64, held: &mut Held, draining: Option<&str>) {
+        while let Some(step) = self.engine.step(ms(now)) {
+            let Step::Flush(number) = step else { continue };
+            let proxy = self.engine.proxy(number).expect("it is joined");
+            let (stream, newest) = (proxy.stream, proxy.newest());
+            held[stream as usize] = Some((self.epoch, newest));
+            self.engine.sent(ms(now), number, 6, 1);
+            self.engine.acked(ms(now), stream, newest);
+        }
+        let mut on_cold = 0.0;
+        for (_, proxy) in self.engine.fleet().iter() {
+            for kept in proxy.tables.iter().flatten() {
+                let open: Vec<_> = kept.table.lines.iter().filter(|line| line.open).collect();
+                assert!(!open.is_empty(), "{now}: `{}` is bare", proxy.name);
+                assert!(
+                    open.iter().all(|line| Some(&*line.replica) != draining),
+                    "{now}: a drain is not kept"
+                );
+                assert!((0.0..=1.0).contains(&kept.table.level));
+                let all: f64 = open.iter().map(|line| line.weight).sum();
+                let cold = open.iter().filter(|line| &*line.replica == "f");
+                on_cold += 5.0 * cold.map(|line| line.weight).sum::<f64>() / all;
+            }
+        }
+        // Of forty flows a second a replica that starts anew may have twice its part, and nobody looks at warm ones.
+        if self.engine.known_roster().get(&"f".into()).is_some_and(|f| f.started == Some(ms(900))) {
+            assert!(on_cold < 2.5 * 40.0 * 0.3 / 4.3, "{now}: {on_cold} on a cold one");
+        }
+    }
+}
+
+/// A life in which all kinds of things are known; until its disk crashes.
+fn first(disk: &Memory) -> (Held, u64) {
+    let mut life = Life::start(disk, 1000.0, 1);
+    let mut held: Held = [None; PROXIES];
+    life.engine.roster(ms(0), list(None, None));
+    life.join(1, &held);
+    for now in (50..1500).step_by(50) {
+        if now == 300 {
+            let (what, why) = (What::Exclude, "its disk is full");
+            life.engine.override_replica(ms(now), &"a".into(), what, ms(60_000), why).expect("it is listed");
+        }
+        if now == 600 {
+            life.engine.roster(ms(now), list(Some("b"), None));
+        }
+        life.pump(now, &mut held, (now >= 600).then_some("b"));
+        if now % 100 == 0 && !life.keep(now, 1000.0 + now as f64 / 1000.0) {
+            break;
+        }
+    }
+    (held, life.epoch)
+}
+
+#[test]
+fn whatever_a_crash_leaves_the_next_life_starts_clean_and_keeps_the_rules() {
+    let quiet = Memory::default();
+    first(&quiet);
+    let (mut starts, mut resumed) = (0, 0);
+    for call in 0..quiet.calls() {
+        for leaves in [Leaves::Nothing, Leaves::All, Leaves::Half, Leaves::LaterHalf, Leaves::NoNames] {
+            let disk = Memory::default();
+            disk.fault(call, Fault::Crash);
+            let (mut held, epoch) = first(&disk);
+            let mut life = Life::start(&disk.after_crash(leaves), 1002.0, 2);
+            assert_ne!(life.epoch, epoch, "call {call}, {leaves:?}: two lives of one number");
+            // While nobody looked `b` has drained, and `f` was replaced under its name.
+            life.engine.roster(ms(0), list(Some("b"), Some(ms(900))));
+            life.join(1, &held);
+            resumed += life.engine.fleet().iter().filter(|(_, proxy)| proxy.fresh).count();
+            for now in (10..3000).step_by(60) {
+                life.pump(now, &mut held, Some("b"));
+            }
+            assert!(life.keep(3000, 1005.0), "call {call}, {leaves:?}: it keeps what it knows");
+            starts += 1;
+        }
+    }
+    assert!(starts > 150 && resumed > starts / 2, "{starts} starts, {resumed} proxies that were known");
+}
