Only what lets nothing but reads in is retriable; who stays away is not remembered for ever

Read again: a `limit_except GET` with an exception in its block, or with something else than `deny all`, made a group retriable though flows that write get through it, and so did that of a location around it: such a flow could have run twice. And what was known of a proxy that never came back was carried from life to life.

Now the block must turn all else away, and counts for its own location; a proxy that was away for ten minutes, over however many restarts, is forgotten.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -231,6 +231,7 @@
     recheck_all: bool,
     /// What an earlier life knew, as far as it is not used yet; and until when its levels hold.
     recalled: Recalled,
+    recalled_at: Duration,
     levels_until: Duration,
     /// Holds of proxies that are not back yet: when they were told, and until when they hold.
     recalled_holds: BTreeMap<(Arc<str>, usize), (Duration, Duration, snapshot::Hold)>,
@@ -293,6 +294,7 @@
             guard: Guard::new(limits),
             recheck_all: false,
             recalled: Recalled::default(),
+            recalled_at: now,
             levels_until: Duration::ZERO,
             recalled_holds: BTreeMap::new(),
             groups,
@@ -425,7 +427,7 @@
 
     /// What an earlier life knew. To be told before the first list and the first proxy.
     pub fn recall(&mut self, now: Duration, recalled: Recalled) {
-        self.levels_until = now + recalled.levels_for;
+        (self.recalled_at, self.levels_until) = (now, now + recalled.levels_for);
         let times = |(place, (ago, left, hold)): (_, (Duration, Duration, snapshot::Hold))| {
             (place, (now.saturating_sub(ago), now + left, hold))
         };
@@ -469,12 +471,16 @@
                 tables: proxy.tables.iter().map(held).collect(),
                 tries: proxy.tries.1.iter().map(|tries| (*tries).into()).collect(),
                 flows,
+                away: 0.0,
             };
             known.insert(name, Arc::new(Item::Proxy(item)));
         }
         // Who has not come back yet is not forgotten by a second restart.
+        // Minutes: what grows all the time is not written all the time.
+        let since = (self.recalled.age + now.saturating_sub(self.recalled_at)).as_secs() / 60 * 60;
         for (name, proxy) in &self.recalled.proxies {
-            known.entry(format!("proxy/{name}")).or_insert_with(|| Arc::new(Item::Proxy(proxy.clone())));
+            let item = || snapshot::Proxy { away: proxy.away + since as f64, ..proxy.clone() };
+            known.entry(format!("proxy/{name}")).or_insert_with(|| Arc::new(Item::Proxy(item())));
         }
         let mut replicas: BTreeMap<&ReplicaId, snapshot::Replica> = BTreeMap::new();
         for (id, zone, per_s) in self.guard.seen(now) {
@@ -893,6 +899,11 @@
             self.recalled.levels.clear();
             self.refresh(now, &self.fleet.numbers(), None);
         }
+        if now >= self.recalled_at + snapshot::TABLES {
+            // Who has not come back by now was elsewhere, or is no more.
+            self.recalled.proxies.clear();
+        }
+        self.recalled_holds.retain(|_, (_, until, _)| now < *until);
         let over = self.overrides.due(now);
         if !over.is_empty() {
             self.out.extend(over.into_iter().map(|id| Step::Note(Note::OverrideOver(id))));
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -589,6 +589,14 @@
     let mut third = next_life(&between, 1.0, &all);
     let joined = third.joined(ms(1), 1, &proven("p", &["a", "b", "c"], held[0].0)).unwrap();
     assert!(third.proxy(joined.number).unwrap().fresh);
+    // Who does not come back is not carried along for ever.
+    let mut alone = next_life(&before, 1.0, &all);
+    let is_known =
+        |engine: &Engine, now| engine.known(now, &Knowledge::new(), 0.0, 8, &[]).contains_key("proxy/p");
+    run(&mut alone, ms(500_000));
+    assert!(is_known(&alone, ms(500_000)));
+    run(&mut alone, ms(600_000));
+    assert!(!is_known(&alone, ms(600_000)));
     // Without the word, or with that of another version or life, nothing is known of it.
     let mut after = next_life(&before, 1.0, &all);
     let mut odd = proven("p", &["a", "b", "c"], held[0].0 - 1);
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -94,6 +94,8 @@
     pub tries: Vec<Tries>,
     /// Flows a second by group, in steps of a tenth.
     pub flows: Vec<f64>,
+    /// How long it has not been joined, in seconds, over however many restarts.
+    pub away: f64,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -252,12 +254,15 @@
                     && lines.clone().all(|(_, _, zone, ..)| *zone < zones.len());
                 let levels = proxy.tables.iter().flatten().all(|held| (0.0..=1.0).contains(&held.level));
                 let figures = levels
+                    && sound(proxy.away)
                     && lines.clone().all(|(_, _, _, weight, _)| sound(*weight))
                     && proxy.flows.iter().all(|flows| sound(*flows));
                 match (placed, figures) {
                     (false, _) => unfit.push(Unfit::Place(name)),
                     (_, false) => unfit.push(Unfit::Figure(name)),
-                    _ if same && age < TABLES => drop(recalled.proxies.insert(of.into(), proxy)),
+                    _ if same && age.as_secs_f64() + proxy.away < TABLES.as_secs_f64() => {
+                        recalled.proxies.insert(of.into(), proxy);
+                    }
                     _ => {}
                 }
             }
@@ -364,6 +369,7 @@
             tables: vec![Some(Held { level: 0.5, lines: vec![line] })],
             tries: vec![Tries::IfNeverRan],
             flows: vec![3.0],
+            away: 0.0,
         }
     }
 
@@ -410,6 +416,10 @@
             "an eighth of twenty tries says nothing"
         );
         assert!((later.seen[&("a".into(), 0)] - 4.0).abs() < 1e-9);
+        let (mut known, names) = (known(), names(&["entry"]));
+        known.insert("proxy/p".into(), Arc::new(Item::Proxy(Proxy { away: 590.0, ..proxy() })));
+        assert_eq!(recall(known.clone(), 1009.0, &names).0.proxies.len(), 1);
+        assert_eq!(recall(known, 1010.0, &names).0.proxies.len(), 0, "over however many restarts");
         let stale = at(1000.0 + 36_000.0);
         assert_eq!((stale.proxies.len(), stale.overrides.len(), stale.holds.len()), (0, 0, 0));
         assert!(stale.seen[&("a".into(), 0)] < 1e-9);
--- a/crates/nginx-importer/src/fleet.rs
+++ b/crates/nginx-importer/src/fleet.rs
@@ -454,23 +454,18 @@
                     continue;
                 }
             };
-            let mut here = self.inherited(inherited, &inner);
+            let here = self.inherited(inherited, &inner);
+            // Not for locations within: nginx does not hand it on.
+            let mut own = here.clone();
             for except in inner.iter().filter(|one| one.is("limit_except")) {
-                let reads = |word: &Word| ["GET", "HEAD", "OPTIONS"].iter().any(|method| word.is(method));
-                match !except.words.is_empty() && except.words.iter().all(reads) {
-                    true => {
-                        here.reads_only = true;
-                        self.account.end(except, Fate::of("limit_except"));
-                    }
-                    false => self.account.end(
-                        except,
-                        Fate::new(
-                            Outcome::Left,
-                            false,
-                            "it allows flows that write, too: the group is not retriable for it",
-                            "keep it in the proxy",
-                        ),
-                    ),
+                if only_reads(except) {
+                    own.reads_only = true;
+                    self.account.end(except, Fate::of("limit_except"));
+                } else {
+                    let why =
+                        "some flows that write are let in by it, too: the group is not retriable for it";
+                    let fate = Fate::new(Outcome::Left, false, why, "keep it in the proxy");
+                    self.account.end(except, fate);
                 }
             }
             if inner.iter().any(|one| one.is("internal")) {
@@ -485,7 +480,7 @@
                     let fate = Fate::new(Outcome::Left, false, why, "keep it in the proxy");
                     self.account.end(directive, fate);
                 }
-                [pass] => self.pass(directive, pass, &path, &here),
+                [pass] => self.pass(directive, pass, &path, &own),
                 [first, second, ..] => {
                     self.left(second, "a second one in one location");
                     self.nowhere(directive, first, "nginx takes one in a location".to_string());
@@ -808,6 +803,18 @@
     )
 }
 
+/// Whether a `limit_except` lets in nothing but methods that read, from anywhere: its block must turn all else
+/// away, and make no exception.
+fn only_reads(except: &Directive) -> bool {
+    let reads = |word: &Word| ["GET", "HEAD", "OPTIONS"].iter().any(|method| word.is(method));
+    let denies = |one: &&Directive| one.is("deny") && one.words.len() == 1 && one.words[0].is("all");
+    let within = each(except.block());
+    !except.words.is_empty()
+        && except.words.iter().all(reads)
+        && !within.is_empty()
+        && within.iter().all(denies)
+}
+
 /// Whether a lead may be in a group: all that matters is the same.
 fn alike(group: &Group, lead: &Lead) -> bool {
     group.retriable == lead.retriable
