--- a/crates/core/benches/restart.rs
+++ b/crates/core/benches/restart.rs
@@ -1,5 +1,6 @@
-//! A governor's restart with and without what it knew, in one run: how long until it first decides and until its
-//! fleet is settled, what it sends, and what keeping it costs. `cargo bench -p wrenthread-core --bench restart`
+//! A governor's restart with and without what it knew, in one run: how long until it first decides and until
+//! its fleet is settled, what it sends, and what keeping it costs. `cargo bench -p wrenthread-core --bench
+//! restart`
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -205,7 +206,8 @@
             }
             let known = age.map_or("nothing".to_string(), |age| format!("{age} s old"));
             println!(
-                "{relays}, {known}: first {:?} ms, last {} ms, {} lines in 3 s, {} in 30 s, {} messages; the bad \
+                "{relays}, {known}: first {:?} ms, last {} ms, {} lines in 3 s, {} in 30 s, {} messages; \
+                 the bad \
                  replica is out again after {out:?} ms",
                 after.first.map(|first| first - 20_500),
                 after.last - 20_500,
@@ -215,7 +217,9 @@
             );
         }
         println!(
-            "{relays}: all of it anew {whole_ms:.1} ms and {whole_bytes} bytes; nothing new {again_ms:.2} ms, {again_bytes} \
+            "{relays}: all of it anew {whole_ms:.1} ms and {whole_bytes} bytes; nothing new \
+             {again_ms:.2} ms, \
+             {again_bytes} \
              bytes; the bad replica was out before: {withdrawn}"
         );
     }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -400,8 +400,8 @@
         join.usual + (known.flows.iter().sum::<f64>() - join.usual) * left
     }
 
-    /// A proxy that has just joined holds what an earlier life told it: it is told only what differs. Tables of
-    /// the module's hold until it has spoken, less what the rules forbid.
+    /// A proxy that has just joined holds what an earlier life told it: it is told only what differs. Tables
+    /// of the module's hold until it has spoken, less what the rules forbid.
     fn resume(&mut self, now: Duration, number: ProxyId, known: snapshot::Proxy) {
         let version = self.version;
         let tries: Vec<FurtherTries> = known.tries.iter().map(|tries| (*tries).into()).collect();
@@ -438,8 +438,8 @@
         self.recalled = recalled;
     }
 
-    /// What is to be known beyond this life, by name. `before`: what it was the last time; `calendar`: what time it
-    /// is; `epoch`: which life it is; `groups`: their names.
+    /// What is to be known beyond this life, by name. `before`: what it was the last time; `calendar`: what
+    /// time it is; `epoch`: which life it is; `groups`: their names.
     pub fn known(
         &self,
         now: Duration,
@@ -1049,8 +1049,8 @@
                     What::Follow(self.name_of(Some(number)), groups)
                 }
                 Decision::Level(groups, level, tries) => {
-                    // It has seen for itself: what an earlier life said of these gives way. That all is let in it
-                    // says at its start, having seen nothing.
+                    // It has seen for itself: what an earlier life said of these gives way. That all is let
+                    // in it says at its start, having seen nothing.
                     if level < 1.0 {
                         self.recalled.levels.retain(|group, _| groups >> *group & 1 == 0);
                     }
@@ -1130,8 +1130,8 @@
         let overridden = proxy.standing.iter().any(|(id, _)| self.overrides.names(id));
         let (follows, told) = (proxy.follows[group], proxy.tables[group].is_some() || overridden);
         let wanted = self.tables.wanted(&self.roster, group, follows, &proxy.standing, told);
-        // A level of before a restart holds until the module says another, and for some seconds at the most: it
-        // begins with all let in, and an overload that goes on would be let in until it is seen again.
+        // A level of before a restart holds until the module says another, and for some seconds at the most:
+        // it begins with all let in, and an overload that goes on would be let in until it is seen again.
         let level = self.recalled.levels.get(&group).copied();
         let wanted = match (wanted, level) {
             (Some(wanted), Some(level)) => Some(Table { level: wanted.level.min(level), ..wanted }),
@@ -1311,8 +1311,8 @@
         self.reports.tally()
     }
 
-    /// What is known now, as far as the guard judges by it, for tables to be tried against. Names of zones and
-    /// groups are the caller's to fill in.
+    /// What is known now, as far as the guard judges by it, for tables to be tried against. Names of zones
+    /// and groups are the caller's to fill in.
     pub fn record(&self, now: Duration) -> Recording {
         let replica = |(id, known): (&ReplicaId, &Known)| recording::Replica {
             id: id.clone(),
--- a/crates/core/src/guard.rs
+++ b/crates/core/src/guard.rs
@@ -30,9 +30,9 @@
 const CHANCE: f64 = 2.0;
 /// So many times its part it may always be brought: the module works near that.
 const COLD_LEAST: f64 = 1.6;
-/// Chance is heeded where the proxies here are nearly all there are. A governor with a part of them has most in
-/// one zone, whose cold ones it rightly sends more than their even part of its own flows: it may, up to the fall
-/// (with twice the part it was refused 204 times on the day `stall`, at 2.09).
+/// Chance is heeded where the proxies here are nearly all there are. A governor with a part of them has most
+/// in one zone, whose cold ones it rightly sends more than their even part of its own flows: it may, up to
+/// the fall (with twice the part it was refused 204 times on the day `stall`, at 2.09).
 const NEARLY_ALL: f64 = 1.2;
 /// And a warm one so many times what is known that it can take, if the others have room.
 pub const WARM_MARGIN: f64 = 3.0;
@@ -702,9 +702,9 @@
     table.lines.iter().any(|line| line.open)
 }
 
-/// A table as it was told, less what drains, is gone or is withdrawn now; a line that was shut for that and is
-/// not any more is open again. Otherwise a table that is kept through a deploy would come down to its last
-/// lines, and those be overrun.
+/// A table as it was told, less what drains, is gone or is withdrawn now; a line that was shut for that and
+/// is not any more is open again. Otherwise a table that is kept through a deploy would come down to its
+/// last lines, and those be overrun.
 fn shut(held: &Table, open: &impl Fn(&ReplicaId) -> bool) -> Table {
     let mut table = held.clone();
     table.lines.iter_mut().for_each(|line| line.open = open(&line.replica));
--- a/crates/core/src/snapshot.rs
+++ b/crates/core/src/snapshot.rs
@@ -1,10 +1,10 @@
 //! What a governor knows beyond its life, as entries by name; and how much of it counts when it comes back.
 //!
-//! Nothing that was known is taken for present truth. Each kind of knowledge counts half after its half-life, and
-//! does something stated at the start (`docs/design/state.md`): demand is mixed with what a proxy says; a replica
-//! that was withdrawn is met by as many dropped tries as its age leaves, and the module judges; levels hold for
-//! some seconds; a proxy's tables are believed only if its own signed word says that it holds them. What operators
-//! said ends when it would have.
+//! Nothing that was known is taken for present truth. Each kind of knowledge counts half after its
+//! half-life, and does something stated at the start (`docs/design/state.md`): demand is mixed with what a
+//! proxy says; a replica that was withdrawn is met by as many dropped tries as its age leaves, and the
+//! module judges; levels hold for some seconds; a proxy's tables are believed only if its own signed word
+//! says that it holds them. What operators said ends when it would have.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -23,9 +23,11 @@
 pub const LEVELS: Duration = Duration::from_secs(10);
 /// Tables that proxies held are forgotten after so long: they have been elsewhere, or on their own, since.
 pub const TABLES: Duration = Duration::from_secs(600);
-/// Where the calendar says that an entry is of the future, it was set back, and nobody knows how old the entry is.
+/// Where the calendar says that an entry is of the future, it was set back, and nobody knows how old the
+/// entry is.
 pub const UNKNOWN: Duration = Duration::from_secs(60);
-/// What was delivered is told as that of so long: beside what drops all, the module has to see that others do not.
+/// What was delivered is told as that of so long: beside what drops all, the module has to see that others
+/// do not.
 pub const LAST: Duration = Duration::from_secs(2);
 /// Dropped tries by which a withdrawal that has just been is told.
 const TRIES: f64 = 20.0;
@@ -212,8 +214,8 @@
     0.5f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
 }
 
-/// What is left of knowledge at a start, and what of it can't be meant. `calendar`: what time it is; `names`: this
-/// governor's own.
+/// What is left of knowledge at a start, and what of it can't be meant. `calendar`: what time it is;
+/// `names`: this governor's own.
 pub fn recall(known: Knowledge, calendar: f64, names: &Item) -> (Recalled, Vec<Unfit>) {
     let mut unfit = Vec::new();
     let none = |why| (Recalled::default(), vec![why]);
@@ -298,7 +300,8 @@
                 }
             }
             ("hold", Item::Hold(hold)) => {
-                // A group's name may hold a `/`, and a proxy's, too: the group is one of those that are known.
+                // A group's name may hold a `/`, and a proxy's, too: the group is one of those that are
+                // known.
                 let place = groups.iter().enumerate().find_map(|(place, group)| {
                     Some((of.strip_prefix(group.as_str())?.strip_prefix('/')?, place))
                 });
@@ -495,7 +498,8 @@
         #[test]
         fn entries_come_back_as_they_were(weight in 1e-300f64..1e300, open in any::<bool>(), id in ".{0,9}") {
             let mut proxy = proxy();
-            proxy.tables = vec![None, Some(Held { level: 0.1, lines: vec![(id.as_str().into(), "x".into(), 3, weight, open)] })];
+            let lines = vec![(id.as_str().into(), "x".into(), 3, weight, open)];
+            proxy.tables = vec![None, Some(Held { level: 0.1, lines })];
             let item = Item::Proxy(proxy);
             prop_assert_eq!(decode(&encode(&item)), Some(item));
         }
@@ -503,8 +507,8 @@
         #[test]
         fn no_bytes_make_it_panic(bytes in prop::collection::vec(any::<u8>(), 0..80)) {
             if let Some(item) = decode(&bytes) {
-                let known = [(NAMES.to_string(), names(&[])), (ALIVE.to_string(), item.clone()), ("proxy/x".to_string(), item)];
-                recall(known.map(|(name, item)| (name, Arc::new(item))).into(), 5.0, &names(&[]));
+                let known = [(NAMES, names(&[])), (ALIVE, item.clone()), ("proxy/x", item)];
+                recall(known.map(|(name, item)| (name.to_string(), Arc::new(item))).into(), 5.0, &names(&[]));
             }
         }
 
--- a/crates/core/src/standby.rs
+++ b/crates/core/src/standby.rs
@@ -1,7 +1,7 @@
 //! Replicas that are listed as backups: on the list only while no other replica is ready.
 //!
-//! They stay on it until one of the others has been ready for as long as a replica takes to warm up, without a
-//! break. That guards against a cold replica that comes back to all flows at once, and against a list that
+//! They stay on it until one of the others has been ready for as long as a replica takes to warm up, without
+//! a break. That guards against a cold replica that comes back to all flows at once, and against a list that
 //! flaps; it does harm where backups are slow or far, for so long.
 
 use std::time::Duration;
--- a/crates/daemon/src/export.rs
+++ b/crates/daemon/src/export.rs
@@ -288,8 +288,8 @@
             if same && !cut {
                 return Ok(lines);
             }
-            // Another file has its name, or it was cut to nothing: what nginx still wrote into the old one until
-            // now is read, the rest is its next file's.
+            // Another file has its name, or it was cut to nothing: what nginx still wrote into the old one
+            // until now is read, the rest is its next file's.
             self.lines.rotated();
             self.open = None;
         }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -23,7 +23,8 @@
     version,
     about,
     after_help = "Exit codes: 0 done; 1 it failed, with the reason on standard error; \
-    2 the command line or the settings are wrong; 3 a rehearsal, a check of tables or of state, or a strict import did not pass, or something differs."
+    2 the command line or the settings are wrong; 3 a rehearsal, a check of tables or of state, or a strict \
+    import did not pass, or something differs."
 )]
 struct Cli {
     /// How logs are written
@@ -58,8 +59,8 @@
     History,
     /// What differs between two of them
     Diff { one: u64, other: u64 },
-    /// What the guard would refuse of tables in a file, as `--output json` tells them (one proxy's, or a list of
-    /// such); nothing takes effect
+    /// What the guard would refuse of tables in a file, as `--output json` tells them (one proxy's, or a
+    /// list of such); nothing takes effect
     Check {
         file: PathBuf,
         /// A governor's HTTP port, or a recording's file; the governor of `--at` otherwise
@@ -166,10 +167,9 @@
 #[derive(Subcommand)]
 enum Target {
     /// An nginx: upstream blocks in a file that it includes, replaced whole (`nginx(...)` in the settings)
-    #[command(
-        after_help = "Examples:\n  wrenthread export nginx deploy/settings.star --name nginx-1 --zone north\n  \
-        wrenthread export nginx deploy/settings.star --print relay-3"
-    )]
+    #[command(after_help = "Examples:\n  \
+        wrenthread export nginx deploy/settings.star --name nginx-1 --zone north\n  \
+        wrenthread export nginx deploy/settings.star --print relay-3")]
     Nginx(Export),
 }
 
@@ -439,7 +439,8 @@
         #[arg(long, default_value = "127.0.0.1:15011")]
         at: String,
     },
-    /// Turn the configuration of other proxies into settings and a roster, and say what could not be carried over
+    /// Turn the configuration of other proxies into settings and a roster, and say what could not be carried
+    /// over
     Import {
         #[command(subcommand)]
         from: Source,
@@ -471,7 +472,8 @@
         /// Have the governors decide wrongly; the program must have been built with the feature `suspect`
         #[arg(long, hide = !cfg!(feature = "suspect"))]
         suspect: Vec<String>,
-        /// Fail where the guard refused anything: with the module as it is, on a day that it can bear, nothing is
+        /// Fail where the guard refused anything: with the module as it is, on a day that it can bear,
+        /// nothing is
         #[arg(long)]
         no_refusals: bool,
         /// Keep the tape, one JSON line a message, in this folder
--- a/crates/daemon/src/nginx.rs
+++ b/crates/daemon/src/nginx.rs
@@ -1,4 +1,5 @@
-//! `wrenthread import nginx`: a configuration in, settings and rosters out, and what became of each directive.
+//! `wrenthread import nginx`: a configuration in, settings and rosters out, and what became of each
+//! directive.
 
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -48,8 +49,8 @@
         self.imported.account.losses()
     }
 
-    /// Writes a folder for each fleet. Settings that somebody has changed since they were imported stay, and the
-    /// new ones are put beside them.
+    /// Writes a folder for each fleet. Settings that somebody has changed since they were imported stay, and
+    /// the new ones are put beside them.
     ///
     /// Errors: a file or folder can't be written.
     pub fn write(&self, folder: &Path) -> Result<Vec<PathBuf>> {
@@ -77,7 +78,8 @@
         json!({
             "fleets": fleets,
             "directives": account.told(&self.whole),
-            "carried": count(Outcome::Carried), "differs": count(Outcome::Differs), "left": count(Outcome::Left),
+            "carried": count(Outcome::Carried), "differs": count(Outcome::Differs),
+            "left": count(Outcome::Left),
             "losses": account.losses(),
         })
     }
@@ -120,7 +122,8 @@
         let count = |outcome| tally.get(&outcome).copied().unwrap_or(0);
         let own = told.iter().filter(|one| one.fate.outcome == Outcome::Left && !one.fate.routing).count();
         text += &format!(
-            "\n{} carried over, {} with a difference, {} not: {} bear on routing, {own} are the proxy's own business\n",
+            "\n{} carried over, {} with a difference, {} not: {} bear on routing, {own} are the proxy's own \
+             business\n",
             count(Outcome::Carried),
             count(Outcome::Differs),
             count(Outcome::Left),
@@ -165,7 +168,8 @@
                 }
             }
         }
-        let row = |(fleet, differences): &(String, Vec<difference::Difference>)| json!({"fleet": fleet, "differences": differences});
+        type Row = (String, Vec<difference::Difference>);
+        let row = |(fleet, all): &Row| json!({"fleet": fleet, "differences": all});
         Ok(json!({"against": against, "fleets": all.iter().map(row).collect::<Vec<_>>()}))
     }
 }
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -1,5 +1,5 @@
-//! What this governor knows, kept in a folder: read at the start, written beside the decisions by a thread of its
-//! own, and looked at by `wrenthread state`.
+//! What this governor knows, kept in a folder: read at the start, written beside the decisions by a thread
+//! of its own, and looked at by `wrenthread state`.
 
 use std::collections::BTreeMap;
 use std::hash::{BuildHasher, RandomState};
--- a/crates/daemon/src/trial.rs
+++ b/crates/daemon/src/trial.rs
@@ -21,8 +21,8 @@
     serde_json::from_value(told).with_context(|| format!("what {against} tells is no recording"))
 }
 
-/// Tables as `tables PROXY --output json` tells them: one proxy's, or a list of such. `proxy`: whose they are,
-/// whatever the file says.
+/// Tables as `tables PROXY --output json` tells them: one proxy's, or a list of such. `proxy`: whose they
+/// are, whatever the file says.
 fn wanted(recording: &Recording, file: &Value, proxy: Option<&str>) -> Result<Vec<Wanted>> {
     let all = match file {
         Value::Array(all) => all.iter().collect(),
--- a/crates/daemon/tests/nginx.rs
+++ b/crates/daemon/tests/nginx.rs
@@ -190,7 +190,8 @@
     std::fs::write(
         &settings,
         format!(
-            "{script}reports(every = 0.2)\nnginx(reload = [\"sh\", {reload:?}], every = 0.4, drains_every = 0.1, \
+            "{script}reports(every = 0.2)\n\
+             nginx(reload = [\"sh\", {reload:?}], every = 0.4, drains_every = 0.1, \
              access_log = \"access.log\")\n"
         ),
     )
--- a/crates/daemon/tests/state.rs
+++ b/crates/daemon/tests/state.rs
@@ -137,7 +137,8 @@
     assert_eq!(wrenthread(&["state", "compact", &folder]).0, Some(1));
     end(&mut governor);
 
-    // A bit is turned in its newest snapshot; its journal is cut; both are gone; a file stands where the folder was.
+    // A bit is turned in its newest snapshot; its journal is cut; both are gone; a file stands where the
+    // folder was.
     let snapshot = file_of(&state, "snapshot");
     let mut bytes = std::fs::read(&snapshot).unwrap();
     let middle = bytes.len() / 2;
--- a/crates/nginx-importer/benches/import.rs
+++ b/crates/nginx-importer/benches/import.rs
@@ -1,5 +1,5 @@
-//! What an import costs, what becomes of the corpus' directives, and how far the spread is from nginx's round.
-//! `cargo bench -p wrenthread-nginx --bench import`
+//! What an import costs, what becomes of the corpus' directives, and how far the spread is from nginx's
+//! round. `cargo bench -p wrenthread-nginx --bench import`
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
--- a/crates/nginx-importer/src/blocks.rs
+++ b/crates/nginx-importer/src/blocks.rs
@@ -5,8 +5,8 @@
 
 use crate::syntax::{self, Fault, MOST};
 
-/// The weights of an upstream come to this together at the most: every whole number up to it is one that nginx
-/// takes and adds up.
+/// The weights of an upstream come to this together at the most: every whole number up to it is one that
+/// nginx takes and adds up.
 const WEIGHTS: f64 = 1_000_000.0;
 /// Where a group has no line: nginx takes no empty upstream, and answers at once where all are down.
 const NOWHERE: &str = "127.0.0.1:1";
@@ -70,8 +70,8 @@
 
 /// The file. `says`: what stands in its first line, for people.
 ///
-/// Picks are by weight and chance (`random`), as other proxies do: nginx's usual round begins anew in each of its
-/// processes with every reload, and all of them would send their first flows to the heaviest line.
+/// Picks are by weight and chance (`random`), as other proxies do: nginx's usual round begins anew in each
+/// of its processes with every reload, and all of them would send their first flows to the heaviest line.
 ///
 /// Errors: what was written would not be read as what it should say; it is not to be used.
 pub fn write(tables: &Tables, says: &str) -> Result<String, Wrong> {
--- a/crates/nginx-importer/src/fates.rs
+++ b/crates/nginx-importer/src/fates.rs
@@ -21,8 +21,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Fate {
     pub outcome: Outcome,
-    /// It bears on where flows go, when they are tried again or how many there are: `--strict` minds if such a
-    /// directive is left. What does not stays the proxy's own business.
+    /// It bears on where flows go, when they are tried again or how many there are: `--strict` minds if such
+    /// a directive is left. What does not stays the proxy's own business.
     pub routing: bool,
     pub why: Cow<'static, str>,
     pub advice: Cow<'static, str>,
--- a/crates/nginx-importer/src/fleet.rs
+++ b/crates/nginx-importer/src/fleet.rs
@@ -803,8 +803,8 @@
     )
 }
 
-/// Whether a `limit_except` lets in nothing but methods that read, from anywhere: its block must turn all else
-/// away, and make no exception.
+/// Whether a `limit_except` lets in nothing but methods that read, from anywhere: its block must turn all
+/// else away, and make no exception.
 fn only_reads(except: &Directive) -> bool {
     let reads = |word: &Word| ["GET", "HEAD", "OPTIONS"].iter().any(|method| word.is(method));
     let denies = |one: &&Directive| one.is("deny") && one.words.len() == 1 && one.words[0].is("all");
--- a/crates/nginx-importer/src/pacer.rs
+++ b/crates/nginx-importer/src/pacer.rs
@@ -1,9 +1,9 @@
-//! When a file is written for an nginx and it is told to read it: drains soon, the rest seldom, and what fails
-//! again after longer and longer waits. No file is touched here and no clock read.
+//! When a file is written for an nginx and it is told to read it: drains soon, the rest seldom, and what
+//! fails again after longer and longer waits. No file is touched here and no clock read.
 //!
-//! Each reload starts new processes beside the old ones, which go on until their last flow ends: a reload with
-//! every change would fill the machine with them. So changes are merged, and what is written is always the
-//! newest state.
+//! Each reload starts new processes beside the old ones, which go on until their last flow ends: a reload
+//! with every change would fill the machine with them. So changes are merged, and what is written is always
+//! the newest state.
 
 use std::time::Duration;
 
@@ -64,8 +64,8 @@
         let Some(last) = self.last else { return Some(Duration::ZERO) };
         let shuts = self.reads.as_ref().is_none_or(|reads| shuts(reads, wanted));
         let wait = if shuts { self.drains_every } else { self.every };
-        // A drain is tried again as often, at first: it is a duty to others. But a command that always fails must
-        // not be run every second for ever.
+        // A drain is tried again as often, at first: it is a duty to others. But a command that always fails
+        // must not be run every second for ever.
         let doubled = wait.saturating_mul(1 << self.failures.min(16));
         Some(last + doubled.min(LONGEST.max(wait)))
     }
--- a/crates/nginx-importer/src/write.rs
+++ b/crates/nginx-importer/src/write.rs
@@ -66,7 +66,8 @@
     };
     let _ = writeln!(
         text,
-        "fleet(\n    zones = [{}],\n    proxies = {}{governors},\n    standing_lines = {lines},\n    tries = {},\n)",
+        "fleet(\n    zones = [{}],\n    proxies = {}{governors},\n    standing_lines = {lines},\n    \
+         tries = {},\n)",
         zones.join(", "),
         terms.proxies,
         quoted(fleet.tries.word()),
@@ -104,7 +105,8 @@
         let effect = if group.retriable { "retriable" } else { "non-retriable" };
         let _ = writeln!(
             text,
-            "group(\n    {},\n    effect = \"{effect}\",\n    latency_budget = {},\n    expiry = {},\n    {routes},\n)",
+            "group(\n    {},\n    effect = \"{effect}\",\n    latency_budget = {},\n    expiry = {},\n    \
+             {routes},\n)",
             quoted(&group.name),
             number(group.latency_budget),
             number(group.expiry),
--- a/crates/nginx-importer/tests/corpus.rs
+++ b/crates/nginx-importer/tests/corpus.rs
@@ -230,7 +230,8 @@
     /// A sample with bytes changed, cut or doubled is imported or refused with its place, and never a panic.
     #[test]
     fn mutated_samples_do_no_harm(
-        sample in 0usize..20, cuts in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>(), 0u8..3), 1..6),
+        sample in 0usize..20,
+        cuts in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>(), 0u8..3), 1..6),
     ) {
         let names = names();
         let mut text = std::fs::read(folder().join(&names[sample % names.len()])).unwrap();
@@ -250,7 +251,8 @@
             let imported = import(&whole, Zones::Network);
             prop_assert!(imported.account.told(&whole).len() >= whole.directives.len());
             for (place, fleet) in imported.fleets.iter().enumerate() {
-                prop_assert!(wrenthread_settings::parse("x", &write::settings(fleet, place, &Terms::default())).is_ok());
+                let script = write::settings(fleet, place, &Terms::default());
+                prop_assert!(wrenthread_settings::parse("x", &script).is_ok());
             }
         }
     }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -705,8 +705,8 @@
         Ok(())
     }
 
-    /// Has its settings and its first roster imported from an nginx's configuration of this fleet; what that does
-    /// not say is added as an operator would.
+    /// Has its settings and its first roster imported from an nginx's configuration of this fleet; what that
+    /// does not say is added as an operator would.
     fn import(&self, day: &Day, workers: &[Rc<Worker>]) -> Result<()> {
         let server = |worker: &Rc<Worker>| {
             format!("    server {} slow_start={}ms;\n", worker.address, (day.warm_after * 1000.0) as u64)
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -539,7 +539,8 @@
         };
         if route.is_none() {
             let why = format!(
-                "group `{name}` needs a `prefix` that begins with `/`, a `header` as \"name: value\", or `paths`"
+                "group `{name}` needs a `prefix` that begins with `/`, a `header` as \"name: value\", or \
+                 `paths`"
             );
             self.fault(line, why);
         }
--- a/crates/store/benches/store.rs
+++ b/crates/store/benches/store.rs
@@ -1,5 +1,5 @@
-//! What a write costs that lasts, against the registry's `redb`, in one run on one folder; and an opening of what is
-//! there. `cargo bench -p wrenthread-store --bench store`
+//! What a write costs that lasts, against the registry's `redb`, in one run on one folder; and an opening of
+//! what is there. `cargo bench -p wrenthread-store --bench store`
 
 use std::path::Path;
 use std::time::Instant;
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -18,8 +18,8 @@
     Full(&'static str),
 }
 
-/// Files of one folder, by name. What is not synced may be lost in a crash, in whole or in part and in any order;
-/// a rename may, until the folder is synced.
+/// Files of one folder, by name. What is not synced may be lost in a crash, in whole or in part and in any
+/// order; a rename may, until the folder is synced.
 pub trait Disk {
     fn list(&mut self) -> Result<Vec<String>, Error>;
     /// Errors: also a file larger than `most`.
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -146,8 +146,8 @@
             continue;
         };
         changes.into_iter().for_each(|changes| apply(&mut found.entries, changes));
-        // The journals since, in their order: if the newest snapshot is damaged, the one before and both journals
-        // say the same.
+        // The journals since, in their order: if the newest snapshot is damaged, the one before and both
+        // journals say the same.
         for later in generation..=found.generation {
             let name = journal(later);
             if !names.contains(&name) {
@@ -186,8 +186,8 @@
 const END: &[u8] = b"end of snapshot";
 
 impl<D: Disk> Store<D> {
-    /// Opens a folder for writing. What it held is folded into a new snapshot before anything is added, so that
-    /// nothing is ever added behind damage.
+    /// Opens a folder for writing. What it held is folded into a new snapshot before anything is added, so
+    /// that nothing is ever added behind damage.
     ///
     /// Errors: the folder can't be listed. That it can't be written is found at the first write.
     pub fn open(mut disk: D) -> Result<(Self, Found), Error> {
@@ -215,8 +215,9 @@
 
     /// Writes changes as one: after a crash all of them hold, or none. They last once this has returned.
     ///
-    /// Errors: the disk's, or that there would be too much. The changes are kept and written with the next ones:
-    /// after an error the next write makes a new snapshot, as nobody knows what the disk has of the old journal.
+    /// Errors: the disk's, or that there would be too much. The changes are kept and written with the next
+    /// ones: after an error the next write makes a new snapshot, as nobody knows what the disk has of the
+    /// old journal.
     pub fn write(&mut self, changes: &[Change]) -> Result<(), Error> {
         if changes.iter().any(|(_, content)| content.as_ref().is_some_and(|one| one.len() > LARGEST)) {
             return Err(Error::Full("an entry is larger than any may be"));
@@ -243,8 +244,8 @@
         Ok(())
     }
 
-    /// Writes all entries as a new snapshot, with an empty journal beside it, and removes what is older than the
-    /// one before.
+    /// Writes all entries as a new snapshot, with an empty journal beside it, and removes what is older than
+    /// the one before.
     ///
     /// Errors: the disk's; what was there before stands.
     pub fn fold(&mut self) -> Result<(), Error> {
@@ -293,8 +294,9 @@
 /// The file that reserves governors' lives.
 const EPOCH: &str = "epoch";
 
-/// A number for this life that no other has: above all that were reserved here, and not below `calendar`. It is
-/// reserved before it is used. `chance`: 16 bits by which two lives differ of which neither could reserve.
+/// A number for this life that no other has: above all that were reserved here, and not below `calendar`. It
+/// is reserved before it is used. `chance`: 16 bits by which two lives differ of which neither could
+/// reserve.
 ///
 /// The second value: why the reservation does not last, if it does not.
 pub fn epoch(disk: &mut impl Disk, calendar: u64, chance: u16) -> (u64, Option<String>) {
@@ -305,8 +307,8 @@
         let number = |record: &Vec<u8>| Some(u64::from_le_bytes(record.as_slice().try_into().ok()?));
         last = records.iter().filter_map(number).fold(last, u64::max);
     }
-    // Above what was reserved, also where the calendar was set back; and unlike a life whose reservation the disk
-    // has lost.
+    // Above what was reserved, also where the calendar was set back; and unlike a life whose reservation the
+    // disk has lost.
     let base = calendar.max(last.saturating_add(1 << 16)) & !0xffff;
     let epoch = base | u64::from(chance);
     let new = format!("{EPOCH}.new");
--- a/crates/store/src/tests.rs
+++ b/crates/store/src/tests.rs
@@ -206,13 +206,17 @@
 proptest! {
     #[test]
     fn changes_are_read_as_they_were_written(
-        changes in prop::collection::vec((".{0,9}", prop::option::of(prop::collection::vec(any::<u8>(), 0..20))), 0..9),
+        changes in prop::collection::vec(
+            (".{0,9}", prop::option::of(prop::collection::vec(any::<u8>(), 0..20))), 0..9,
+        ),
     ) {
         prop_assert_eq!(unpack(&pack(&changes)), Some(changes));
     }
 
     #[test]
-    fn no_bytes_make_it_panic(mut bytes in prop::collection::vec(any::<u8>(), 0..200), headed in any::<bool>()) {
+    fn no_bytes_make_it_panic(
+        mut bytes in prop::collection::vec(any::<u8>(), 0..200), headed in any::<bool>(),
+    ) {
         if headed {
             bytes.splice(0..0, frame::head());
         }
--- a/crates/store/tests/lives.rs
+++ b/crates/store/tests/lives.rs
@@ -1,5 +1,5 @@
-//! A governor's engine that keeps what it knows on a disk that crashes at each of its calls in turn: the next life
-//! starts clean from whatever is left, and keeps the rules.
+//! A governor's engine that keeps what it knows on a disk that crashes at each of its calls in turn: the
+//! next life starts clean from whatever is left, and keeps the rules.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -119,7 +119,8 @@
                 on_cold += 5.0 * cold.map(|line| line.weight).sum::<f64>() / all;
             }
         }
-        // Of forty flows a second a replica that starts anew may have twice its part, and nobody looks at warm ones.
+        // Of forty flows a second a replica that starts anew may have twice its part, and nobody looks at
+        // warm ones.
         if self.engine.known_roster().get(&"f".into()).is_some_and(|f| f.started == Some(ms(900))) {
             assert!(on_cold < 2.5 * 40.0 * 0.3 / 4.3, "{now}: {on_cold} on a cold one");
         }
--- a/crates/xds/src/encode.rs
+++ b/crates/xds/src/encode.rs
@@ -256,8 +256,8 @@
 /// Routes in the order in which proxies are to try them: the first that fits counts.
 ///
 /// Groups said by one prefix or header each stand as they were said. Where any has several paths, headers go
-/// first, and paths by [`Path`]'s rule. Under a firm prefix a longer one that is not firm goes before patterns,
-/// too: one list can't say that it should only for flows that no pattern fits.
+/// first, and paths by [`Path`]'s rule. Under a firm prefix a longer one that is not firm goes before
+/// patterns, too: one list can't say that it should only for flows that no pattern fits.
 fn ordered(groups: &[WireGroup]) -> Vec<Matched<'_>> {
     let whole = || PathSpecifier::Prefix("/".to_string());
     let several = groups.iter().any(|group| matches!(group.route, Route::Paths(_)));
