A governor that stood still does not take the gap for a silence of replicas

Where its beat is more than three seconds late the engine now hears for a second what has come before the module judges; drains go with the list and do not wait.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -194,6 +194,13 @@
 /// Decisions of one go. A fleet of the largest size has fewer changes at once.
 const MOST_DECISIONS: usize = 100_000;
 
+/// Beyond this past its beat a governor has stood still: stopped, swapped out, asleep.
+const STOOD_STILL: Duration = Duration::from_secs(3);
+/// It then hears for so long what has come meanwhile, before the module judges: to that the gap is a silence of
+/// replicas, and its own proxies, who have long gone elsewhere, are still there. *Harm:* a worker that went bad in
+/// the gap is held back so much later; drains are not, as they go with the list.
+const CATCH_UP: Duration = Duration::from_secs(1);
+
 /// Tables that were handed over hold for so long if the module does not speak before.
 const HANDED_FOR: Duration = Duration::from_secs(30);
 
@@ -886,6 +893,9 @@
     }
 
     fn settle(&mut self, now: Duration) {
+        if now > self.beat_at + STOOD_STILL {
+            self.beat_at = now + CATCH_UP;
+        }
         if let Some(listed) = self.roster.due(now) {
             self.listed(now, &listed);
         }
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::recording::{Untried, Wanted};
+use crate::reports::AtReplica;
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(100_000 + ms)
@@ -696,3 +697,50 @@
     assert_eq!(after.holds().count(), 0);
     assert_eq!(next_life(&before, 11.0, &all).recalled_holds.len(), 0);
 }
+
+#[test]
+fn a_governor_that_stood_still_does_not_take_the_gap_for_the_silence_of_replicas() {
+    let all = ["a", "b", "c", "d"];
+    let mut engine = engine(&all);
+    engine.joined(ms(1), 1, &join("p", &all)).unwrap();
+    engine.joined(ms(1), 2, &join("q", &all)).unwrap();
+    let met = |engine: &mut Engine, now: u64, name: &str, stream, ids: &[&str]| {
+        let one = |id: &&str| AtReplica {
+            group: 0,
+            replica: (*id).into(),
+            delivered: 10,
+            dropped: 0,
+            issued: 10,
+            in_progress: 0,
+            answers: (Duration::from_micros(500_000 + now), 10),
+            load: vec![1.0],
+        };
+        let report =
+            Report { interval: ms(500) - ms(0), met: ids.iter().map(one).collect(), blocked: vec![] };
+        let _ = engine.report(ms(now), name, stream, &report);
+    };
+    for now in (500..5000).step_by(100) {
+        if now % 500 == 0 {
+            met(&mut engine, now, "p", 1, &all);
+            met(&mut engine, now, "q", 2, &all);
+        }
+        run(&mut engine, ms(now));
+    }
+    // It falls asleep over a report of one replica, and wakes to one of another; that its proxies have left comes
+    // a moment later.
+    run(&mut engine, ms(5100));
+    met(&mut engine, 5200, "p", 1, &["a"]);
+    met(&mut engine, 19_000, "q", 2, &["b"]);
+    run(&mut engine, ms(19_000));
+    (1..3).for_each(|stream| engine.left(ms(19_150), stream));
+    run(&mut engine, ms(19_150));
+    engine.joined(ms(19_500), 3, &join("p", &all)).unwrap();
+    for now in (19_500..25_000).step_by(100) {
+        if now % 500 == 0 && now >= 20_000 {
+            met(&mut engine, now, "p", 3, &all);
+        }
+        run(&mut engine, ms(now));
+        let out: Vec<&str> = all.into_iter().filter(|id| engine.is_withdrawn(&(*id).into())).collect();
+        assert!(out.is_empty(), "at {now} ms: {out:?}");
+    }
+}
