Once for each gap: a machine that is always late still has its module judge

The second in which a governor that stood still hears what came meanwhile began anew each time that it was late: on a machine that always is, the module would never have had its beat.

Now it is granted once for each gap.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -251,6 +251,8 @@
     set_aside: f64,
     version: u64,
     beat_at: Duration,
+    /// It has stood still, and hears what came meanwhile.
+    catching_up: bool,
     sums_every: Duration,
     causes: BTreeSet<Cause>,
     out: VecDeque<Step>,
@@ -310,6 +312,7 @@
             set_aside: 0.0,
             version: 1,
             beat_at: now,
+            catching_up: false,
             sums_every: module.sums_every,
             causes: BTreeSet::new(),
             out: VecDeque::new(),
@@ -893,8 +896,9 @@
     }
 
     fn settle(&mut self, now: Duration) {
-        if now > self.beat_at + STOOD_STILL {
-            self.beat_at = now + CATCH_UP;
+        // Once for each gap: on a machine that is always so late the module must judge all the same.
+        if now > self.beat_at + STOOD_STILL && !self.catching_up {
+            (self.beat_at, self.catching_up) = (now + CATCH_UP, true);
         }
         if let Some(listed) = self.roster.due(now) {
             self.listed(now, &listed);
@@ -951,6 +955,7 @@
         }
         if now >= self.beat_at {
             self.causes.insert(Cause::Beat);
+            self.catching_up = false;
             self.set_aside = 0.0;
             self.rules.beat();
         }
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -744,3 +744,16 @@
         assert!(out.is_empty(), "at {now} ms: {out:?}");
     }
 }
+
+#[test]
+fn a_machine_that_is_always_late_is_not_kept_from_judging() {
+    let mut engine = engine(&["a", "b"]);
+    run(&mut engine, ms(0));
+    // Never sooner than six seconds after it should: every other time the module has its beat.
+    let waits = (1..5).map(|step| {
+        run(&mut engine, ms(6000 * step));
+        engine.beat_at - ms(6000 * step)
+    });
+    let waits: Vec<bool> = waits.map(|wait| wait < CATCH_UP).collect();
+    assert_eq!(waits, [false, true, false, true]);
+}
