--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -12,11 +12,9 @@
 use std::time::Duration;
 
 use serde_json::{Map, Value, json};
-use wrenthread::interface::{
-    Came, Decision, Dedupers, Effect, FurtherTries, Group, LevelKind, Listed, LoadField, Met, Phase,
-    ReplicaId, Settings,
-};
+use wrenthread::interface::{Came, Decision, FurtherTries, Listed, Met, Phase, ReplicaId};
 use wrenthread::rules::Governor;
+use wrenthread_info::Fields;
 
 /// The table number that stands for all joined proxies in `admit`.
 const EVERY_TABLE: u64 = 65535;
@@ -71,60 +69,6 @@
     }
 }
 
-/// The fields of one message, read by name.
-struct Fields<'a>(&'a Map<String, Value>);
-
-impl<'a> Fields<'a> {
-    fn get(&self, name: &str) -> Option<&'a Value> {
-        self.0.get(name).filter(|value| !value.is_null())
-    }
-
-    fn whole(&self, name: &str) -> Result<u64, String> {
-        self.get(name).and_then(Value::as_u64).ok_or_else(|| format!("`{name}` is not a whole number"))
-    }
-
-    fn small<T: TryFrom<u64>>(&self, name: &str) -> Result<T, String> {
-        T::try_from(self.whole(name)?).map_err(|_| format!("`{name}` is too large"))
-    }
-
-    fn span(&self, name: &str) -> Result<Duration, String> {
-        self.whole(name).map(Duration::from_micros)
-    }
-
-    fn span_or(&self, name: &str, other: Duration) -> Duration {
-        self.span(name).unwrap_or(other)
-    }
-
-    fn number(&self, name: &str, other: f64) -> f64 {
-        self.get(name).and_then(Value::as_f64).filter(|x| x.is_finite()).unwrap_or(other)
-    }
-
-    fn mark(&self, name: &str) -> bool {
-        self.get(name).and_then(Value::as_bool).unwrap_or(false)
-    }
-
-    fn text(&self, name: &str) -> Result<&'a str, String> {
-        self.get(name).and_then(Value::as_str).ok_or_else(|| format!("`{name}` is not a text"))
-    }
-
-    fn word(&self, name: &str) -> &'a str {
-        self.text(name).unwrap_or_default()
-    }
-
-    fn part(&self, name: &str) -> Fields<'a> {
-        static NOTHING: std::sync::LazyLock<Map<String, Value>> = std::sync::LazyLock::new(Map::new);
-        Fields(self.get(name).and_then(Value::as_object).unwrap_or(&NOTHING))
-    }
-
-    fn row(&self, name: &str) -> &'a [Value] {
-        self.get(name).and_then(Value::as_array).map_or(&[], Vec::as_slice)
-    }
-
-    fn load(&self) -> Vec<f64> {
-        self.row("load").iter().filter_map(Value::as_f64).collect()
-    }
-}
-
 #[derive(Default)]
 struct Host {
     now: Duration,
@@ -153,7 +97,7 @@
         let id = fields.whole("governor_id")?;
         if name == "init" {
             let info = fields.part("info");
-            self.governors.insert(id, Governor::new(settings(&info)?, now));
+            self.governors.insert(id, Governor::new(wrenthread_info::read(&info)?.settings, now));
             self.touched.insert(id);
             self.unsubscribed.remove(&id);
             if info.word("membership_mode") == "subscribe" {
@@ -200,7 +144,7 @@
                     dropped: fields.whole("errors").unwrap_or(0),
                     mean: fields.span("took_us").ok().filter(|mean| !mean.is_zero()),
                     span: fields.span("elapsed_us")?,
-                    load: fields.load(),
+                    load: load(&fields),
                 },
             ),
             "demand" => governor.came(Came {
@@ -216,7 +160,7 @@
                     now,
                     &replica()?,
                     (fields.whole("how")? == 1).then_some(took),
-                    &fields.load(),
+                    &load(&fields),
                 );
             }
             "deadline_hit" => governor.beat(),
@@ -270,6 +214,10 @@
     }
 }
 
+fn load(fields: &Fields) -> Vec<f64> {
+    fields.row("load").iter().filter_map(Value::as_f64).collect()
+}
+
 fn encode(id: u64, decision: Decision, output: &mut impl Write) -> io::Result<()> {
     let mut put = |line: Value| -> io::Result<()> {
         serde_json::to_writer(&mut *output, &line)?;
@@ -300,67 +248,3 @@
         Decision::Probe(replica) => put(json!({"touch": {"governor_id": id, "replica": &*replica}})),
     }
 }
-
-fn settings(info: &Fields) -> Result<Settings, String> {
-    let (extra, rules) = (info.part("extra"), info.part("rules"));
-    let (limits, penalties) = (info.part("limits"), info.part("penalties"));
-    let own_zone = extra.row("class_own_zone");
-    let groups = info.row("categories").iter().enumerate().map(|(place, group)| {
-        let group = Fields(group.as_object().ok_or("a category is no object")?);
-        let window = group.span_or("key_ttl_us", Duration::ZERO);
-        let by = match group.word("group") {
-            "all" => Dedupers::All,
-            "cell" => Dedupers::SamePack,
-            _ => Dedupers::SameZone,
-        };
-        Ok(Group {
-            effect: match group.word("effect") {
-                "retryable" => Effect::Retriable,
-                "dedup" => Effect::Deduped { by, window },
-                _ => Effect::NonRetriable,
-            },
-            latency_budget: group.span("objective_us")?,
-            expiry: group.span("deadline_us")?,
-            utility: group.number("worth", 1.0),
-            own_zone: own_zone.get(place).and_then(Value::as_bool).unwrap_or(false),
-        })
-    });
-    let groups = groups.collect::<Result<Vec<_>, String>>()?;
-    let report = info.part("report");
-    let load_fields = report.row("fields").iter().map(|field| match field.as_str() {
-        Some("inflight") => LoadField::InHand,
-        Some("queue") => LoadField::Waiting,
-        Some("latency_ms") => LoadField::ServiceMillis,
-        _ => LoadField::Other,
-    });
-    let cap = extra.whole("update_cap").unwrap_or(0) as usize;
-    Ok(Settings {
-        governors: info.whole("siblings").unwrap_or(1),
-        groups,
-        slices: extra.whole("shards").unwrap_or(0),
-        proxies: extra.whole("agents").unwrap_or(1),
-        standing_lines: extra.whole("bootstrap").map_or(usize::MAX, |most| most as usize),
-        cold_share: rules.number("cold_from", 1.0),
-        warm_after: rules.span_or("warm_after_us", Duration::ZERO),
-        proxies_avoid: extra.whole("ejects").unwrap_or(0) > 0,
-        sums_every: extra.span_or("cycle_us", Duration::from_secs(1)),
-        lines_per_s: extra.number("channel_rate", f64::MAX),
-        head_lines: extra.number("per_message", 0.0),
-        waiting_most: extra.number("most_waiting", f64::MAX),
-        transit_most: extra.span_or("worst_transit_us", Duration::ZERO),
-        messages_most: extra.span("messages_over_us").ok().filter(|_| cap > 0).map(|over| (cap, over)),
-        level_kind: match extra.word("level_kind") {
-            "ratio" => LevelKind::Share,
-            "rps" => LevelKind::Rate,
-            _ => LevelKind::None,
-        },
-        usual_tries: match extra.whole("retry_default") {
-            Ok(0) => FurtherTries::Never,
-            Ok(1) => FurtherTries::IfNeverRan,
-            _ => FurtherTries::Once,
-        },
-        crossing_cost: penalties.number("cross_zone", 0.0),
-        probe_cost: limits.mark("probes").then(|| penalties.number("probe", 0.0)),
-        load_fields: load_fields.collect(),
-    })
-}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,6 +5,7 @@
 mod host;
 mod http;
 mod nginx;
+mod node;
 mod roster_file;
 mod run;
 mod show;
@@ -317,6 +318,9 @@
         #[arg(long)]
         suspect: Vec<String>,
     },
+    /// Run a governor by the platform's protocol, as its variables RELAY_NAME, RELAY_LISTEN, RELAY_DISCOVERY and
+    /// RELAY_CONFIG say: SIGHUP reads the configuration again, SIGTERM stops it
+    Node,
     /// Say what a settings script comes to, or all that is wrong with it
     #[command(after_help = "Example: wrenthread check deploy/settings.star --output json")]
     Check {
@@ -510,6 +514,7 @@
         Command::Run { settings } => run::run(&settings, &[])?,
         #[cfg(feature = "suspect")]
         Command::Run { settings, suspect } => run::run(&settings, &suspect)?,
+        Command::Node => node::run()?,
         Command::Check { settings, output } => {
             let settings = run::load(&settings)?;
             let text = show::settings(&settings)?;
@@ -629,7 +634,8 @@
         Err(error) => {
             eprintln!("wrenthread: {error:#}");
             let settings = error.downcast_ref::<wrenthread_settings::Faults>().is_some();
-            if settings { ExitCode::from(2) } else { ExitCode::FAILURE }
+            let told = error.downcast_ref::<node::told::Fault>().is_some();
+            if settings || told { ExitCode::from(2) } else { ExitCode::FAILURE }
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/node.rs
@@ -0,0 +1,270 @@
+//! `wrenthread node`: one governor by the platform's protocol. It feeds the rules what comes over the sockets,
+//! pulls what they decide, and sends it; it decides nothing itself.
+
+mod door;
+pub mod told;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep_until};
+use wrenthread::interface::{Decision, ProxyId};
+use wrenthread::rules::Governor;
+use wrenthread_discovery::list::{Change, List};
+use wrenthread_discovery::watch::{self, Object};
+use wrenthread_lines::book::Book;
+use wrenthread_lines::decode::{Decoder, Told};
+
+use crate::clock::Clock;
+use door::{Doors, Event, Line};
+use told::{Config, Variables};
+
+/// Events that may wait for the one task; connections beyond it wait on their sockets.
+const EVENTS: usize = 1024;
+/// Events taken before decisions are pulled, so that a burst is one pull.
+const AT_ONCE: usize = 512;
+/// How often housekeeping is done, and what was left out is logged.
+const HOUSEKEEPING: Duration = Duration::from_secs(5);
+/// A file that is being written is read again after this, and so often.
+const REREAD: (Duration, u32) = (Duration::from_millis(300), 40);
+
+/// Runs until SIGTERM.
+///
+/// Errors: variables, a configuration or an address that can't be used.
+pub fn run() -> Result<()> {
+    let variables = Variables::read()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context("tokio")?;
+    LocalSet::new().block_on(&runtime, serve(variables))
+}
+
+async fn serve(variables: Variables) -> Result<()> {
+    // Before all else: a signal that comes meanwhile waits.
+    let mut terminate = signal(SignalKind::terminate()).context("signals")?;
+    let mut hangup = signal(SignalKind::hangup()).context("signals")?;
+    let clock = Clock::start();
+    let config = Config::read(&variables.config)?;
+    let listen = variables.listen;
+    let listener = TcpListener::bind(listen).await.map_err(|error| {
+        told::Fault::Address("RELAY_LISTEN", format!("{listen}, which can't be listened on: {error}"))
+    })?;
+    let (events, mut heard) = mpsc::channel(EVENTS);
+    let (objects, mut lists) = mpsc::channel(4);
+    let mut node = Node::new(clock, variables, config, objects);
+    spawn_local(door::open(listener, node.doors.clone(), events));
+    tracing::info!(governor = %node.variables.name, %listen, discovery = %node.discovery, "it serves");
+    node.pull();
+    loop {
+        tokio::select! {
+            biased;
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => node.reread(REREAD.1),
+            Some(object) = lists.recv() => node.listed(object),
+            Some(event) = heard.recv() => {
+                node.take(event);
+                for _ in 1..AT_ONCE {
+                    let Ok(event) = heard.try_recv() else { break };
+                    node.take(event);
+                }
+            }
+            () = sleep_until(node.due.min(node.housekeeping)) => {}
+        }
+        node.pull();
+    }
+    tracing::info!("it ends: told to");
+    Ok(())
+}
+
+/// A proxy's newest stream.
+struct Stream {
+    door: u64,
+    line: Line,
+}
+
+struct Node {
+    clock: Clock,
+    variables: Variables,
+    config: Config,
+    discovery: SocketAddr,
+    follower: JoinHandle<()>,
+    objects: mpsc::Sender<Object>,
+    governor: Governor,
+    list: List,
+    book: Book,
+    doors: Rc<Doors>,
+    streams: BTreeMap<ProxyId, Stream>,
+    /// When the rules asked to be called.
+    due: Instant,
+    housekeeping: Instant,
+    rereads: u32,
+    reread_at: Option<Instant>,
+}
+
+impl Node {
+    fn new(clock: Clock, variables: Variables, config: Config, objects: mpsc::Sender<Object>) -> Self {
+        let info = &config.info;
+        let doors = Rc::new(Doors::new(Decoder::new(info)));
+        let discovery = config.discovery.unwrap_or(variables.discovery);
+        let mut list = List::new(&info.zones);
+        let known = list.take(&config.known, |at| clock.at(at));
+        let mut node = Node {
+            governor: Governor::new(info.settings.clone(), clock.now()),
+            book: Book::new(info.groups.clone(), info.settings.usual_tries),
+            follower: spawn_local(watch::follow(discovery.to_string(), list.version(), objects.clone())),
+            doors,
+            list,
+            objects,
+            discovery,
+            streams: BTreeMap::new(),
+            due: Instant::now() + Duration::from_secs(3600),
+            housekeeping: Instant::now() + HOUSEKEEPING,
+            rereads: 0,
+            reread_at: None,
+            clock,
+            variables,
+            config,
+        };
+        node.limit();
+        match known {
+            Ok(Some(change)) => node.tell(change),
+            Ok(None) => {}
+            Err(fault) => tracing::warn!(%fault, "the configuration's list can't be used"),
+        }
+        node
+    }
+
+    fn limit(&self) {
+        let (config, info) = (&self.config, &self.config.info);
+        self.doors.limit(config.sockets, config.memory, info.settings.proxies, info.zones.len());
+    }
+
+    fn listed(&mut self, object: Object) {
+        let clock = self.clock;
+        match self.list.read(&object.bytes, |at| clock.at(at)) {
+            Ok(change) => {
+                // The watch may have ended meanwhile; the list counts all the same.
+                let _ = object.known.send(self.list.version());
+                change.into_iter().for_each(|change| self.tell(change));
+            }
+            Err(fault) => {
+                tracing::warn!(%fault, "an object of discovery can't be used: all is asked for");
+                let _ = object.known.send(None);
+            }
+        }
+    }
+
+    fn tell(&mut self, change: Change) {
+        for why in &change.spoilt {
+            tracing::warn!(%why, "an entry of discovery is spoilt and left out");
+        }
+        self.doors.names.borrow_mut().extend(change.entries.iter().map(|entry| entry.id.clone()));
+        self.governor.listed(self.clock.now(), &change.entries, change.complete);
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = self.clock.now();
+        match event {
+            Event::Joined { door, proxy, zone, usual, fresh, line } => {
+                // An older stream of the proxy ends with its line.
+                self.streams.insert(proxy, Stream { door, line });
+                self.book.joined(proxy);
+                self.governor.joined(now, proxy, zone, usual, fresh);
+            }
+            Event::Ended { door, proxy } => {
+                if self.streams.get(&proxy).is_some_and(|stream| stream.door == door) {
+                    self.leave(proxy);
+                }
+            }
+            Event::Said { told: Told::Met(met), .. } => self.governor.met(now, met),
+            Event::Said { told: Told::Came(came), .. } => self.governor.came(came),
+            Event::Said { door, told: Told::Acked { proxy, mark, took } } => {
+                let newest = self.streams.get(&proxy).is_some_and(|stream| stream.door == door);
+                if newest && self.book.acked(now, proxy, mark, took) {
+                    self.governor.acked(took);
+                } else {
+                    self.doors.count("spoilt: an answer to no mark");
+                }
+            }
+            Event::Said { .. } => {}
+        }
+    }
+
+    fn leave(&mut self, proxy: ProxyId) {
+        self.streams.remove(&proxy);
+        self.book.left(proxy);
+        self.governor.left(proxy);
+    }
+
+    /// Lets the rules see what has become due, and sends what they decide.
+    fn pull(&mut self) {
+        let at = Instant::now();
+        if at >= self.due {
+            self.due = at + Duration::from_secs(3600);
+            self.governor.beat();
+        }
+        if at >= self.housekeeping {
+            self.housekeeping = at + HOUSEKEEPING;
+            self.keep_house();
+        }
+        if self.reread_at.is_some_and(|due| at >= due) {
+            self.reread(self.rereads);
+        }
+        let now = self.clock.now();
+        while let Some(decision) = self.governor.decide(now) {
+            if let Some(Decision::Wake(after)) = self.book.take(decision) {
+                self.due = at + after;
+            }
+        }
+        let mut unread = Vec::new();
+        self.book.flush(now, |proxy, bytes| {
+            if self.streams.get(&proxy).is_some_and(|stream| !stream.line.send(bytes)) {
+                unread.push(proxy);
+            }
+        });
+        for proxy in unread {
+            tracing::warn!(proxy, "a proxy leaves its orders unread: its stream ends");
+            self.leave(proxy);
+        }
+    }
+
+    fn keep_house(&mut self) {
+        let faults = std::mem::take(&mut *self.doors.faults.borrow_mut());
+        if !faults.is_empty() {
+            tracing::info!(?faults, "left out or ended");
+        }
+    }
+
+    /// Reads the configuration again. A broken one leaves what stands, and is tried again for a while.
+    fn reread(&mut self, tries: u32) {
+        self.reread_at = None;
+        let config = match Config::read(&self.variables.config) {
+            Ok(config) => config,
+            Err(fault) => {
+                tracing::warn!(%fault, tries, "a new configuration can't be used: what stands stays");
+                self.rereads = tries.saturating_sub(1);
+                self.reread_at = (tries > 0).then(|| Instant::now() + REREAD.0);
+                return;
+            }
+        };
+        if config.info != self.config.info {
+            tracing::warn!("the settings changed: they take effect at the next start");
+        }
+        let info = self.config.info.clone();
+        self.config = Config { info, ..config };
+        self.limit();
+        let discovery = self.config.discovery.unwrap_or(self.discovery);
+        if discovery != self.discovery {
+            self.discovery = discovery;
+            self.follower.abort();
+            let (known, objects) = (self.list.version(), self.objects.clone());
+            self.follower = spawn_local(watch::follow(discovery.to_string(), known, objects));
+        }
+        tracing::info!(%discovery, "a new configuration is in force");
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/door.rs
@@ -0,0 +1,392 @@
+//! Connections at the governor's address: strangers, collectors and proxies' streams.
+//!
+//! A stranger has a second and a small buffer to say who it is. Whatever can't be read, or comes out of order,
+//! ends the connection with a `NACK`; a spoilt message of a known party is left out and counted.
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+use wrenthread::interface::{ProxyId, ReplicaId};
+use wrenthread_lines::decode::{Decoder, Fault, Told};
+use wrenthread_lines::frames::Frames;
+
+/// What a connection has to say who it is; it may be closed then.
+const STRANGER_FOR: Duration = Duration::from_millis(1000);
+/// A joining is under 200 bytes.
+const STRANGER_BYTES: usize = 4 << 10;
+/// The platform's bound for a message.
+const MESSAGE_MOST: usize = 1 << 20;
+/// A proxy that leaves this much unread has been gone for long: all orders of a minute are a fraction of it.
+const UNSENT_MOST: usize = 256 << 10;
+/// Descriptors for what is not a connection at the address: standard streams, polls, signals, discovery.
+const RESERVE: usize = 24;
+/// Collectors of a zone at once: one that vanished may linger beside its successor.
+const COLLECTORS: usize = 3;
+const NACK: &[u8] = b"{\"@type\":\"NACK\"}\n";
+const PONG: &[u8] = b"{\"@type\":\"PONG\"}\n";
+
+/// What the doors tell the one task that owns all state.
+pub enum Event {
+    Joined {
+        door: u64,
+        proxy: ProxyId,
+        zone: usize,
+        usual: f64,
+        fresh: bool,
+        line: Line,
+    },
+    Said {
+        door: u64,
+        told: Told,
+    },
+    /// The stream of a proxy has ended.
+    Ended {
+        door: u64,
+        proxy: ProxyId,
+    },
+}
+
+type Orders = mpsc::UnboundedSender<Vec<u8>>;
+
+/// The sending side of a proxy's stream. Dropping it ends the connection.
+pub struct Line {
+    queue: Orders,
+    unsent: Rc<Cell<usize>>,
+    reader: AbortHandle,
+    writer: AbortHandle,
+}
+
+impl Line {
+    /// False if the party has left too much unread.
+    pub fn send(&self, bytes: Vec<u8>) -> bool {
+        queue(&self.queue, &self.unsent, bytes)
+    }
+}
+
+impl Drop for Line {
+    fn drop(&mut self) {
+        self.reader.abort();
+        self.writer.abort();
+    }
+}
+
+fn queue(queue: &Orders, unsent: &Cell<usize>, bytes: Vec<u8>) -> bool {
+    if unsent.get() + bytes.len() > UNSENT_MOST {
+        return false;
+    }
+    unsent.set(unsent.get() + bytes.len());
+    queue.send(bytes).is_ok()
+}
+
+/// What all doors share, on the one thread.
+pub struct Doors {
+    pub decoder: Decoder,
+    /// Replicas by name, as the list has them or lately had them.
+    pub names: RefCell<BTreeSet<ReplicaId>>,
+    /// What was left out or ended, by reason, since it was last logged.
+    pub faults: RefCell<BTreeMap<String, u64>>,
+    /// How many strangers there may be.
+    strangers_most: Cell<usize>,
+    /// Bytes that may wait for the end of their frames, in all connections together.
+    unread_most: Cell<usize>,
+    unread: Cell<usize>,
+    strangers: RefCell<BTreeMap<u64, AbortHandle>>,
+    collectors: RefCell<BTreeMap<usize, Vec<(u64, AbortHandle)>>>,
+    scratch: RefCell<Vec<u8>>,
+}
+
+impl Doors {
+    pub fn new(decoder: Decoder) -> Self {
+        Doors {
+            decoder,
+            names: RefCell::default(),
+            faults: RefCell::default(),
+            strangers_most: Cell::new(16),
+            unread_most: Cell::new(1 << 20),
+            unread: Cell::new(0),
+            strangers: RefCell::default(),
+            collectors: RefCell::default(),
+            scratch: RefCell::new(vec![0; 16 << 10]),
+        }
+    }
+
+    /// Sets what strangers and unread input may take, from the platform's limits.
+    pub fn limit(&self, sockets: usize, memory: usize, proxies: u64, zones: usize) {
+        let known = usize::try_from(proxies).unwrap_or(usize::MAX);
+        let known = known.saturating_add(COLLECTORS * zones + RESERVE);
+        self.strangers_most.set(sockets.saturating_sub(known).clamp(16, 512));
+        self.unread_most.set((memory / 8).max(2 * MESSAGE_MOST));
+    }
+
+    pub fn count(&self, why: impl Into<String>) {
+        *self.faults.borrow_mut().entry(why.into()).or_insert(0) += 1;
+    }
+
+    fn settle(&self, door: u64) {
+        self.strangers.borrow_mut().remove(&door);
+    }
+
+    /// The longest-waiting stranger goes.
+    fn make_room(&self, most: usize) {
+        let mut strangers = self.strangers.borrow_mut();
+        while strangers.len() > most {
+            let Some((_, stranger)) = strangers.pop_first() else { return };
+            stranger.abort();
+            self.count("stranger: others came");
+        }
+    }
+
+    fn collects(&self, zone: usize, door: u64, handle: AbortHandle) {
+        let mut collectors = self.collectors.borrow_mut();
+        let of = collectors.entry(zone).or_default();
+        of.push((door, handle));
+        if of.len() > COLLECTORS {
+            of.remove(0).1.abort();
+            self.count("collector: newer ones came");
+        }
+    }
+}
+
+/// Accepts connections for as long as it runs.
+pub async fn open(listener: TcpListener, doors: Rc<Doors>, events: mpsc::Sender<Event>) {
+    let mut door = 0;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                door += 1;
+                let own = Rc::new(OnceCell::new());
+                let conn = Conn::new(stream, door, doors.clone(), events.clone(), own.clone());
+                let handle = spawn_local(conn.serve()).abort_handle();
+                // It is not polled before this task waits.
+                let _ = own.set(handle.clone());
+                doors.strangers.borrow_mut().insert(door, handle);
+                doors.make_room(doors.strangers_most.get());
+            }
+            Err(error) => {
+                // Out of descriptors, most likely: room is made, and waiting keeps this from spinning.
+                doors.count(format!("accepting: {error}"));
+                let strangers = doors.strangers.borrow().len();
+                doors.make_room(strangers.saturating_sub(8));
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Party {
+    Stranger,
+    Collector,
+    Proxy(ProxyId),
+}
+
+/// Messages, and what ends the connection after them.
+type Heard = (Vec<Told>, Option<String>);
+
+/// One connection, as its reader has it.
+struct Conn {
+    read: OwnedReadHalf,
+    write: Option<OwnedWriteHalf>, // until a writer has it
+    queue: Option<(Orders, Rc<Cell<usize>>)>,
+    door: u64,
+    doors: Rc<Doors>,
+    events: mpsc::Sender<Event>,
+    own: Rc<OnceCell<AbortHandle>>,
+    party: Party,
+    frames: Frames,
+    held: usize, // of what the doors may hold unread
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        self.doors.settle(self.door);
+        self.doors.unread.set(self.doors.unread.get() - self.held);
+        for of in self.doors.collectors.borrow_mut().values_mut() {
+            of.retain(|(door, _)| *door != self.door);
+        }
+    }
+}
+
+impl Conn {
+    fn new(
+        stream: TcpStream,
+        door: u64,
+        doors: Rc<Doors>,
+        events: mpsc::Sender<Event>,
+        own: Rc<OnceCell<AbortHandle>>,
+    ) -> Self {
+        // Orders are small, and each is waited for.
+        let _ = stream.set_nodelay(true);
+        let (read, write) = stream.into_split();
+        Conn {
+            read,
+            write: Some(write),
+            queue: None,
+            door,
+            doors,
+            events,
+            own,
+            party: Party::Stranger,
+            frames: Frames::default(),
+            held: 0,
+        }
+    }
+
+    async fn serve(mut self) {
+        let until = Instant::now() + STRANGER_FOR;
+        let why = loop {
+            // What has come is read before the wait is judged: a governor that stood still was not waited for.
+            let ready = tokio::select! {
+                biased;
+                ready = self.read.readable() => ready,
+                () = sleep_until(until), if self.party == Party::Stranger => {
+                    break Some("stranger: did not say who it is".to_string());
+                }
+            };
+            let told = match ready.and_then(|()| self.take()) {
+                Ok(Some(told)) => told,
+                Ok(None) => break None,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
+                Err(_) => break None,
+            };
+            let (messages, fault) = told;
+            let mut out_of_order = None;
+            for message in messages {
+                if let Err(why) = self.heed(message).await {
+                    out_of_order = Some(why);
+                    break;
+                }
+            }
+            if let Some(why) = out_of_order.or(fault) {
+                break Some(why);
+            }
+        };
+        if let Some(why) = why {
+            self.say(NACK);
+            self.doors.count(why);
+        }
+        if let Party::Proxy(proxy) = self.party {
+            let _ = self.events.send(Event::Ended { door: self.door, proxy }).await;
+        }
+    }
+
+    /// Reads what is there: messages, and what ends the connection after them; none at its end.
+    fn take(&mut self) -> std::io::Result<Option<Heard>> {
+        let doors = self.doors.clone();
+        let mut scratch = doors.scratch.borrow_mut();
+        let count = self.read.try_read(&mut scratch)?;
+        if count == 0 {
+            return Ok(None);
+        }
+        let (names, party) = (doors.names.borrow(), self.party);
+        let most = if party == Party::Stranger { STRANGER_BYTES } else { MESSAGE_MOST };
+        let (mut messages, mut fault) = (Vec::new(), None);
+        let pushed = self.frames.push(&scratch[..count], most, |frame| {
+            match doors.decoder.read(frame, |name| names.get(name).cloned()) {
+                Ok(told) => messages.push(told),
+                Err(Fault::Unreadable(why)) => fault = Some(format!("unreadable: {}", kind(&why))),
+                // Nobody who is not known yet has a neighbour message that might be good.
+                Err(why) if party == Party::Stranger && messages.is_empty() => {
+                    fault = Some(format!("stranger: {why}"));
+                }
+                Err(why) => doors.count(format!("spoilt: {why}")),
+            }
+            fault.is_none()
+        });
+        if let Err(why) = pushed {
+            fault = fault.or(Some(why.to_string()));
+        }
+        // All that is said here are objects: what begins otherwise need not be waited for.
+        let waiting = self.frames.waiting().trim_ascii_start();
+        if fault.is_none() && waiting.first().is_some_and(|first| *first != b'{') {
+            fault = Some("unreadable: not an object".into());
+        }
+        let held = self.frames.waiting().len();
+        doors.unread.set(doors.unread.get() - self.held + held);
+        self.held = held;
+        if fault.is_none() && held > STRANGER_BYTES && doors.unread.get() > doors.unread_most.get() {
+            fault = Some("unread: too much in all".into());
+        }
+        Ok(Some((messages, fault)))
+    }
+
+    /// Errors: what can't come from this party.
+    async fn heed(&mut self, told: Told) -> Result<(), String> {
+        match (told, self.party) {
+            (Told::Ping, _) => {
+                return if self.say(PONG) { Ok(()) } else { Err("unread: answers to PING".into()) };
+            }
+            (Told::Source(zone), Party::Stranger) => {
+                self.party = Party::Collector;
+                self.doors.settle(self.door);
+                if let Some(own) = self.own.get() {
+                    self.doors.collects(zone, self.door, own.clone());
+                }
+            }
+            (Told::Joined { proxy, zone, usual, fresh }, Party::Stranger) => {
+                let (Some(write), Some(own)) = (self.write.take(), self.own.get()) else { return Ok(()) };
+                self.party = Party::Proxy(proxy);
+                self.doors.settle(self.door);
+                let (queue, orders) = mpsc::unbounded_channel();
+                let unsent = Rc::new(Cell::new(0));
+                let writer = spawn_local(send(write, orders, unsent.clone())).abort_handle();
+                let line = Line { queue: queue.clone(), unsent: unsent.clone(), reader: own.clone(), writer };
+                self.queue = Some((queue, unsent));
+                self.tell(Event::Joined { door: self.door, proxy, zone, usual, fresh, line }).await;
+            }
+            (told @ Told::Met(_), Party::Collector) => self.said(told).await,
+            (told @ Told::Came(_), Party::Collector) => self.said(told).await,
+            (Told::Came(came), Party::Proxy(own)) if came.proxy == own => self.said(Told::Came(came)).await,
+            (Told::Acked { proxy, mark, took }, Party::Proxy(own)) if proxy == own => {
+                self.said(Told::Acked { proxy, mark, took }).await;
+            }
+            (_, Party::Stranger) => return Err("stranger: reports before it says who it is".into()),
+            // A spoilt message may name what it does not mean; its neighbours count.
+            _ => self.doors.count("spoilt: not this party's to say"),
+        }
+        Ok(())
+    }
+
+    async fn said(&self, told: Told) {
+        self.tell(Event::Said { door: self.door, told }).await;
+    }
+
+    async fn tell(&self, event: Event) {
+        // Nobody listens only as the program ends.
+        let _ = self.events.send(event).await;
+    }
+
+    fn say(&self, bytes: &[u8]) -> bool {
+        match (&self.queue, &self.write) {
+            (Some((orders, unsent)), _) => queue(orders, unsent, bytes.to_vec()),
+            (None, Some(write)) => write.try_write(bytes).is_ok_and(|sent| sent == bytes.len()),
+            (None, None) => false,
+        }
+    }
+}
+
+/// A parser's words without the place, so that faults of a kind count together.
+fn kind(why: &str) -> &str {
+    why.split(" at line ").next().unwrap_or(why)
+}
+
+async fn send(
+    mut write: OwnedWriteHalf,
+    mut orders: mpsc::UnboundedReceiver<Vec<u8>>,
+    unsent: Rc<Cell<usize>>,
+) {
+    while let Some(bytes) = orders.recv().await {
+        if write.write_all(&bytes).await.is_err() {
+            return; // the reader hears of it, too
+        }
+        unsent.set(unsent.get() - bytes.len());
+    }
+}
--- /dev/null
+++ b/crates/info/src/lib.rs
@@ -0,0 +1,198 @@
+//! The object that a governor is told its settings by, as the simulator's first message and the platform's
+//! configuration hold it: read here, and nowhere a second time.
+
+use std::time::Duration;
+
+use serde_json::{Map, Value};
+use thiserror::Error;
+use wrenthread::interface::{Dedupers, Effect, FurtherTries, Group, LevelKind, LoadField, Settings};
+
+/// What is wrong with a field.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Fault {
+    #[error("`{0}` is not a whole number")]
+    Whole(String),
+    #[error("`{0}` is too large")]
+    Large(String),
+    #[error("`{0}` is not a text")]
+    Text(String),
+    #[error("an entry of `{0}` is no object")]
+    Object(&'static str),
+}
+
+impl From<Fault> for String {
+    fn from(fault: Fault) -> String {
+        fault.to_string()
+    }
+}
+
+/// What the object says: what the rules need, and the names by which the platform knows its parts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Info {
+    pub settings: Settings,
+    pub zones: Vec<String>,
+    /// In the order of the settings' groups.
+    pub groups: Vec<String>,
+    /// In the order of the settings' load fields.
+    pub load: Vec<String>,
+}
+
+/// The fields of one message, read by name.
+pub struct Fields<'a>(pub &'a Map<String, Value>);
+
+impl<'a> Fields<'a> {
+    pub fn get(&self, name: &str) -> Option<&'a Value> {
+        self.0.get(name).filter(|value| !value.is_null())
+    }
+
+    pub fn whole(&self, name: &str) -> Result<u64, Fault> {
+        self.get(name).and_then(Value::as_u64).ok_or_else(|| Fault::Whole(name.into()))
+    }
+
+    pub fn small<T: TryFrom<u64>>(&self, name: &str) -> Result<T, Fault> {
+        T::try_from(self.whole(name)?).map_err(|_| Fault::Large(name.into()))
+    }
+
+    pub fn span(&self, name: &str) -> Result<Duration, Fault> {
+        self.whole(name).map(Duration::from_micros)
+    }
+
+    pub fn span_or(&self, name: &str, other: Duration) -> Duration {
+        self.span(name).unwrap_or(other)
+    }
+
+    pub fn number(&self, name: &str, other: f64) -> f64 {
+        self.get(name).and_then(Value::as_f64).filter(|x| x.is_finite()).unwrap_or(other)
+    }
+
+    pub fn mark(&self, name: &str) -> bool {
+        self.get(name).and_then(Value::as_bool).unwrap_or(false)
+    }
+
+    pub fn text(&self, name: &str) -> Result<&'a str, Fault> {
+        self.get(name).and_then(Value::as_str).ok_or_else(|| Fault::Text(name.into()))
+    }
+
+    pub fn word(&self, name: &str) -> &'a str {
+        self.text(name).unwrap_or_default()
+    }
+
+    pub fn part(&self, name: &str) -> Fields<'a> {
+        static NOTHING: std::sync::LazyLock<Map<String, Value>> = std::sync::LazyLock::new(Map::new);
+        Fields(self.get(name).and_then(Value::as_object).unwrap_or(&NOTHING))
+    }
+
+    pub fn row(&self, name: &str) -> &'a [Value] {
+        self.get(name).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Reads what a governor is told first. What it does not know it leaves out, and what may be missing stands as
+/// where there is none of it.
+///
+/// Errors: a group without its spans, or that is no object.
+pub fn read(info: &Fields) -> Result<Info, Fault> {
+    let (extra, rules) = (info.part("extra"), info.part("rules"));
+    let (limits, penalties) = (info.part("limits"), info.part("penalties"));
+    let own_zone = extra.row("class_own_zone");
+    let groups = info.row("categories").iter().enumerate().map(|(place, group)| {
+        let group = Fields(group.as_object().ok_or(Fault::Object("categories"))?);
+        let window = group.span_or("key_ttl_us", Duration::ZERO);
+        let by = match group.word("group") {
+            "all" => Dedupers::All,
+            "cell" => Dedupers::SamePack,
+            _ => Dedupers::SameZone,
+        };
+        Ok(Group {
+            effect: match group.word("effect") {
+                "retryable" => Effect::Retriable,
+                "dedup" => Effect::Deduped { by, window },
+                _ => Effect::NonRetriable,
+            },
+            latency_budget: group.span("objective_us")?,
+            expiry: group.span("deadline_us")?,
+            utility: group.number("worth", 1.0),
+            own_zone: own_zone.get(place).and_then(Value::as_bool).unwrap_or(false),
+        })
+    });
+    let groups = groups.collect::<Result<Vec<_>, Fault>>()?;
+    let report = info.part("report");
+    let load_fields = report.row("fields").iter().map(|field| match field.as_str() {
+        Some("inflight") => LoadField::InHand,
+        Some("queue") => LoadField::Waiting,
+        Some("latency_ms") => LoadField::ServiceMillis,
+        _ => LoadField::Other,
+    });
+    let cap = extra.whole("update_cap").unwrap_or(0) as usize;
+    let settings = Settings {
+        governors: info.whole("siblings").unwrap_or(1),
+        groups,
+        slices: extra.whole("shards").unwrap_or(0),
+        proxies: extra.whole("agents").unwrap_or(1),
+        standing_lines: extra.whole("bootstrap").map_or(usize::MAX, |most| most as usize),
+        cold_share: rules.number("cold_from", 1.0),
+        warm_after: rules.span_or("warm_after_us", Duration::ZERO),
+        proxies_avoid: extra.whole("ejects").unwrap_or(0) > 0,
+        sums_every: extra.span_or("cycle_us", Duration::from_secs(1)),
+        lines_per_s: extra.number("channel_rate", f64::MAX),
+        head_lines: extra.number("per_message", 0.0),
+        waiting_most: extra.number("most_waiting", f64::MAX),
+        transit_most: extra.span_or("worst_transit_us", Duration::ZERO),
+        messages_most: extra.span("messages_over_us").ok().filter(|_| cap > 0).map(|over| (cap, over)),
+        level_kind: match extra.word("level_kind") {
+            "ratio" => LevelKind::Share,
+            "rps" => LevelKind::Rate,
+            _ => LevelKind::None,
+        },
+        usual_tries: match extra.whole("retry_default") {
+            Ok(0) => FurtherTries::Never,
+            Ok(1) => FurtherTries::IfNeverRan,
+            _ => FurtherTries::Once,
+        },
+        crossing_cost: penalties.number("cross_zone", 0.0),
+        probe_cost: limits.mark("probes").then(|| penalties.number("probe", 0.0)),
+        load_fields: load_fields.collect(),
+    };
+    let texts =
+        |row: &[Value]| row.iter().map(|name| name.as_str().unwrap_or_default().to_string()).collect();
+    let named =
+        info.row("categories").iter().map(|group| group["name"].as_str().unwrap_or_default().to_string());
+    Ok(Info {
+        settings,
+        zones: texts(info.row("zones")),
+        groups: named.collect(),
+        load: texts(report.row("fields")),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const INFO: &str = r#"{"categories":[{"name":"find","deadline_us":5000000,"objective_us":2000000}],
+        "extra":{"agents":7,"update_cap":30,"messages_over_us":10000000},"zones":["a","b"],
+        "report":{"fields":["queue","latency_ms"]},"new":{"x":[1]}}"#;
+
+    fn told(text: &str) -> Result<Info, Fault> {
+        let value: Value = serde_json::from_str(text).expect("JSON");
+        read(&Fields(value.as_object().expect("an object")))
+    }
+
+    #[test]
+    fn names_stand_in_the_order_of_what_they_name() {
+        let info = told(INFO).expect("it is whole");
+        assert_eq!((info.zones, info.groups), (vec!["a".into(), "b".into()], vec!["find".to_string()]));
+        assert_eq!(info.load, ["queue", "latency_ms"]);
+        assert_eq!(info.settings.load_fields, [LoadField::Waiting, LoadField::ServiceMillis]);
+        assert_eq!(info.settings.messages_most, Some((30, Duration::from_secs(10))));
+    }
+
+    #[test]
+    fn a_group_without_its_span_is_named() {
+        assert_eq!(
+            told(&INFO.replace("deadline_us\":5000000", "deadline_us\":-1")),
+            Err(Fault::Whole("deadline_us".into()))
+        );
+        assert_eq!(told(r#"{"categories":[3]}"#), Err(Fault::Object("categories")));
+    }
+}
--- /dev/null
+++ b/crates/lines/src/book.rs
@@ -0,0 +1,330 @@
+//! What each stream was told and is owed: decisions of one pull become at most one message to each proxy.
+//!
+//! A proxy keeps over streams, and from other governors, which replicas it was to shut out; one that follows our
+//! tables is to heed nobody's withdrawals but ours. So a stream is told of each replica that its tables name,
+//! once, whether it is shut out or let back, and of what changes from then on.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use serde::Serialize;
+use wrenthread::interface::{Decision, FurtherTries, GroupSet, ProxyId, ReplicaId, TableId};
+
+/// Lines in a part at most, so that none comes near the size that a message may have.
+const PART_MOST: usize = 2000;
+/// Parts of one message at most.
+const PARTS_MOST: usize = 64;
+/// Marks that may be unanswered on a stream; older ones are forgotten.
+const MARKS_MOST: usize = 64;
+/// How much sooner than a mark was sent the proxy may claim to have heard of it, by rounding.
+const SLACK: Duration = Duration::from_millis(100);
+
+type Lines = BTreeMap<ReplicaId, f64>;
+type Level = (f64, FurtherTries);
+
+#[derive(Default)]
+struct Stream {
+    follows: BTreeMap<TableId, GroupSet>,
+    /// Whether a replica was last said to be shut out (true) or let back; of others nothing is known.
+    said: BTreeMap<ReplicaId, bool>,
+    /// By group, as the proxy holds it; none where it may hold one that it brought.
+    levels: Vec<Option<Level>>,
+    marks: VecDeque<(u16, Duration)>,
+    /// Tables that this pull had it follow.
+    bound: BTreeSet<TableId>,
+}
+
+/// All of one governor's streams, and what is decided for them.
+pub struct Book {
+    groups: Vec<String>,
+    usual: Level,
+    tables: BTreeMap<TableId, Lines>,
+    out: BTreeSet<ReplicaId>,
+    levels: Vec<Option<Level>>,
+    streams: BTreeMap<ProxyId, Stream>,
+    pull: Pull,
+}
+
+/// What one pull changes.
+#[derive(Default)]
+struct Pull {
+    lines: BTreeMap<TableId, Lines>,
+    out: BTreeSet<ReplicaId>,
+    levels: bool,
+    mark: Option<u16>,
+    any: bool,
+}
+
+/// One part of a message, as the platform spells it.
+#[derive(Default, Serialize)]
+struct Part<'a> {
+    #[serde(rename = "@type")]
+    kind: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    classes: Option<Vec<&'a str>>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    whole: bool,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    lines: Vec<(&'a str, f64)>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    level: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry: Option<u8>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    out: Vec<&'a str>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    back: Vec<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<u16>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    more: bool,
+}
+
+fn retry(tries: FurtherTries) -> u8 {
+    match tries {
+        FurtherTries::Never => 0,
+        FurtherTries::IfNeverRan => 1,
+        FurtherTries::Once => 2,
+    }
+}
+
+impl Book {
+    /// `usual`: what proxies do about further tries until told otherwise.
+    pub fn new(groups: Vec<String>, usual: FurtherTries) -> Self {
+        Book {
+            levels: vec![None; groups.len()],
+            groups,
+            usual: (1.0, usual),
+            tables: BTreeMap::new(),
+            out: BTreeSet::new(),
+            streams: BTreeMap::new(),
+            pull: Pull::default(),
+        }
+    }
+
+    /// A stream of the proxy begins; what was known of an earlier one ends.
+    pub fn joined(&mut self, proxy: ProxyId) {
+        let levels = vec![None; self.groups.len()];
+        self.streams.insert(proxy, Stream { levels, ..Stream::default() });
+    }
+
+    pub fn left(&mut self, proxy: ProxyId) {
+        self.streams.remove(&proxy);
+    }
+
+    /// Whether the stream owes this answer; it counts once.
+    pub fn acked(&mut self, now: Duration, proxy: ProxyId, mark: u16, took: Duration) -> bool {
+        let Some(stream) = self.streams.get_mut(&proxy) else { return false };
+        let Some(at) = stream.marks.iter().position(|(owed, _)| *owed == mark) else { return false };
+        if took > now.saturating_sub(stream.marks[at].1) + SLACK {
+            return false;
+        }
+        stream.marks.drain(..=at);
+        true
+    }
+
+    /// Forgets replicas that the rules no longer know.
+    pub fn retain(&mut self, known: impl Fn(&ReplicaId) -> bool) {
+        self.out.retain(&known);
+        self.streams.values_mut().for_each(|stream| stream.said.retain(|id, _| known(id)));
+        self.tables.values_mut().for_each(|lines| lines.retain(|id, _| known(id)));
+    }
+
+    /// Takes in one decision of a pull; those that concern no proxy's message are given back.
+    pub fn take(&mut self, decision: Decision) -> Option<Decision> {
+        self.pull.any = true;
+        match decision {
+            Decision::Wake(_) | Decision::Probe(_) => return Some(decision),
+            Decision::Withdraw(id, out) => {
+                if out {
+                    self.out.insert(id.clone());
+                } else {
+                    self.out.remove(&id);
+                }
+                self.pull.out.insert(id);
+            }
+            Decision::Lines(table, lines) => {
+                let held = self.tables.entry(table).or_default();
+                held.extend(lines.iter().cloned());
+                held.retain(|_, weight| *weight > 0.0);
+                self.pull.lines.entry(table).or_default().extend(lines);
+            }
+            Decision::Follow(proxy, table, groups) => {
+                let stream = self.streams.get_mut(&proxy)?;
+                let all = every(self.groups.len());
+                let groups = if groups == 0 { all } else { groups & all };
+                stream.follows.values_mut().for_each(|held| *held &= !groups);
+                *stream.follows.entry(table).or_default() |= groups;
+                stream.follows.retain(|_, held| *held != 0);
+                stream.bound.insert(table);
+            }
+            Decision::Level(groups, level, tries) => {
+                let all = every(self.groups.len());
+                let groups = if groups == 0 { all } else { groups & all };
+                for (place, held) in self.levels.iter_mut().enumerate() {
+                    if groups >> place & 1 == 1 {
+                        *held = Some((level, tries));
+                    }
+                }
+                self.pull.levels = true;
+            }
+            Decision::Mark(mark) => self.pull.mark = Some(mark),
+        }
+        None
+    }
+
+    /// Ends a pull: the bytes that each proxy concerned is to be sent, as one message.
+    pub fn flush(&mut self, now: Duration, mut send: impl FnMut(ProxyId, Vec<u8>)) {
+        let pull = std::mem::take(&mut self.pull);
+        if !pull.any {
+            return;
+        }
+        let desk = Desk {
+            groups: &self.groups,
+            usual: self.usual,
+            tables: &self.tables,
+            out: &self.out,
+            levels: &self.levels,
+            pull: &pull,
+        };
+        for (proxy, stream) in &mut self.streams {
+            let mut parts = desk.parts(stream);
+            if parts.is_empty() {
+                continue;
+            }
+            if let Some(mark) = pull.mark {
+                stream.marks.push_back((mark, now));
+                if stream.marks.len() > MARKS_MOST {
+                    stream.marks.pop_front();
+                }
+            }
+            send(*proxy, encode(&mut parts, pull.mark));
+        }
+    }
+}
+
+fn every(groups: usize) -> GroupSet {
+    if groups >= 64 { GroupSet::MAX } else { (1 << groups) - 1 }
+}
+
+fn encode(parts: &mut [Part], mark: Option<u16>) -> Vec<u8> {
+    let last = parts.len() - 1;
+    parts[last].ticket = mark;
+    let mut bytes = Vec::new();
+    for (at, part) in parts.iter_mut().enumerate() {
+        part.kind = "CONFIG";
+        part.more = at < last && (at + 1) % PARTS_MOST != 0;
+        // Writing numbers and texts into memory does not fail.
+        if serde_json::to_writer(&mut bytes, part).is_ok() {
+            bytes.push(b'\n');
+        }
+    }
+    bytes
+}
+
+/// What is decided, as one pull ends.
+struct Desk<'a> {
+    groups: &'a [String],
+    usual: Level,
+    tables: &'a BTreeMap<TableId, Lines>,
+    out: &'a BTreeSet<ReplicaId>,
+    levels: &'a [Option<Level>],
+    pull: &'a Pull,
+}
+
+impl<'a> Desk<'a> {
+    fn parts(&self, stream: &mut Stream) -> Vec<Part<'a>> {
+        let mut parts: Vec<Part> = Vec::new();
+        let bound = std::mem::take(&mut stream.bound);
+        let (shut, back) = self.said(stream, &bound);
+        for names in shut.chunks(PART_MOST) {
+            parts.push(Part { out: names.to_vec(), ..Part::default() });
+        }
+        for (table, groups) in &stream.follows {
+            let held = self.tables.get(table);
+            let lines: Vec<(&str, f64)> = if bound.contains(table) {
+                for (place, level) in stream.levels.iter_mut().enumerate() {
+                    *level = if groups >> place & 1 == 1 { Some(self.usual) } else { *level };
+                }
+                held.into_iter().flatten().map(|(id, weight)| (&**id, *weight)).collect()
+            } else {
+                let moved = self.pull.lines.get(table);
+                moved.into_iter().flatten().map(|(id, weight)| (&**id, *weight)).collect()
+            };
+            let mut whole = bound.contains(table);
+            if lines.is_empty() && whole {
+                parts.push(Part { classes: self.classes(*groups), whole, ..Part::default() });
+            }
+            for lines in lines.chunks(PART_MOST) {
+                let lines = lines.to_vec();
+                parts.push(Part { classes: self.classes(*groups), whole, lines, ..Part::default() });
+                whole = false;
+            }
+        }
+        for names in back.chunks(PART_MOST) {
+            match parts.last_mut().filter(|part| part.back.is_empty()) {
+                Some(part) => part.back = names.to_vec(),
+                None => parts.push(Part { back: names.to_vec(), ..Part::default() }),
+            }
+        }
+        if !parts.is_empty() || self.pull.levels {
+            self.bring_levels(stream, &mut parts);
+        }
+        parts
+    }
+
+    /// Levels travel with each message: those in force that the proxy does not hold.
+    fn bring_levels(&self, stream: &mut Stream, parts: &mut Vec<Part<'a>>) {
+        let mut due: Vec<(Level, GroupSet)> = Vec::new();
+        for (place, (held, wanted)) in stream.levels.iter_mut().zip(self.levels).enumerate().take(64) {
+            let Some(wanted) = wanted.filter(|wanted| *held != Some(*wanted)) else { continue };
+            *held = Some(wanted);
+            match due.iter_mut().find(|(level, _)| *level == wanted) {
+                Some((_, groups)) => *groups |= 1 << place,
+                None => due.push((wanted, 1 << place)),
+            }
+        }
+        for ((level, tries), groups) in due {
+            let (level, retry) = (Some(level), Some(retry(tries)));
+            parts.push(Part { classes: self.classes(groups), level, retry, ..Part::default() });
+        }
+    }
+
+    /// Replicas that the stream is to be told to shut out, and to let back.
+    fn said(&self, stream: &mut Stream, bound: &BTreeSet<TableId>) -> (Vec<&'a str>, Vec<&'a str>) {
+        let (mut shut, mut back) = (Vec::new(), Vec::new());
+        let follows = std::mem::take(&mut stream.follows);
+        let mut say = |id: &'a ReplicaId| {
+            let out = self.out.contains(id);
+            if stream.said.get(id) != Some(&out) {
+                stream.said.insert(id.clone(), out);
+                if out {
+                    shut.push(&**id)
+                } else {
+                    back.push(&**id)
+                };
+            }
+        };
+        for table in follows.keys() {
+            let Some(held) = self.tables.get(table) else { continue };
+            if bound.contains(table) {
+                held.keys().for_each(&mut say);
+                continue;
+            }
+            let moved = self.pull.lines.get(table).into_iter().flat_map(BTreeMap::keys);
+            moved.filter(|id| held.contains_key(*id)).for_each(&mut say);
+            self.pull.out.iter().filter(|id| held.contains_key(*id)).for_each(&mut say);
+        }
+        // Of tables that are not ours nobody knows what they name.
+        if follows.values().fold(0, |all, groups| all | groups) != every(self.groups.len()) {
+            self.pull.out.iter().for_each(&mut say);
+        }
+        stream.follows = follows;
+        (shut, back)
+    }
+
+    fn classes(&self, groups: GroupSet) -> Option<Vec<&'a str>> {
+        let named = self.groups.iter().enumerate().filter(|(place, _)| groups >> (*place).min(63) & 1 == 1);
+        (groups != every(self.groups.len())).then(|| named.map(|(_, name)| name.as_str()).collect())
+    }
+}
--- /dev/null
+++ b/crates/lines/src/decode.rs
@@ -0,0 +1,260 @@
+//! Messages into calls, each field checked: a spoilt one tells of nothing, and its neighbours count.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde_json::{Map, Value};
+use thiserror::Error;
+use wrenthread::interface::{Came, Met, ProxyId, ReplicaId};
+use wrenthread_info::Info;
+
+/// What one message says.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Told {
+    Ping,
+    /// The collector of a zone.
+    Source(usize),
+    Joined {
+        proxy: ProxyId,
+        zone: usize,
+        usual: f64,
+        fresh: bool,
+    },
+    Met(Met),
+    Came(Came),
+    Acked {
+        proxy: ProxyId,
+        mark: u16,
+        took: Duration,
+    },
+}
+
+/// Why a message tells of nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum Fault {
+    /// No further use can be made of what says so.
+    #[error("not a message: {0}")]
+    Unreadable(String),
+    #[error("`{0}` is missing, of another type or out of range")]
+    Field(&'static str),
+    #[error("`{0}` names nothing that is known")]
+    Unknown(&'static str),
+}
+
+/// Sums are gathered every second or so; where they had to wait they cover more, but not minutes.
+const SPAN_MOST: f64 = 120_000.0;
+/// More than any proxy or replica can have had in a second. It guards against counts that would drown what is
+/// true; it would harm where a zone sends a replica more than that.
+const RATE_MOST: f64 = 100_000.0;
+
+/// Reads the platform's messages by the names that the settings give.
+pub struct Decoder {
+    zones: BTreeMap<String, usize>,
+    groups: BTreeMap<String, usize>,
+    load: Vec<String>,
+    proxies: u64,
+    answer_most: f64,
+}
+
+struct Fields<'a>(&'a Map<String, Value>);
+
+impl<'a> Fields<'a> {
+    fn text(&self, name: &'static str) -> Result<&'a str, Fault> {
+        self.0.get(name).and_then(Value::as_str).ok_or(Fault::Field(name))
+    }
+
+    fn number(&self, name: &'static str, most: f64) -> Result<f64, Fault> {
+        let number = self.0.get(name).and_then(Value::as_f64).filter(|it| (0.0..=most).contains(it));
+        number.ok_or(Fault::Field(name))
+    }
+
+    /// A count may come as 3.0 from a writer that knows only one kind of number.
+    fn whole(&self, name: &'static str, most: f64) -> Result<u64, Fault> {
+        let number = self.number(name, most)?;
+        if number.fract() == 0.0 { Ok(number as u64) } else { Err(Fault::Field(name)) }
+    }
+
+    fn millis(&self, name: &'static str, most: f64) -> Result<Duration, Fault> {
+        Ok(Duration::from_secs_f64(self.number(name, most)? / 1000.0))
+    }
+
+    fn mark(&self, name: &'static str) -> Result<bool, Fault> {
+        match self.0.get(name) {
+            None | Some(Value::Null) => Ok(false),
+            Some(value) => value.as_bool().ok_or(Fault::Field(name)),
+        }
+    }
+
+    /// Tries or flows, those without a good answer among them, and the span they are summed over.
+    fn sums(&self) -> Result<(u64, u64, Duration), Fault> {
+        let span = self.millis("interval", SPAN_MOST)?;
+        if span.is_zero() {
+            return Err(Fault::Field("interval"));
+        }
+        let most = (RATE_MOST * span.as_secs_f64()).max(RATE_MOST);
+        let total = self.whole("total", most)?;
+        Ok((total, self.whole("errors", total as f64)?, span))
+    }
+}
+
+impl Decoder {
+    pub fn new(info: &Info) -> Self {
+        let places =
+            |names: &[String]| names.iter().cloned().enumerate().map(|(at, name)| (name, at)).collect();
+        let expiry = info.settings.groups.iter().map(|group| group.expiry).max().unwrap_or(Duration::MAX);
+        Decoder {
+            zones: places(&info.zones),
+            groups: places(&info.groups),
+            load: info.load.clone(),
+            proxies: info.settings.proxies,
+            answer_most: 2000.0 * expiry.as_secs_f64(), // noise is on top of what a client waits for
+        }
+    }
+
+    /// Reads one message. `replica` gives the name of a replica that the list has, or lately had.
+    ///
+    /// Errors: what can't be read at all, or is spoilt.
+    pub fn read(&self, frame: &[u8], replica: impl Fn(&str) -> Option<ReplicaId>) -> Result<Told, Fault> {
+        let whole = match serde_json::from_slice(frame) {
+            Ok(Value::Object(whole)) => whole,
+            Ok(_) => return Err(Fault::Unreadable("no object".into())),
+            Err(error) => return Err(Fault::Unreadable(error.to_string())),
+        };
+        let fields = Fields(&whole);
+        match fields.text("@type")? {
+            "PING" => Ok(Told::Ping),
+            "SOURCE" => Ok(Told::Source(self.zone(&fields)?)),
+            "SUBSCRIBE" => Ok(Told::Joined {
+                proxy: self.proxy(&fields)?,
+                zone: self.zone(&fields)?,
+                usual: fields.number("w", RATE_MOST)?,
+                fresh: fields.mark("cold")?,
+            }),
+            "ACK" => Ok(Told::Acked {
+                proxy: self.proxy(&fields)?,
+                mark: fields.whole("nonce", f64::from(u16::MAX))? as u16,
+                took: fields.millis("latency", SPAN_MOST)?,
+            }),
+            "LOAD" => {
+                let (tries, dropped, span) = fields.sums()?;
+                let answered = tries > dropped;
+                let mean = match fields.0.get("rtt") {
+                    None | Some(Value::Null) if !answered => Duration::ZERO,
+                    _ => fields.millis("rtt", self.answer_most)?,
+                };
+                Ok(Told::Met(Met {
+                    zone: self.zone(&fields)?,
+                    replica: replica(fields.text("endpoint")?).ok_or(Fault::Unknown("endpoint"))?,
+                    tries,
+                    dropped,
+                    mean: Some(mean).filter(|mean| answered && !mean.is_zero()),
+                    span,
+                    load: self.load(&fields)?,
+                }))
+            }
+            "RATE" => {
+                let (flows, dropped, span) = fields.sums()?;
+                let group = self.groups.get(fields.text("route")?).ok_or(Fault::Unknown("route"))?;
+                Ok(Told::Came(Came { proxy: self.proxy(&fields)?, group: *group, flows, dropped, span }))
+            }
+            _ => Err(Fault::Unknown("@type")),
+        }
+    }
+
+    fn zone(&self, fields: &Fields) -> Result<usize, Fault> {
+        let zone = self.zones.get(fields.text("locality")?);
+        zone.copied().ok_or(Fault::Unknown("locality"))
+    }
+
+    fn proxy(&self, fields: &Fields) -> Result<ProxyId, Fault> {
+        let proxy = fields.whole("node", f64::from(ProxyId::MAX))?;
+        if proxy < self.proxies { Ok(proxy as ProxyId) } else { Err(Fault::Unknown("node")) }
+    }
+
+    /// The report's values in the settings' order, up to the first that is absent: absent is not 0, and what
+    /// follows would stand in its place.
+    fn load(&self, fields: &Fields) -> Result<Vec<f64>, Fault> {
+        let report = match fields.0.get("metrics") {
+            None | Some(Value::Null) => return Ok(Vec::new()),
+            Some(report) => report.as_object().ok_or(Fault::Field("metrics"))?,
+        };
+        let mut load = Vec::new();
+        for name in &self.load {
+            match report.get(name) {
+                None | Some(Value::Null) => break,
+                Some(value) => {
+                    let value = value.as_f64().filter(|it| (0.0..=1e9).contains(it));
+                    load.push(value.ok_or(Fault::Field("metrics"))?);
+                }
+            }
+        }
+        Ok(load)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn decoder() -> Decoder {
+        let info = serde_json::json!({
+            "categories": [{"name": "find", "deadline_us": 5000000, "objective_us": 2000000}],
+            "extra": {"agents": 20}, "zones": ["a", "b"], "report": {"fields": ["queue", "latency_ms"]},
+        });
+        let info = info.as_object().expect("an object").clone();
+        Decoder::new(&wrenthread_info::read(&wrenthread_info::Fields(&info)).expect("it is whole"))
+    }
+
+    fn read(text: &str) -> Result<Told, Fault> {
+        decoder().read(text.as_bytes(), |name| (name == "r1").then(|| name.into()))
+    }
+
+    const LOAD: &str = r#"{"@type":"LOAD","locality":"b","endpoint":"r1","total":4,"errors":1,"rtt":41.5,"interval":500.0,"metrics":{"latency_ms":7,"queue":2}}"#;
+    const RATE: &str = r#"{"@type":"RATE","node":17,"route":"find","total":19,"errors":0,"interval":1000.0}"#;
+
+    #[test]
+    fn a_load_report_stands_in_the_settings_order() {
+        let Ok(Told::Met(met)) = read(LOAD) else { panic!("{:?}", read(LOAD)) };
+        assert_eq!((met.zone, met.tries, met.dropped, &*met.replica), (1, 4, 1, "r1"));
+        assert_eq!((met.mean, met.span), (Some(Duration::from_micros(41500)), Duration::from_millis(500)));
+        assert_eq!(met.load, [2.0, 7.0]);
+        let Ok(Told::Met(met)) = read(&LOAD.replace("\"queue\":2", "\"qps\":2")) else { panic!("not read") };
+        assert!(met.load.is_empty(), "an absent value is not 0, nor another's");
+    }
+
+    #[test]
+    fn each_spoilt_field_is_named() {
+        for (from, to, fault) in [
+            ("\"total\":4", "\"total\":-4", Fault::Field("total")),
+            ("\"total\":4", "\"total\":4.5", Fault::Field("total")),
+            ("\"total\":4", "\"total\":1e300", Fault::Field("total")),
+            ("\"errors\":1", "\"errors\":5", Fault::Field("errors")),
+            ("\"errors\":1,", "", Fault::Field("errors")),
+            ("41.5", "\"41.5\"", Fault::Field("rtt")),
+            ("41.5", "1e9", Fault::Field("rtt")),
+            ("500.0", "0", Fault::Field("interval")),
+            ("\"b\"", "\"c\"", Fault::Unknown("locality")),
+            ("r1", "r2", Fault::Unknown("endpoint")),
+            ("\"queue\":2", "\"queue\":-2", Fault::Field("metrics")),
+            ("LOAD", "WHAT", Fault::Unknown("@type")),
+        ] {
+            assert_eq!(read(&LOAD.replace(from, to)), Err(fault), "{from} {to}");
+        }
+        assert_eq!(read(&RATE.replace("17", "20")), Err(Fault::Unknown("node")));
+        assert_eq!(read(&RATE.replace("find", "lose")), Err(Fault::Unknown("route")));
+        assert!(matches!(read("{\"@type\":"), Err(Fault::Unreadable(_))));
+        assert!(matches!(read(RATE), Ok(Told::Came(Came { proxy: 17, group: 0, flows: 19, .. }))));
+    }
+
+    proptest! {
+        #[test]
+        fn no_input_panics(at in 0usize..150, with in any::<Vec<u8>>(), load in any::<bool>()) {
+            let mut bytes = if load { LOAD } else { RATE }.as_bytes().to_vec();
+            let at = at.min(bytes.len());
+            let until = (at + with.len()).min(bytes.len());
+            bytes.splice(at..until, with);
+            let _ = decoder().read(&bytes, |name| Some(name.into()));
+        }
+    }
+}
