Silent streams are let go, long gone replicas forgotten, and what Follow adds is counted

Follow on sockets names each replica of the table in out or back once (a proxy keeps what other governors had it shut out); lay() counted only the lines, so a storm of joins could have put 36 lines more a proxy into the channel than the module reckoned with. Replicas that are gone for two minutes and in no table are forgotten in the module, the book and the names. Streams that owe answers or flows for long, while others speak, end.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -23,6 +23,11 @@
         BEFORE + self.start.elapsed()
     }
 
+    /// An instant as the host's time.
+    pub fn since(&self, at: Instant) -> Duration {
+        BEFORE + at.saturating_duration_since(self.start)
+    }
+
     pub fn up(&self) -> Duration {
         self.start.elapsed()
     }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -30,8 +30,16 @@
 const EVENTS: usize = 1024;
 /// Events taken before decisions are pulled, so that a burst is one pull.
 const AT_ONCE: usize = 512;
-/// How often housekeeping is done, and what was left out is logged.
-const HOUSEKEEPING: Duration = Duration::from_secs(5);
+/// How often streams are looked over for silence, and names that are gone forgotten.
+const HOUSEKEEPING: Duration = Duration::from_secs(1);
+/// How many times of those pass before what was left out is logged.
+const LOGGED: u32 = 5;
+/// An answer to a mark takes as long as lines wait in a channel that may run slower than it ought to, and some.
+const ANSWER_WITHIN: Duration = Duration::from_secs(12);
+/// Flows that a proxy would have been sent meanwhile: chance alone leaves none of so many out once in a hundred
+/// thousand looks. It guards against streams of machines that vanished; a live proxy whose clients went away all
+/// at once would lose its stream, and join anew.
+const FLOWS_MISSED: f64 = 12.0;
 /// A file that is being written is read again after this, and so often.
 const REREAD: (Duration, u32) = (Duration::from_millis(300), 40);
 
@@ -85,6 +93,7 @@
 struct Stream {
     door: u64,
     line: Line,
+    usual: f64,
 }
 
 struct Node {
@@ -102,6 +111,7 @@
     /// When the rules asked to be called.
     due: Instant,
     housekeeping: Instant,
+    houses_kept: u32,
     rereads: u32,
     reread_at: Option<Instant>,
 }
@@ -124,6 +134,7 @@
             streams: BTreeMap::new(),
             due: Instant::now() + Duration::from_secs(3600),
             housekeeping: Instant::now() + HOUSEKEEPING,
+            houses_kept: 0,
             rereads: 0,
             reread_at: None,
             clock,
@@ -172,7 +183,7 @@
         match event {
             Event::Joined { door, proxy, zone, usual, fresh, line } => {
                 // An older stream of the proxy ends with its line.
-                self.streams.insert(proxy, Stream { door, line });
+                self.streams.insert(proxy, Stream { door, line, usual });
                 self.book.joined(proxy);
                 self.governor.joined(now, proxy, zone, usual, fresh);
             }
@@ -209,8 +220,9 @@
             self.governor.beat();
         }
         if at >= self.housekeeping {
+            let late = at > self.housekeeping + HOUSEKEEPING;
             self.housekeeping = at + HOUSEKEEPING;
-            self.keep_house();
+            self.keep_house(late);
         }
         if self.reread_at.is_some_and(|due| at >= due) {
             self.reread(self.rereads);
@@ -233,13 +245,46 @@
         }
     }
 
-    fn keep_house(&mut self) {
+    fn keep_house(&mut self, late: bool) {
+        // A governor that stood still has heard of nobody: what waits on the sockets is read before the next look.
+        if !late {
+            for proxy in self.silent() {
+                tracing::info!(proxy, "a proxy has fallen silent: its stream ends");
+                self.leave(proxy);
+            }
+        }
+        let governor = &self.governor;
+        self.book.retain(|id| governor.knows(id));
+        self.doors.names.borrow_mut().retain(|id| governor.knows(id));
+        self.houses_kept += 1;
+        if !self.houses_kept.is_multiple_of(LOGGED) {
+            return;
+        }
         let faults = std::mem::take(&mut *self.doors.faults.borrow_mut());
         if !faults.is_empty() {
             tracing::info!(?faults, "left out or ended");
         }
     }
 
+    /// Proxies that said nothing for as long as they would have had to say something, while others did.
+    fn silent(&self) -> Vec<ProxyId> {
+        let (at, now) = (Instant::now(), self.clock.now());
+        let every = self.config.info.settings.sums_every;
+        let silence = |stream: &Stream| at.saturating_duration_since(stream.line.heard());
+        let speaking = self.streams.values().filter(|stream| silence(stream) < ANSWER_WITHIN).count();
+        if 2 * speaking < self.streams.len() {
+            return Vec::new(); // whatever keeps them all from being heard, it is not each of them
+        }
+        let silent = self.streams.iter().filter(|(proxy, stream)| {
+            let heard = self.clock.since(stream.line.heard().into_std());
+            let owes = self.book.owes_since(**proxy, heard).map(|sent| now.saturating_sub(sent));
+            let due = ANSWER_WITHIN + 2 * every;
+            let flows = (silence(stream).saturating_sub(due)).as_secs_f64() * stream.usual;
+            stream.line.sent() && (owes.is_some_and(|owed| owed > due) || flows > FLOWS_MISSED)
+        });
+        silent.map(|(proxy, _)| *proxy).collect()
+    }
+
     /// Reads the configuration again. A broken one leaves what stands, and is tried again for a while.
     fn reread(&mut self, tries: u32) {
         self.reread_at = None;
--- a/crates/daemon/src/node/door.rs
+++ b/crates/daemon/src/node/door.rs
@@ -62,6 +62,7 @@
 pub struct Line {
     queue: Orders,
     unsent: Rc<Cell<usize>>,
+    heard: Rc<Cell<Instant>>,
     reader: AbortHandle,
     writer: AbortHandle,
 }
@@ -71,6 +72,16 @@
     pub fn send(&self, bytes: Vec<u8>) -> bool {
         queue(&self.queue, &self.unsent, bytes)
     }
+
+    /// When bytes last came, good or spoilt.
+    pub fn heard(&self) -> Instant {
+        self.heard.get()
+    }
+
+    /// Whether what was sent has left for the other side.
+    pub fn sent(&self) -> bool {
+        self.unsent.get() == 0
+    }
 }
 
 impl Drop for Line {
@@ -214,6 +225,7 @@
     own: Rc<OnceCell<AbortHandle>>,
     party: Party,
     frames: Frames,
+    heard: Rc<Cell<Instant>>,
     held: usize, // of what the doors may hold unread
 }
 
@@ -248,6 +260,7 @@
             own,
             party: Party::Stranger,
             frames: Frames::default(),
+            heard: Rc::new(Cell::new(Instant::now())),
             held: 0,
         }
     }
@@ -298,6 +311,7 @@
         if count == 0 {
             return Ok(None);
         }
+        self.heard.set(Instant::now());
         let (names, party) = (doors.names.borrow(), self.party);
         let most = if party == Party::Stranger { STRANGER_BYTES } else { MESSAGE_MOST };
         let (mut messages, mut fault) = (Vec::new(), None);
@@ -350,7 +364,13 @@
                 let (queue, orders) = mpsc::unbounded_channel();
                 let unsent = Rc::new(Cell::new(0));
                 let writer = spawn_local(send(write, orders, unsent.clone())).abort_handle();
-                let line = Line { queue: queue.clone(), unsent: unsent.clone(), reader: own.clone(), writer };
+                let line = Line {
+                    queue: queue.clone(),
+                    unsent: unsent.clone(),
+                    heard: self.heard.clone(),
+                    reader: own.clone(),
+                    writer,
+                };
                 self.queue = Some((queue, unsent));
                 self.tell(Event::Joined { door: self.door, proxy, zone, usual, fresh, line }).await;
             }
--- a/crates/lines/src/book.rs
+++ b/crates/lines/src/book.rs
@@ -4,6 +4,9 @@
 //! tables is to heed nobody's withdrawals but ours. So a stream is told of each replica that its tables name,
 //! once, whether it is shut out or let back, and of what changes from then on.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -123,6 +126,12 @@
         true
     }
 
+    /// When the oldest mark was sent that the stream owes an answer to, of those sent after `heard`.
+    pub fn owes_since(&self, proxy: ProxyId, heard: Duration) -> Option<Duration> {
+        let marks = self.streams.get(&proxy).map(|stream| &stream.marks)?;
+        marks.iter().map(|(_, sent)| *sent).find(|sent| *sent > heard)
+    }
+
     /// Forgets replicas that the rules no longer know.
     pub fn retain(&mut self, known: impl Fn(&ReplicaId) -> bool) {
         self.out.retain(&known);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,7 @@
 const STRESSED_AT: f64 = 0.05; // share of drops from which a zone counts as stressed
 const WARINESS: (f64, f64) = (2.0, 3.0); // times the stress that cold ones must bear; where proxies avoid
 const SILENT_AFTER: f64 = 8.0; // answers due: chance leaves none of so many once in some thousand looks
+const REMEMBERED: Duration = Duration::from_secs(120); // what is gone, as standing tables may be that old
 const FIRST_WAIT: Duration = Duration::from_secs(4); // before a trial, doubled by each failure
 
 #[derive(Default)]
@@ -76,6 +77,7 @@
     zone: usize,
     weight: f64,
     ready: bool,
+    gone: Option<Duration>, // since when it is not listed at all
     started: Option<Duration>,
     known: Option<Duration>, // first listed as ready: tables drawn later may name it
     held: bool,              // too cold for the whole weight at which tables that can't be read may name it
@@ -236,7 +238,7 @@
     pub fn listed(&mut self, now: Duration, entries: &[Listed], complete: bool) {
         let named: BTreeSet<&ReplicaId> = entries.iter().map(|entry| &entry.id).collect();
         let unnamed = self.replicas.iter_mut().filter(|(id, _)| complete && !named.contains(id));
-        unnamed.for_each(|(_, replica)| replica.ready = false);
+        unnamed.for_each(|(_, replica)| (replica.ready, replica.gone) = (false, replica.gone.or(Some(now))));
         for entry in entries {
             let replica = self.replicas.entry(entry.id.clone()).or_default();
             if replica.started != entry.started || replica.weight == 0.0 {
@@ -248,8 +250,9 @@
                 (replica.since, replica.known) = (now, replica.known.or(Some(now)));
                 self.due.extend(self.figures.probe_every.map(|every| (now + every, entry.id.clone())));
             }
-            (replica.ready, replica.zone, replica.weight) =
-                (ready, entry.zone, entry.weight.max(f64::MIN_POSITIVE));
+            replica.ready = ready;
+            replica.gone = (entry.phase == Phase::Gone).then_some(replica.gone.unwrap_or(now));
+            (replica.zone, replica.weight) = (entry.zone, entry.weight.max(f64::MIN_POSITIVE));
         }
         let ready = self.sum(|one| if one.ready { one.weight } else { 0.0 });
         (self.listed_at, self.nominal) = (now, ready.max(self.nominal));
@@ -348,6 +351,11 @@
         self.wake = true;
     }
 
+    /// Whether anything is still known of a replica; of what is gone and in no table nothing is.
+    pub fn knows(&self, id: &ReplicaId) -> bool {
+        self.replicas.contains_key(id)
+    }
+
     /// For operators: whether a proxy is bound to solved tables.
     pub fn is_critical(&self, proxy: ProxyId) -> bool {
         self.critical.range((proxy, 0)..=(proxy, 1)).next().is_some()
@@ -644,6 +652,7 @@
         if flush {
             self.withdraw(false);
             self.level(now);
+            self.forget(now);
         }
         if flush && self.out.len() > first {
             self.flushes.push_back(now);
@@ -651,6 +660,25 @@
         }
     }
 
+    /// Years of deploys under new names would add up. What a table may still name stays, with its withdrawal: a
+    /// proxy would send to it again. So does what went lately: joiners may have drawn from an older list.
+    fn forget(&mut self, now: Duration) {
+        let over = |one: &Replica| one.gone.filter(|gone| *gone + REMEMBERED < now);
+        if !self.replicas.values().any(|one| over(one).is_some()) {
+            return;
+        }
+        let (tables, solved) = (self.tables.values(), self.critical.values());
+        let named: BTreeSet<&ReplicaId> = tables.chain(solved).flat_map(BTreeMap::keys).collect();
+        let drawn = |zone, gone| {
+            let mut draws = self.proxies.values().filter_map(|one| one.standing);
+            draws.any(|(at, of)| of == zone && at < gone + REMEMBERED)
+        };
+        let forgotten = |one: &Replica| over(one).is_some_and(|gone| !drawn(one.zone, gone));
+        let gone = self.replicas.extract_if(.., |id, one| !named.contains(id) && forgotten(one));
+        let told = gone.filter(|(_, one)| one.withdrawn);
+        self.out.extend(told.map(|(id, _)| Decision::Withdraw(id, false)));
+    }
+
     fn withdraw(&mut self, out: bool) {
         let (first, listed) = (self.out.len(), self.replicas.values().filter(|one| one.ready).count());
         for (id, one) in self.replicas.iter_mut().filter(|(_, one)| one.out() == out && one.withdrawn != out)
@@ -746,7 +774,8 @@
         table.retain(|_, weight| *weight > 0.0);
         // A proxy whose number leaves none for two tables stays on what it holds.
         let Some(number) = unit.0.checked_mul(2).filter(|n| *n < TableId::MAX - 2) else { return 0 };
-        let (number, cost) = (number + unit.1 as TableId, if bind { 1 + table.len() } else { lines.len() });
+        let (number, cost) =
+            (number + unit.1 as TableId, if bind { 1 + 2 * table.len() } else { lines.len() });
         self.out.extend((!lines.is_empty()).then_some(Decision::Lines(number, lines)));
         self.out.extend(bind.then_some(Decision::Follow(unit.0, number, self.figures.groups[unit.1])));
         cost
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -907,3 +907,19 @@
     governor.levels[1].0 = 0.0;
     assert!((came(&mut governor, 0) - 0.009975).abs() < 1e-9);
 }
+
+#[test]
+fn what_is_long_gone_and_in_no_table_is_forgotten() {
+    let (gone, now) = (Some(SECOND), 300 * SECOND);
+    let old = || Replica { ready: false, gone, withdrawn: true, ..warm(0) };
+    let mut governor = Governor {
+        replicas: [(id("a"), old()), (id("b"), old()), (id("c"), warm(0))].into(),
+        tables: [((7, 0), [(id("b"), 1.0)].into())].into(),
+        ..governor()
+    };
+    governor.replicas.insert(id("d"), Replica { gone: Some(250 * SECOND), ..old() });
+    governor.forget(now);
+    let left: Vec<&str> = governor.replicas.keys().map(|id| &**id).collect();
+    assert_eq!(left, ["b", "c", "d"], "a table may still name it, or one drawn lately");
+    assert_eq!(governor.out, [Decision::Withdraw(id("a"), false)]);
+}
