Levels are cut by what settled proxies offer: joiners' answers are heard seconds later

The trace has why chance decides: as 119 proxies come over in two seconds the governor has 129.5 offered and 44.7 answered; one second with late answers then, and shed() cuts to 0.77 * 44.7 / 129.5, which grows back by 2% a second. Ruled out: real lateness (p50 192 ms) and cold replicas (none). A joiner now counts as offering from when its answers can be heard, in full five sums on.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -96,7 +96,8 @@
 
 struct Proxy {
     zone: usize,
-    rates: Vec<f64>,      // by group, blocked flows too: what is usual, until more is heard
+    rates: Vec<f64>, // by group, blocked flows too: what is usual, until more is heard
+    since: Duration,
     heard: Vec<Duration>, // by group, when its last line came; no flow, no line
     standing: Option<Draw>,
     unsure: bool, // holds nobody knows what: must follow own tables before anything else can be said of it
@@ -283,7 +284,7 @@
         let standing = fresh.then_some((self.listed_at, zone));
         let rates = vec![per(usual, self.levels.len() as f64); self.levels.len()];
         let heard = vec![now; self.levels.len()];
-        self.proxies.insert(proxy, Proxy { zone, rates, heard, standing, unsure });
+        self.proxies.insert(proxy, Proxy { zone, rates, since: now, heard, standing, unsure });
         self.joined.insert(zone, now);
     }
 
@@ -893,7 +894,7 @@
         let reports = self.replicas.values().filter_map(|one| one.waiting).filter(|(_, at)| *at + echo > now);
         let (all, queued) = reports.fold((0, 0), |(n, q), (queue, _)| (n + 1, q + u32::from(queue >= 1.0)));
         if late > LATE && 2 * queued >= all && now >= self.cut.1 + echo {
-            let offered = self.proxies.values().flat_map(|proxy| &proxy.rates).sum();
+            let offered = self.offered(now);
             self.cut = (per(self.answered(), offered).min(1.0), now);
             self.let_in = per(DRAINING * self.answered(), offered).min(0.95 * self.let_in).max(0.2);
         } else if late < 0.7 * LATE || 3 * queued < all {
@@ -902,6 +903,16 @@
         }
     }
 
+    /// What those offer whose answers are heard of by now, as averages go: of others none count yet, and when
+    /// many join at once, as after another governor's end, the fleet would seem to answer a third of it.
+    fn offered(&self, now: Duration) -> f64 {
+        let settled = |one: &Proxy| {
+            let age = now.saturating_sub(one.since + self.figures.settling + self.lag).as_secs_f64();
+            per(age, 2.0 * self.figures.averaged).min(1.0)
+        };
+        self.proxies.values().map(|one| settled(one) * one.rates.iter().sum::<f64>()).sum()
+    }
+
     fn answered(&self) -> f64 {
         let sights = self.replicas.values().flat_map(|one| one.sights.values());
         sights.map(|one| one.rate * per(one.delivered, one.delivered + one.dropped)).sum()
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -62,9 +62,17 @@
 /// A proxy that follows its own table with these lines and receives 10 flows a second.
 fn follower(governor: &mut Governor, proxy: ProxyId, zone: usize, lines: &[(&str, f64)]) {
     let rates = vec![5.0, 5.0];
-    governor
-        .proxies
-        .insert(proxy, Proxy { zone, rates, heard: vec![Duration::ZERO; 2], standing: None, unsure: false });
+    governor.proxies.insert(
+        proxy,
+        Proxy {
+            zone,
+            rates,
+            since: Duration::ZERO,
+            heard: vec![Duration::ZERO; 2],
+            standing: None,
+            unsure: false,
+        },
+    );
     governor.joined.insert(zone, Duration::ZERO);
     let lines: Lines = lines.iter().map(|(name, weight)| (id(name), *weight)).collect();
     for kind in 0..2 {
@@ -937,3 +945,13 @@
     let rate = governor.proxies[&1].rates[0];
     assert!((0.19..0.21).contains(&rate), "{rate}");
 }
+
+#[test]
+fn who_joins_as_another_governor_ends_is_not_taken_for_overload() {
+    let mut governor = late(4);
+    for proxy in 2..4 {
+        governor.joined(9 * SECOND, proxy, 0, 100.0, false);
+    }
+    governor.shed(10 * SECOND);
+    assert!((governor.let_in - DRAINING * 0.4).abs() < 1e-9, "{}", governor.let_in);
+}
