--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,5 +1,5 @@
-//! `wrenthread node`: one governor by the platform's protocol. It feeds the rules what comes over the sockets,
-//! pulls what they decide, and sends it; it decides nothing itself.
+//! `wrenthread node`: one governor by the platform's protocol. It feeds the rules what comes over the
+//! sockets, pulls what they decide, and sends it; it decides nothing itself.
 
 mod door;
 pub mod told;
@@ -34,11 +34,12 @@
 const HOUSEKEEPING: Duration = Duration::from_secs(1);
 /// How many times of those pass before what was left out is logged.
 const LOGGED: u32 = 5;
-/// An answer to a mark takes as long as lines wait in a channel that may run slower than it ought to, and some.
+/// An answer to a mark takes as long as lines wait in a channel that may run slower than it ought to, and
+/// some.
 const ANSWER_WITHIN: Duration = Duration::from_secs(12);
-/// Flows that a proxy would have been sent meanwhile: chance alone leaves none of so many out once in a hundred
-/// thousand looks. It guards against streams of machines that vanished; a live proxy whose clients went away all
-/// at once would lose its stream, and join anew.
+/// Flows that a proxy would have been sent meanwhile: chance alone leaves none of so many out once in a
+/// hundred thousand looks. It guards against streams of machines that vanished; a live proxy whose clients
+/// went away all at once would lose its stream, and join anew.
 const FLOWS_MISSED: f64 = 12.0;
 /// A file that is being written is read again after this, and so often.
 const REREAD: (Duration, u32) = (Duration::from_millis(300), 40);
@@ -246,7 +247,8 @@
     }
 
     fn keep_house(&mut self, late: bool) {
-        // A governor that stood still has heard of nobody: what waits on the sockets is read before the next look.
+        // A governor that stood still has heard of nobody: what waits on the sockets is read before the next
+        // look.
         if !late {
             for proxy in self.silent() {
                 tracing::info!(proxy, "a proxy has fallen silent: its stream ends");
@@ -257,14 +259,14 @@
         self.book.retain(|id| governor.knows(id));
         self.doors.names.borrow_mut().retain(|id| governor.knows(id));
         self.houses_kept += 1;
-        let (offered, answered, let_in, late, [open, out, proxies, unsure]) = self.governor.beliefs();
-        tracing::info!(
-            "BELIEF offered {offered:.1} answered {answered:.1} let_in {let_in:.2} late {late:.2} open {open} out {out} \
-             proxies {proxies} unsure {unsure}"
-        );
         if !self.houses_kept.is_multiple_of(LOGGED) {
             return;
         }
+        let (offered, answered, let_in, late, [open, out, proxies, unsure]) = self.governor.beliefs();
+        tracing::info!(
+            "flows a second {offered:.1}, answered {answered:.1}, let in {let_in:.2}, late {late:.2}; \
+             replicas {open}, out {out}; proxies {proxies}, to be bound {unsure}"
+        );
         let faults = std::mem::take(&mut *self.doors.faults.borrow_mut());
         if !faults.is_empty() {
             tracing::info!(?faults, "left out or ended");
--- a/crates/daemon/src/node/door.rs
+++ b/crates/daemon/src/node/door.rs
@@ -1,7 +1,7 @@
 //! Connections at the governor's address: strangers, collectors and proxies' streams.
 //!
-//! A stranger has a second and a small buffer to say who it is. Whatever can't be read, or comes out of order,
-//! ends the connection with a `NACK`; a spoilt message of a known party is left out and counted.
+//! A stranger has a second and a small buffer to say who it is. Whatever can't be read, or comes out of
+//! order, ends the connection with a `NACK`; a spoilt message of a known party is left out and counted.
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -268,7 +268,8 @@
     async fn serve(mut self) {
         let until = Instant::now() + STRANGER_FOR;
         let why = loop {
-            // What has come is read before the wait is judged: a governor that stood still was not waited for.
+            // What has come is read before the wait is judged: a governor that stood still was not waited
+            // for.
             let ready = tokio::select! {
                 biased;
                 ready = self.read.readable() => ready,
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -77,13 +77,15 @@
 
 fn config(discovery: SocketAddr) -> String {
     json!({"discovery": discovery.to_string(), "limits": {"memory_mb": 32, "sockets": 256},
-        "known": listed(1, true, &[("r1", "up"), ("r2", "up"), ("r3", "up"), ("r4", "up")]).1,
-        "settings": {
-            "categories": [{"name": "find", "deadline_us": 5000000, "effect": "retryable", "objective_us": 2000000}],
-            "extra": {"agents": 20, "bootstrap": 8, "channel_rate": 10000.0, "cycle_us": 500000,
-                "level_kind": "ratio", "most_waiting": 20000.0, "per_message": 10.0, "worst_transit_us": 100000},
-            "rules": {"cold_from": 0.3, "warm_after_us": 10000000}, "siblings": 1, "zones": ["a"],
-        }})
+    "known": listed(1, true, &[("r1", "up"), ("r2", "up"), ("r3", "up"), ("r4", "up")]).1,
+    "settings": {
+        "categories": [{"name": "find", "deadline_us": 5000000, "effect": "retryable",
+            "objective_us": 2000000}],
+        "extra": {"agents": 20, "bootstrap": 8, "channel_rate": 10000.0, "cycle_us": 500000,
+            "level_kind": "ratio", "most_waiting": 20000.0, "per_message": 10.0,
+            "worst_transit_us": 100000},
+        "rules": {"cold_from": 0.3, "warm_after_us": 10000000}, "siblings": 1, "zones": ["a"],
+    }})
     .to_string()
 }
 
--- a/crates/discovery/src/list.rs
+++ b/crates/discovery/src/list.rs
@@ -51,8 +51,9 @@
         self.version
     }
 
-    /// Takes in one object; `started` turns seconds of the calendar into the host's time. An object older than
-    /// what is known changes nothing: an agent may be behind the one before it, and what drains would come back.
+    /// Takes in one object; `started` turns seconds of the calendar into the host's time. An object older
+    /// than what is known changes nothing: an agent may be behind the one before it, and what drains would
+    /// come back.
     ///
     /// Errors: an object that can't be used; nothing changed.
     pub fn read(
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -1,5 +1,6 @@
-//! Follows the list: the whole of it where that is needed, and a watch from its version on. A watch that breaks,
-//! is refused, never comes up or falls silent is dialled anew; what was told stays in force meanwhile.
+//! Follows the list: the whole of it where that is needed, and a watch from its version on. A watch that
+//! breaks, is refused, never comes up or falls silent is dialled anew; what was told stays in force
+//! meanwhile.
 
 use std::time::Duration;
 
@@ -16,7 +17,8 @@
 
 /// Dialling is to a neighbour on the same machine: what takes longer does not come up.
 const DIAL: Duration = Duration::from_millis(400);
-/// An empty line comes every two seconds, and what discovery tells is held against the governor some seconds on.
+/// An empty line comes every two seconds, and what discovery tells is held against the governor some seconds
+/// on.
 const SILENT: Duration = Duration::from_millis(2800);
 /// Waits between dials, doubled from the first to the last.
 const WAITS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
--- a/crates/info/src/lib.rs
+++ b/crates/info/src/lib.rs
@@ -87,8 +87,8 @@
     }
 }
 
-/// Reads what a governor is told first. What it does not know it leaves out, and what may be missing stands as
-/// where there is none of it.
+/// Reads what a governor is told first. What it does not know it leaves out, and what may be missing stands
+/// as where there is none of it.
 ///
 /// Errors: a group without its spans, or that is no object.
 pub fn read(info: &Fields) -> Result<Info, Fault> {
--- a/crates/lines/src/book.rs
+++ b/crates/lines/src/book.rs
@@ -1,8 +1,8 @@
 //! What each stream was told and is owed: decisions of one pull become at most one message to each proxy.
 //!
-//! A proxy keeps over streams, and from other governors, which replicas it was to shut out; one that follows our
-//! tables is to heed nobody's withdrawals but ours. So a stream is told of each replica that its tables name,
-//! once, whether it is shut out or let back, and of what changes from then on.
+//! A proxy keeps over streams, and from other governors, which replicas it was to shut out; one that follows
+//! our tables is to heed nobody's withdrawals but ours. So a stream is told of each replica that its tables
+//! name, once, whether it is shut out or let back, and of what changes from then on.
 
 #[cfg(test)]
 mod tests;
--- a/crates/lines/src/decode.rs
+++ b/crates/lines/src/decode.rs
@@ -211,7 +211,8 @@
         decoder().read(text.as_bytes(), |name| (name == "r1").then(|| name.into()))
     }
 
-    const LOAD: &str = r#"{"@type":"LOAD","locality":"b","endpoint":"r1","total":4,"errors":1,"rtt":41.5,"interval":500.0,"metrics":{"latency_ms":7,"queue":2}}"#;
+    const LOAD: &str = r#"{"@type":"LOAD","locality":"b","endpoint":"r1","total":4,"errors":1,
+        "rtt":41.5,"interval":500.0,"metrics":{"latency_ms":7,"queue":2}}"#;
     const RATE: &str = r#"{"@type":"RATE","node":17,"route":"find","total":19,"errors":0,"interval":1000.0}"#;
 
     #[test]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -324,8 +324,8 @@
         let unanswered = &mut self.unanswered[came.group];
         let share = per(came.dropped as f64, came.flows as f64 * self.levels[came.group].0).min(1.0);
         *unanswered += 0.01 * self.levels[came.group].0 * (share - *unanswered);
-        // A line's span may be cut short, and silence has none: where flows are rare both would look like more
-        // of them. Over fewer than some four flows chance would do the same.
+        // A line's span may be cut short, and silence has none: where flows are rare both would look like
+        // more of them. Over fewer than some four flows chance would do the same.
         let span = came.span.max(now.saturating_sub(std::mem::replace(heard, now))).as_secs_f64().max(0.001);
         let averaged = per(4.0, *rate).clamp(self.figures.averaged, 12.0 * self.figures.averaged);
         *rate += (came.flows as f64 / span - *rate) * (1.0 - (-span / averaged).exp());
@@ -678,8 +678,8 @@
         }
     }
 
-    /// Years of deploys under new names would add up. What a table may still name stays, with its withdrawal: a
-    /// proxy would send to it again. So does what went lately: joiners may have drawn from an older list.
+    /// Years of deploys under new names would add up. What a table may still name stays, with its withdrawal:
+    /// a proxy would send to it again. So does what went lately: joiners may have drawn from an older list.
     fn forget(&mut self, now: Duration) {
         let over = |one: &Replica| one.gone.filter(|gone| *gone + REMEMBERED < now);
         if !self.replicas.values().any(|one| over(one).is_some()) {
@@ -914,8 +914,15 @@
     }
 
     fn answered(&self) -> f64 {
-        let sights = self.replicas.values().flat_map(|one| one.sights.values());
-        sights.map(|one| one.rate * per(one.delivered, one.delivered + one.dropped)).sum()
+        let sights = self.replicas.values().flat_map(|one| &one.sights);
+        let flows = sights.map(|(zone, one)| {
+            // What is gone or given nothing has no more lines, nor has a rare one between two tries.
+            let silent = at(&self.heard, zone).saturating_sub(one.last + self.lag).as_secs_f64();
+            let over = (silent - per(2.0, one.rate).min(4.0 * self.figures.averaged)).max(0.0);
+            let share = per(one.delivered, one.delivered + one.dropped);
+            one.rate * share * (-over / self.figures.averaged).exp()
+        });
+        flows.sum()
     }
 
     fn level(&mut self, now: Duration) {
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -955,3 +955,13 @@
     governor.shed(10 * SECOND);
     assert!((governor.let_in - DRAINING * 0.4).abs() < 1e-9, "{}", governor.let_in);
 }
+
+#[test]
+fn what_replicas_answered_before_they_went_is_not_answered_now() {
+    let mut governor = late(4);
+    governor.heard = [(0, 60 * SECOND)].into();
+    for replica in governor.replicas.values_mut().take(2) {
+        replica.sights = seen(10.0, 0.0, 1.0, 60 * SECOND);
+    }
+    assert!((governor.answered() - 20.0).abs() < 0.01, "{}", governor.answered());
+}
