--- a/src/rules.rs
+++ b/src/rules.rs
@@ -363,8 +363,7 @@
         self.replicas.contains_key(id)
     }
 
-    /// For operators: flows a second offered and answered, the share let in, the mean answer by its budget,
-    /// replicas that are open and out, proxies joined and unsure.
+    /// For operators: flows a second offered, answered; share let in; lateness; open, out, joined, unsure.
     pub fn beliefs(&self) -> (f64, f64, f64, f64, [usize; 4]) {
         let offered = self.proxies.values().flat_map(|proxy| &proxy.rates).sum();
         let out = self.replicas.values().filter(|one| one.ready && one.out()).count();
