A drain that was spoilt as a change is had from the whole list; the watch does one job at a time

Found reading the change again: List::take left a spoilt entry out and moved the version on, so that what a change said of that replica was never told again, a drain for one. Such an object now has the whole list asked for; a whole list that is spoilt itself is not, as it would be the same again. watch() fetched, watched and called itself, and logged 'it ended' for what could not be used: two functions now, and a watch that goes on failing is logged at debug from the fifth time. Bounds of 4 and 64 MiB for an object and the configuration did not fit 32 MB: 2 MiB each.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -161,7 +161,8 @@
         match self.list.read(&object.bytes, |at| clock.at(at)) {
             Ok(change) => {
                 // The watch may have ended meanwhile; the list counts all the same.
-                let _ = object.known.send(self.list.version());
+                let lost = change.as_ref().is_some_and(|change| change.lost);
+                let _ = object.known.send(self.list.version().filter(|_| !lost));
                 change.into_iter().for_each(|change| self.tell(change));
             }
             Err(fault) => {
--- a/crates/daemon/src/node/told.rs
+++ b/crates/daemon/src/node/told.rs
@@ -56,8 +56,8 @@
     pub info: Info,
 }
 
-/// A whole configuration is some hundred KB; the bound is against a path that never ends.
-const FILE_MOST: u64 = 64 << 20;
+/// A whole configuration is some hundred KB, and several times as much in memory.
+const FILE_MOST: u64 = 2 << 20;
 
 impl Config {
     /// Errors: the file with what is wrong in it.
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -23,17 +23,30 @@
     (version, json!({"index": version, "snapshot": whole, "endpoints": rows}))
 }
 
-/// Answers a watch with what is told beyond its version, in pieces of a few bytes.
+/// Answers a watch with what is told beyond its version, in pieces of a few bytes, and whoever asks for all with
+/// the last whole list.
 fn watched(mut stream: TcpStream, told: &Told) -> std::io::Result<()> {
     let mut request = String::new();
     let mut reader = BufReader::new(stream.try_clone()?);
     while reader.read_line(&mut request)? > 2 {}
+    if !request.contains("watch=1") {
+        let told = told.lock().unwrap();
+        let (_, whole) =
+            told.iter().rfind(|(_, object)| object["snapshot"] == true).cloned().unwrap_or_default();
+        let whole = whole.to_string();
+        return write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len());
+    }
     let from = request.split("from=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap_or("0");
     let mut from: u64 = from.parse().unwrap_or(0);
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
     for beat in 0u32.. {
-        let news: Vec<(u64, Value)> =
-            told.lock().unwrap().iter().filter(|(version, _)| *version > from).cloned().collect();
+        let news: Vec<(u64, Value)> = told
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|(at, one)| *at > from && one["snapshot"] == false)
+            .cloned()
+            .collect();
         let mut text = if beat % 50 == 0 { "\n".to_string() } else { String::new() };
         for (version, object) in news {
             (from, text) = (version, text + &format!("{object}\n"));
@@ -220,7 +233,9 @@
     let whole = newer.until(|order| order["whole"] == true);
     assert_eq!(names(&whole, "lines"), ["r1", "r3", "r4"]);
     assert!(proxy.ended_within(Duration::from_secs(5)));
-    node.told.lock().unwrap().push(listed(3, false, &[("r3", "draining")]));
+    // A drain that is spoilt as a change is had from the whole list.
+    let whole = listed(3, true, &[("r1", "up"), ("r3", "draining"), ("r4", "up")]);
+    node.told.lock().unwrap().extend([listed(3, false, &[("r3", "drained")]), whole]);
     newer.until(|order| names(order, "lines").contains(&"r3".into()));
     node.signal("-TERM");
     assert_eq!(node.child.wait().unwrap().code(), Some(0));
--- a/crates/discovery/src/list.rs
+++ b/crates/discovery/src/list.rs
@@ -29,6 +29,8 @@
     pub complete: bool,
     /// Why entries were left out.
     pub spoilt: Vec<String>,
+    /// What was left out will not be told again: only the whole list has it.
+    pub lost: bool,
 }
 
 /// The list as last told, and its version.
@@ -92,6 +94,7 @@
                 }
             }
         }
+        change.lost = !complete && !change.spoilt.is_empty();
         self.version = Some(version);
         if change.complete {
             self.entries.clear();
@@ -168,7 +171,17 @@
         assert!(change.complete && change.spoilt.len() == 1);
         // One whose name can't be read may be any that is missing: nothing is taken for gone.
         let change = take(&mut list, 3, true, &[json!({"name": 3}), row("r3", "up")]).expect("newer");
-        assert!(!change.complete);
+        assert!(!change.complete && !change.lost, "asking again would bring the same");
+    }
+
+    #[test]
+    fn a_change_that_was_spoilt_is_had_from_the_whole_list() {
+        let mut list = List::new(&["a".into()]);
+        take(&mut list, 1, true, &[row("r1", "up")]);
+        let spoilt = take(&mut list, 2, false, &[row("r1", "drained")]).expect("newer");
+        assert!(spoilt.lost);
+        let whole = take(&mut list, 2, true, &[row("r1", "draining")]).expect("no older than what is known");
+        assert_eq!((names(&whole), whole.lost), (vec![("r1", Phase::Draining)], false));
     }
 
     #[test]
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -22,8 +22,9 @@
 const SILENT: Duration = Duration::from_millis(2800);
 /// Waits between dials, doubled from the first to the last.
 const WAITS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
-/// A list of tens of thousands of entries; what is longer is not taken into memory.
-const OBJECT_MOST: usize = 4 << 20;
+/// A list of some ten thousand entries. What is longer is not taken into memory, where it would be several times
+/// as large.
+const OBJECT_MOST: usize = 2 << 20;
 
 /// Why a watch ended.
 #[derive(Debug, Error)]
@@ -34,6 +35,10 @@
     Silent,
     #[error("it ended")]
     Ended,
+    #[error("not all it said could be used: the whole list is asked for")]
+    Unusable,
+    #[error("nobody listens")]
+    Unheard,
     #[error("it answered {0}")]
     Answer(hyper::StatusCode),
     #[error("{0}")]
@@ -56,83 +61,80 @@
 pub async fn follow(address: String, mut known: Option<u64>, objects: mpsc::Sender<Object>) {
     let mut wait = WAITS.0;
     loop {
-        let mut told = false;
-        let fault = match watch(&address, &mut known, &objects, &mut told).await {
-            Ok(()) => return,
+        let before = known;
+        let ended = match known {
+            None => whole(&address, &mut known, &objects).await,
+            Some(version) => watch(&address, version, &mut known, &objects).await,
+        };
+        let fault = match ended {
+            Ok(()) => continue,
+            Err(Fault::Unheard) => return,
             Err(fault) => fault,
         };
-        tracing::info!(%address, %fault, "discovery is dialled anew");
-        wait = if told { WAITS.0 } else { (2 * wait).min(WAITS.1) };
+        // A watch that told something ended; one that goes on failing is not logged for ever.
+        if before.is_some() && known != before {
+            wait = WAITS.0;
+        }
+        if wait < WAITS.1 {
+            tracing::info!(%address, %fault, "discovery is dialled anew");
+        } else {
+            tracing::debug!(%address, %fault, "discovery is dialled anew");
+        }
         tokio::time::sleep(wait).await;
+        wait = (2 * wait).min(WAITS.1);
+    }
+}
+
+/// Has all of the list told, from which a watch may go on.
+async fn whole(address: &str, known: &mut Option<u64>, objects: &mpsc::Sender<Object>) -> Result<(), Fault> {
+    let (answer, _driver) = ask(address, "/registry/instances").await?;
+    let (mut body, mut list) = (answer.into_body(), Vec::new());
+    while let Some(data) = piece(&mut body).await? {
+        if list.len() + data.len() > OBJECT_MOST {
+            return Err(TooLong(OBJECT_MOST).into());
+        }
+        list.extend_from_slice(&data);
     }
+    *known = Some(tell(objects, list).await?);
+    Ok(())
 }
 
-/// Ends well only where nobody listens any more.
+/// Watches from a version on, for as long as the connection lasts.
 async fn watch(
     address: &str,
+    from: u64,
     known: &mut Option<u64>,
     objects: &mpsc::Sender<Object>,
-    told: &mut bool,
 ) -> Result<(), Fault> {
-    let path = match known {
-        Some(version) => format!("/registry/instances?watch=1&from={version}"),
-        None => "/registry/instances".to_string(),
-    };
-    let (answer, driver) = ask(address, &path).await?;
-    let watching = known.is_some();
-    let mut body = answer.into_body();
-    let mut frames = Frames::default();
-    let mut whole = Vec::new();
-    loop {
-        let piece = match timeout(SILENT, body.frame()).await {
-            Err(_) => return Err(Fault::Silent),
-            Ok(piece) => piece.transpose()?,
-        };
-        let Some(piece) = piece else { break };
-        let Ok(data) = piece.into_data() else { continue };
-        if !watching {
-            // The whole list comes by itself, on as many lines as it likes.
-            if whole.len() + data.len() > OBJECT_MOST {
-                return Err(TooLong(OBJECT_MOST).into());
-            }
-            whole.extend_from_slice(&data);
-            continue;
-        }
+    let (answer, _driver) = ask(address, &format!("/registry/instances?watch=1&from={from}")).await?;
+    let (mut body, mut frames) = (answer.into_body(), Frames::default());
+    while let Some(data) = piece(&mut body).await? {
         let mut lines = Vec::new();
         frames.push(&data, OBJECT_MOST, |line| {
             lines.push(line.to_vec());
             true
         })?;
         for line in lines {
-            let Some(version) = tell(objects, line).await else { return Ok(()) };
-            if version.is_none() {
-                *known = None;
-                return Err(Fault::Ended); // all of it is asked for
-            }
-            (*known, *told) = (version, true);
+            *known = None;
+            *known = Some(tell(objects, line).await?);
         }
     }
-    drop(driver);
-    if watching {
-        return Err(Fault::Ended);
-    }
-    match tell(objects, whole).await {
-        None => Ok(()),
-        Some(version) => {
-            *known = version;
-            if version.is_none() {
-                Err(Fault::Ended)
-            } else {
-                Box::pin(watch(address, known, objects, told)).await
-            }
-        }
+    Err(Fault::Ended)
+}
+
+/// The next bytes of an answer; none at its end.
+async fn piece(body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
+    match timeout(SILENT, body.frame()).await.map_err(|_| Fault::Silent)? {
+        None => Ok(None),
+        Some(frame) => Ok(Some(frame?.into_data().unwrap_or_default())), // trailers tell of nothing
     }
 }
 
-async fn tell(objects: &mpsc::Sender<Object>, bytes: Vec<u8>) -> Option<Option<u64>> {
+/// The version that the list has after an object.
+async fn tell(objects: &mpsc::Sender<Object>, bytes: Vec<u8>) -> Result<u64, Fault> {
     let (known, told) = oneshot::channel();
-    objects.send(Object { bytes, known }).await.ok()?;
-    told.await.ok()
+    objects.send(Object { bytes, known }).await.map_err(|_| Fault::Unheard)?;
+    told.await.map_err(|_| Fault::Unheard)?.ok_or(Fault::Unusable)
 }
 
 /// Ends a connection's task with the watch that uses it.
