Silence is told by a tested function; operators are no longer shown a misleading lateness

When a stream has fallen silent is a function with a test. Arms of door.rs that did the same are one.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -318,8 +318,8 @@
         #[arg(long)]
         suspect: Vec<String>,
     },
-    /// Run a governor by the platform's protocol, as its variables RELAY_NAME, RELAY_LISTEN, RELAY_DISCOVERY and
-    /// RELAY_CONFIG say: SIGHUP reads the configuration again, SIGTERM stops it
+    /// Run a governor by the platform's protocol, as its variables RELAY_NAME, RELAY_LISTEN, RELAY_DISCOVERY
+    /// and RELAY_CONFIG say: SIGHUP reads the configuration again, SIGTERM stops it
     Node,
     /// Say what a settings script comes to, or all that is wrong with it
     #[command(after_help = "Example: wrenthread check deploy/settings.star --output json")]
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -248,8 +248,7 @@
     }
 
     fn keep_house(&mut self, late: bool) {
-        // A governor that stood still has heard of nobody: what waits on the sockets is read before the next
-        // look.
+        // A governor that stood still has heard of nobody: what waits is read before the next look.
         if !late {
             for proxy in self.silent() {
                 tracing::info!(proxy, "a proxy has fallen silent: its stream ends");
@@ -263,11 +262,7 @@
         if !self.houses_kept.is_multiple_of(LOGGED) {
             return;
         }
-        let (offered, answered, let_in, late, [open, out, proxies, unsure]) = self.governor.beliefs();
-        tracing::info!(
-            "flows a second {offered:.1}, answered {answered:.1}, let in {let_in:.2}, late {late:.2}; \
-             replicas {open}, out {out}; proxies {proxies}, to be bound {unsure}"
-        );
+        tracing::info!("{:?}", governor.beliefs());
         let faults = std::mem::take(&mut *self.doors.faults.borrow_mut());
         if !faults.is_empty() {
             tracing::info!(?faults, "left out or ended");
@@ -285,10 +280,8 @@
         }
         let silent = self.streams.iter().filter(|(proxy, stream)| {
             let heard = self.clock.since(stream.line.heard().into_std());
-            let owes = self.book.owes_since(**proxy, heard).map(|sent| now.saturating_sub(sent));
-            let due = ANSWER_WITHIN + 2 * every;
-            let flows = (silence(stream).saturating_sub(due)).as_secs_f64() * stream.usual;
-            stream.line.sent() && (owes.is_some_and(|owed| owed > due) || flows > FLOWS_MISSED)
+            let owed = self.book.owes_since(**proxy, heard).map(|sent| now.saturating_sub(sent));
+            stream.line.sent() && has_fallen_silent(silence(stream), owed, stream.usual, every)
         });
         silent.map(|(proxy, _)| *proxy).collect()
     }
@@ -321,3 +314,28 @@
         tracing::info!(%discovery, "a new configuration is in force");
     }
 }
+
+/// Whether a stream that was silent so long, and has owed an answer since, would have had to say something by
+/// now. Sums come `every` so often, where there are any flows.
+fn has_fallen_silent(silence: Duration, owed: Option<Duration>, usual: f64, every: Duration) -> bool {
+    let due = ANSWER_WITHIN + 2 * every;
+    let flows = silence.saturating_sub(due).as_secs_f64() * usual;
+    owed.is_some_and(|owed| owed > due) || flows > FLOWS_MISSED
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_has_little_to_say_is_not_taken_for_silent() {
+        let (second, every) = (Duration::from_secs(1), Duration::from_millis(500));
+        let silent = |silence, owed: Option<u32>, usual| {
+            has_fallen_silent(silence * second, owed.map(|owed| owed * second), usual, every)
+        };
+        assert!(!silent(12, Some(12), 50.0), "answers may wait in a slow channel");
+        assert!(silent(14, Some(14), 0.1), "it owes an answer");
+        assert!(silent(16, None, 6.0), "eighteen flows would have come");
+        assert!(!silent(60, None, 0.2), "nine would, and chance may leave them out");
+    }
+}
--- a/crates/daemon/src/node/door.rs
+++ b/crates/daemon/src/node/door.rs
@@ -268,8 +268,7 @@
     async fn serve(mut self) {
         let until = Instant::now() + STRANGER_FOR;
         let why = loop {
-            // What has come is read before the wait is judged: a governor that stood still was not waited
-            // for.
+            // What has come is read before the wait is judged: it may be the governor that stood still.
             let ready = tokio::select! {
                 biased;
                 ready = self.read.readable() => ready,
@@ -375,8 +374,7 @@
                 self.queue = Some((queue, unsent));
                 self.tell(Event::Joined { door: self.door, proxy, zone, usual, fresh, line }).await;
             }
-            (told @ Told::Met(_), Party::Collector) => self.said(told).await,
-            (told @ Told::Came(_), Party::Collector) => self.said(told).await,
+            (told @ (Told::Met(_) | Told::Came(_)), Party::Collector) => self.said(told).await,
             (Told::Came(came), Party::Proxy(own)) if came.proxy == own => self.said(Told::Came(came)).await,
             (Told::Acked { proxy, mark, took }, Party::Proxy(own)) if proxy == own => {
                 self.said(Told::Acked { proxy, mark, took }).await;
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -23,8 +23,8 @@
     (version, json!({"index": version, "snapshot": whole, "endpoints": rows}))
 }
 
-/// Answers a watch with what is told beyond its version, in pieces of a few bytes, and whoever asks for all with
-/// the last whole list.
+/// Answers a watch with what is told beyond its version, in pieces of a few bytes, and whoever asks for all
+/// with the last whole list.
 fn watched(mut stream: TcpStream, told: &Told) -> std::io::Result<()> {
     let mut request = String::new();
     let mut reader = BufReader::new(stream.try_clone()?);
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -22,8 +22,8 @@
 const SILENT: Duration = Duration::from_millis(2800);
 /// Waits between dials, doubled from the first to the last.
 const WAITS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
-/// A list of some ten thousand entries. What is longer is not taken into memory, where it would be several times
-/// as large.
+/// A list of some ten thousand entries. What is longer is not taken into memory, where it would be several
+/// times as large.
 const OBJECT_MOST: usize = 2 << 20;
 
 /// Why a watch ended.
--- a/crates/lines/src/book/tests.rs
+++ b/crates/lines/src/book/tests.rs
@@ -77,7 +77,7 @@
     let step = prop_oneof![
         3 => (0u16..4, proptest::collection::vec((0usize..5, 0u8..3), 1..4))
             .prop_map(|(table, lines)| Step::Lines(table, lines)),
-        3 => (0u16..3, 0u16..4, 0u64..4).prop_map(|(proxy, table, groups)| Step::Follow(proxy, table, groups)),
+        3 => (0u16..3, 0u16..4, 0u64..4).prop_map(|(proxy, table, of)| Step::Follow(proxy, table, of)),
         2 => (0usize..5, any::<bool>()).prop_map(|(replica, out)| Step::Withdraw(replica, out)),
         1 => (0u64..4, 0u8..4).prop_map(|(groups, level)| Step::Level(groups, level)),
         1 => (0u16..3, proptest::option::of(0usize..5)).prop_map(|(proxy, out)| Step::Rejoin(proxy, out)),
@@ -115,7 +115,8 @@
     #[test]
     fn a_proxy_holds_what_was_decided(steps in steps()) {
         let mut book = Book::new(GROUPS.map(String::from).to_vec(), FurtherTries::Never);
-        let mut proxies: Vec<Proxy> = (0..3).map(|_| Proxy { levels: [USUAL; 2], ..Proxy::default() }).collect();
+        let proxy = |_| Proxy { levels: [USUAL; 2], ..Proxy::default() };
+        let mut proxies: Vec<Proxy> = (0..3).map(proxy).collect();
         (0..3).for_each(|proxy| book.joined(proxy));
         for step in steps.into_iter().chain([Step::Flush]) {
             match step {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,10 +5,10 @@
 //!
 //! A host makes one [`crate::rules::Governor`] for each governor, follows the list of replicas for it, and
 //!
-//! 1. tells it what has happened: [`listed`](crate::rules::Governor::listed) first, with the whole list as last
-//!    known, then `joined`, `left`, `met`, `came`, `probed`, `acked` and `beat` as they come;
-//! 2. pulls [`decide`](crate::rules::Governor::decide) until it gives `None`, and carries out each decision in
-//!    the order given. All that is pulled in one go reaches each proxy concerned as one message.
+//! 1. tells it what has happened: [`listed`](crate::rules::Governor::listed) first, with the whole list as
+//!    last known, then `joined`, `left`, `met`, `came`, `probed`, `acked` and `beat` as they come;
+//! 2. pulls [`decide`](crate::rules::Governor::decide) until it gives `None`, and carries out each decision
+//!    in the order given. All that is pulled in one go reaches each proxy concerned as one message.
 //!
 //! A governor that restarts is made anew; proxies that join it again are told of as not `fresh`.
 //!
@@ -212,6 +212,21 @@
     pub span: Duration,
 }
 
+/// What a governor takes for true, for operators to hold against what they see.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Beliefs {
+    /// Flows a second that its proxies are sent, and that replicas answer them.
+    pub offered: f64,
+    pub answered: f64,
+    pub let_in: f64,
+    /// Replicas that are ready, less those that it keeps out.
+    pub open: usize,
+    pub out: usize,
+    pub proxies: usize,
+    /// Proxies that must be bound before anything else can be said of them.
+    pub unsure: usize,
+}
+
 /// One thing decided. All that is pulled in one go travels as one message to each proxy concerned.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -363,14 +363,13 @@
         self.replicas.contains_key(id)
     }
 
-    /// For operators: flows a second offered, answered; share let in; lateness; open, out, joined, unsure.
-    pub fn beliefs(&self) -> (f64, f64, f64, f64, [usize; 4]) {
-        let offered = self.proxies.values().flat_map(|proxy| &proxy.rates).sum();
+    /// For operators: what it takes for true.
+    pub fn beliefs(&self) -> Beliefs {
+        let (offered, answered) = (self.proxies.values().flat_map(|one| &one.rates).sum(), self.answered());
         let out = self.replicas.values().filter(|one| one.ready && one.out()).count();
-        let ready = self.replicas.values().filter(|one| one.ready).count();
+        let open = self.replicas.values().filter(|one| one.ready && !one.out()).count();
         let unsure = self.proxies.values().filter(|one| one.unsure).count();
-        let late = self.pulse.1 / self.pulse.0.max(1.0) / self.figures.budget;
-        (offered, self.answered(), self.let_in, late, [ready - out, out, self.proxies.len(), unsure])
+        Beliefs { offered, answered, let_in: self.let_in, open, out, proxies: self.proxies.len(), unsure }
     }
 
     /// For operators: whether a proxy is bound to solved tables.
