Names of the field: connection, unidentified peer, nonce, message and config, outbox

A rename and nothing else: door.rs, told.rs and book.rs are connection.rs, config.rs and outbox.rs; the log's counts say 'unidentified' where they said 'stranger'.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -132,7 +132,7 @@
                 fields.small("forwarder")?,
                 fields.small("hall")?,
                 fields.number("weight", 0.0),
-                fields.mark("set"),
+                fields.flag("set"),
             ),
             "left" => governor.left(fields.small("forwarder")?),
             "tally" => governor.met(
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,8 +1,8 @@
 //! `wrenthread node`: one governor by the platform's protocol. It feeds the rules what comes over the
 //! sockets, pulls what they decide, and sends it; it decides nothing itself.
 
-mod door;
-pub mod told;
+pub mod config;
+mod connection;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,12 +19,12 @@
 use wrenthread::rules::Governor;
 use wrenthread_discovery::list::{Change, List};
 use wrenthread_discovery::watch::{self, Object};
-use wrenthread_lines::book::Book;
-use wrenthread_lines::decode::{Decoder, Told};
+use wrenthread_lines::decode::{Decoder, Message};
+use wrenthread_lines::outbox::Outbox;
 
 use crate::clock::Clock;
-use door::{Doors, Event, Line};
-use told::{Config, Variables};
+use config::{Config, Variables};
+use connection::{Connections, Event, Handle};
 
 /// Events that may wait for the one task; connections beyond it wait on their sockets.
 const EVENTS: usize = 1024;
@@ -34,7 +34,7 @@
 const HOUSEKEEPING: Duration = Duration::from_secs(1);
 /// How many times of those pass before what was left out is logged.
 const LOGGED: u32 = 5;
-/// An answer to a mark takes as long as lines wait in a channel that may run slower than it ought to, and
+/// An answer to a nonce takes as long as lines wait in a channel that may run slower than it ought to, and
 /// some.
 const ANSWER_WITHIN: Duration = Duration::from_secs(12);
 /// Flows that a proxy would have been sent meanwhile: chance alone leaves none of so many out once in a
@@ -61,12 +61,12 @@
     let config = Config::read(&variables.config)?;
     let listen = variables.listen;
     let listener = TcpListener::bind(listen).await.map_err(|error| {
-        told::Fault::Address("RELAY_LISTEN", format!("{listen}, which can't be listened on: {error}"))
+        config::Fault::Address("RELAY_LISTEN", format!("{listen}, which can't be listened on: {error}"))
     })?;
     let (events, mut heard) = mpsc::channel(EVENTS);
     let (objects, mut lists) = mpsc::channel(4);
     let mut node = Node::new(clock, variables, config, objects);
-    spawn_local(door::open(listener, node.doors.clone(), events));
+    spawn_local(connection::open(listener, node.connections.clone(), events));
     tracing::info!(governor = %node.variables.name, %listen, discovery = %node.discovery, "it serves");
     node.pull();
     loop {
@@ -92,8 +92,8 @@
 
 /// A proxy's newest stream.
 struct Stream {
-    door: u64,
-    line: Line,
+    connection: u64,
+    handle: Handle,
     usual: f64,
 }
 
@@ -106,8 +106,8 @@
     objects: mpsc::Sender<Object>,
     governor: Governor,
     list: List,
-    book: Book,
-    doors: Rc<Doors>,
+    outbox: Outbox,
+    connections: Rc<Connections>,
     streams: BTreeMap<ProxyId, Stream>,
     /// When the rules asked to be called.
     due: Instant,
@@ -120,15 +120,15 @@
 impl Node {
     fn new(clock: Clock, variables: Variables, config: Config, objects: mpsc::Sender<Object>) -> Self {
         let info = &config.info;
-        let doors = Rc::new(Doors::new(Decoder::new(info)));
+        let connections = Rc::new(Connections::new(Decoder::new(info)));
         let discovery = config.discovery.unwrap_or(variables.discovery);
         let mut list = List::new(&info.zones);
         let known = list.take(&config.known, |at| clock.at(at));
         let mut node = Node {
             governor: Governor::new(info.settings.clone(), clock.now()),
-            book: Book::new(info.groups.clone(), info.settings.usual_tries),
+            outbox: Outbox::new(info.groups.clone(), info.settings.usual_tries),
             follower: spawn_local(watch::follow(discovery.to_string(), list.version(), objects.clone())),
-            doors,
+            connections,
             list,
             objects,
             discovery,
@@ -153,7 +153,7 @@
 
     fn limit(&self) {
         let (config, info) = (&self.config, &self.config.info);
-        self.doors.limit(config.sockets, config.memory, info.settings.proxies, info.zones.len());
+        self.connections.limit(config.sockets, config.memory, info.settings.proxies, info.zones.len());
     }
 
     fn listed(&mut self, object: Object) {
@@ -176,32 +176,32 @@
         for why in &change.spoilt {
             tracing::warn!(%why, "an entry of discovery is spoilt and left out");
         }
-        self.doors.names.borrow_mut().extend(change.entries.iter().map(|entry| entry.id.clone()));
+        self.connections.names.borrow_mut().extend(change.entries.iter().map(|entry| entry.id.clone()));
         self.governor.listed(self.clock.now(), &change.entries, change.complete);
     }
 
     fn take(&mut self, event: Event) {
         let now = self.clock.now();
         match event {
-            Event::Joined { door, proxy, zone, usual, fresh, line } => {
-                // An older stream of the proxy ends with its line.
-                self.streams.insert(proxy, Stream { door, line, usual });
-                self.book.joined(proxy);
+            Event::Joined { connection, proxy, zone, usual, fresh, handle } => {
+                // An older stream of the proxy ends with its handle.
+                self.streams.insert(proxy, Stream { connection, handle, usual });
+                self.outbox.joined(proxy);
                 self.governor.joined(now, proxy, zone, usual, fresh);
             }
-            Event::Ended { door, proxy } => {
-                if self.streams.get(&proxy).is_some_and(|stream| stream.door == door) {
+            Event::Ended { connection, proxy } => {
+                if self.streams.get(&proxy).is_some_and(|stream| stream.connection == connection) {
                     self.leave(proxy);
                 }
             }
-            Event::Said { told: Told::Met(met), .. } => self.governor.met(now, met),
-            Event::Said { told: Told::Came(came), .. } => self.governor.came(now, came),
-            Event::Said { door, told: Told::Acked { proxy, mark, took } } => {
-                let newest = self.streams.get(&proxy).is_some_and(|stream| stream.door == door);
-                if newest && self.book.acked(now, proxy, mark, took) {
+            Event::Said { message: Message::Met(met), .. } => self.governor.met(now, met),
+            Event::Said { message: Message::Came(came), .. } => self.governor.came(now, came),
+            Event::Said { connection, message: Message::Acked { proxy, nonce, took } } => {
+                let newest = self.streams.get(&proxy).is_some_and(|stream| stream.connection == connection);
+                if newest && self.outbox.acked(now, proxy, nonce, took) {
                     self.governor.acked(took);
                 } else {
-                    self.doors.count("spoilt: an answer to no mark");
+                    self.connections.count("spoilt: an answer to no nonce");
                 }
             }
             Event::Said { .. } => {}
@@ -210,7 +210,7 @@
 
     fn leave(&mut self, proxy: ProxyId) {
         self.streams.remove(&proxy);
-        self.book.left(proxy);
+        self.outbox.left(proxy);
         self.governor.left(proxy);
     }
 
@@ -231,13 +231,13 @@
         }
         let now = self.clock.now();
         while let Some(decision) = self.governor.decide(now) {
-            if let Some(Decision::Wake(after)) = self.book.take(decision) {
+            if let Some(Decision::Wake(after)) = self.outbox.take(decision) {
                 self.due = at + after;
             }
         }
         let mut unread = Vec::new();
-        self.book.flush(now, |proxy, bytes| {
-            if self.streams.get(&proxy).is_some_and(|stream| !stream.line.send(bytes)) {
+        self.outbox.flush(now, |proxy, bytes| {
+            if self.streams.get(&proxy).is_some_and(|stream| !stream.handle.send(bytes)) {
                 unread.push(proxy);
             }
         });
@@ -256,14 +256,14 @@
             }
         }
         let governor = &self.governor;
-        self.book.retain(|id| governor.knows(id));
-        self.doors.names.borrow_mut().retain(|id| governor.knows(id));
+        self.outbox.retain(|id| governor.knows(id));
+        self.connections.names.borrow_mut().retain(|id| governor.knows(id));
         self.houses_kept += 1;
         if !self.houses_kept.is_multiple_of(LOGGED) {
             return;
         }
         tracing::info!("{:?}", governor.beliefs());
-        let faults = std::mem::take(&mut *self.doors.faults.borrow_mut());
+        let faults = std::mem::take(&mut *self.connections.faults.borrow_mut());
         if !faults.is_empty() {
             tracing::info!(?faults, "left out or ended");
         }
@@ -273,15 +273,15 @@
     fn silent(&self) -> Vec<ProxyId> {
         let (at, now) = (Instant::now(), self.clock.now());
         let every = self.config.info.settings.sums_every;
-        let silence = |stream: &Stream| at.saturating_duration_since(stream.line.heard());
+        let silence = |stream: &Stream| at.saturating_duration_since(stream.handle.heard());
         let speaking = self.streams.values().filter(|stream| silence(stream) < ANSWER_WITHIN).count();
         if 2 * speaking < self.streams.len() {
             return Vec::new(); // whatever keeps them all from being heard, it is not each of them
         }
         let silent = self.streams.iter().filter(|(proxy, stream)| {
-            let heard = self.clock.since(stream.line.heard().into_std());
-            let owed = self.book.owes_since(**proxy, heard).map(|sent| now.saturating_sub(sent));
-            stream.line.sent() && has_fallen_silent(silence(stream), owed, stream.usual, every)
+            let heard = self.clock.since(stream.handle.heard().into_std());
+            let owed = self.outbox.owes_since(**proxy, heard).map(|sent| now.saturating_sub(sent));
+            stream.handle.sent() && has_fallen_silent(silence(stream), owed, stream.usual, every)
         });
         silent.map(|(proxy, _)| *proxy).collect()
     }
--- a/crates/daemon/src/node/door.rs
+++ b/crates/daemon/src/node/connection.rs
@@ -1,7 +1,7 @@
-//! Connections at the governor's address: strangers, collectors and proxies' streams.
+//! Connections at the governor's address: unidentified peers, collectors and proxies' streams.
 //!
-//! A stranger has a second and a small buffer to say who it is. Whatever can't be read, or comes out of
-//! order, ends the connection with a `NACK`; a spoilt message of a known party is left out and counted.
+//! An unidentified peer has a second and a small buffer to say who it is. Whatever can't be read, or comes out
+//! of order, ends the connection with a `NACK`; a spoilt message of a known party is left out and counted.
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,13 +15,13 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 use wrenthread::interface::{ProxyId, ReplicaId};
-use wrenthread_lines::decode::{Decoder, Fault, Told};
+use wrenthread_lines::decode::{Decoder, Fault, Message};
 use wrenthread_lines::frames::Frames;
 
 /// What a connection has to say who it is; it may be closed then.
-const STRANGER_FOR: Duration = Duration::from_millis(1000);
+const IDENTIFY_WITHIN: Duration = Duration::from_millis(1000);
 /// A joining is under 200 bytes.
-const STRANGER_BYTES: usize = 4 << 10;
+const UNIDENTIFIED_BYTES: usize = 4 << 10;
 /// The platform's bound for a message.
 const MESSAGE_MOST: usize = 1 << 20;
 /// A proxy that leaves this much unread has been gone for long: all orders of a minute are a fraction of it.
@@ -35,23 +35,23 @@
 const NACK: &[u8] = b"{\"@type\":\"NACK\"}\n";
 const PONG: &[u8] = b"{\"@type\":\"PONG\"}\n";
 
-/// What the doors tell the one task that owns all state.
+/// What the connections tell the one task that owns all state.
 pub enum Event {
     Joined {
-        door: u64,
+        connection: u64,
         proxy: ProxyId,
         zone: usize,
         usual: f64,
         fresh: bool,
-        line: Line,
+        handle: Handle,
     },
     Said {
-        door: u64,
-        told: Told,
+        connection: u64,
+        message: Message,
     },
     /// The stream of a proxy has ended.
     Ended {
-        door: u64,
+        connection: u64,
         proxy: ProxyId,
     },
 }
@@ -59,7 +59,7 @@
 type Orders = mpsc::UnboundedSender<Vec<u8>>;
 
 /// The sending side of a proxy's stream. Dropping it ends the connection.
-pub struct Line {
+pub struct Handle {
     queue: Orders,
     unsent: Rc<Cell<usize>>,
     heard: Rc<Cell<Instant>>,
@@ -67,7 +67,7 @@
     writer: AbortHandle,
 }
 
-impl Line {
+impl Handle {
     /// False if the party has left too much unread.
     pub fn send(&self, bytes: Vec<u8>) -> bool {
         queue(&self.queue, &self.unsent, bytes)
@@ -84,7 +84,7 @@
     }
 }
 
-impl Drop for Line {
+impl Drop for Handle {
     fn drop(&mut self) {
         self.reader.abort();
         self.writer.abort();
@@ -99,43 +99,43 @@
     queue.send(bytes).is_ok()
 }
 
-/// What all doors share, on the one thread.
-pub struct Doors {
+/// What all connections share, on the one thread.
+pub struct Connections {
     pub decoder: Decoder,
     /// Replicas by name, as the list has them or lately had them.
     pub names: RefCell<BTreeSet<ReplicaId>>,
     /// What was left out or ended, by reason, since it was last logged.
     pub faults: RefCell<BTreeMap<String, u64>>,
-    /// How many strangers there may be.
-    strangers_most: Cell<usize>,
+    /// How many unidentified there may be.
+    unidentified_most: Cell<usize>,
     /// Bytes that may wait for the end of their frames, in all connections together.
     unread_most: Cell<usize>,
     unread: Cell<usize>,
-    strangers: RefCell<BTreeMap<u64, AbortHandle>>,
+    unidentified: RefCell<BTreeMap<u64, AbortHandle>>,
     collectors: RefCell<BTreeMap<usize, Vec<(u64, AbortHandle)>>>,
     scratch: RefCell<Vec<u8>>,
 }
 
-impl Doors {
+impl Connections {
     pub fn new(decoder: Decoder) -> Self {
-        Doors {
+        Connections {
             decoder,
             names: RefCell::default(),
             faults: RefCell::default(),
-            strangers_most: Cell::new(16),
+            unidentified_most: Cell::new(16),
             unread_most: Cell::new(1 << 20),
             unread: Cell::new(0),
-            strangers: RefCell::default(),
+            unidentified: RefCell::default(),
             collectors: RefCell::default(),
             scratch: RefCell::new(vec![0; 16 << 10]),
         }
     }
 
-    /// Sets what strangers and unread input may take, from the platform's limits.
+    /// Sets what unidentified and unread input may take, from the platform's limits.
     pub fn limit(&self, sockets: usize, memory: usize, proxies: u64, zones: usize) {
         let known = usize::try_from(proxies).unwrap_or(usize::MAX);
         let known = known.saturating_add(COLLECTORS * zones + RESERVE);
-        self.strangers_most.set(sockets.saturating_sub(known).clamp(16, 512));
+        self.unidentified_most.set(sockets.saturating_sub(known).clamp(16, 512));
         self.unread_most.set((memory / 8).max(2 * MESSAGE_MOST));
     }
 
@@ -153,24 +153,24 @@
         self.count(reason);
     }
 
-    fn settle(&self, door: u64) {
-        self.strangers.borrow_mut().remove(&door);
+    fn settle(&self, connection: u64) {
+        self.unidentified.borrow_mut().remove(&connection);
     }
 
-    /// The longest-waiting stranger goes.
+    /// The unidentified peer that has waited longest goes.
     fn make_room(&self, most: usize) {
-        let mut strangers = self.strangers.borrow_mut();
-        while strangers.len() > most {
-            let Some((_, stranger)) = strangers.pop_first() else { return };
-            stranger.abort();
-            self.count("stranger: others came");
+        let mut unidentified = self.unidentified.borrow_mut();
+        while unidentified.len() > most {
+            let Some((_, peer)) = unidentified.pop_first() else { return };
+            peer.abort();
+            self.count("unidentified: others came");
         }
     }
 
-    fn collects(&self, zone: usize, door: u64, handle: AbortHandle) {
+    fn collects(&self, zone: usize, connection: u64, handle: AbortHandle) {
         let mut collectors = self.collectors.borrow_mut();
         let of = collectors.entry(zone).or_default();
-        of.push((door, handle));
+        of.push((connection, handle));
         if of.len() > COLLECTORS {
             of.remove(0).1.abort();
             self.count("collector: newer ones came");
@@ -179,25 +179,25 @@
 }
 
 /// Accepts connections for as long as it runs.
-pub async fn open(listener: TcpListener, doors: Rc<Doors>, events: mpsc::Sender<Event>) {
-    let mut door = 0;
+pub async fn open(listener: TcpListener, connections: Rc<Connections>, events: mpsc::Sender<Event>) {
+    let mut connection = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                door += 1;
+                connection += 1;
                 let own = Rc::new(OnceCell::new());
-                let conn = Conn::new(stream, door, doors.clone(), events.clone(), own.clone());
+                let conn = Conn::new(stream, connection, connections.clone(), events.clone(), own.clone());
                 let handle = spawn_local(conn.serve()).abort_handle();
                 // It is not polled before this task waits.
                 let _ = own.set(handle.clone());
-                doors.strangers.borrow_mut().insert(door, handle);
-                doors.make_room(doors.strangers_most.get());
+                connections.unidentified.borrow_mut().insert(connection, handle);
+                connections.make_room(connections.unidentified_most.get());
             }
             Err(error) => {
                 // Out of descriptors, most likely: room is made, and waiting keeps this from spinning.
-                doors.count(format!("accepting: {error}"));
-                let strangers = doors.strangers.borrow().len();
-                doors.make_room(strangers.saturating_sub(8));
+                connections.count(format!("accepting: {error}"));
+                let unidentified = connections.unidentified.borrow().len();
+                connections.make_room(unidentified.saturating_sub(8));
                 sleep(Duration::from_millis(20)).await;
             }
         }
@@ -206,35 +206,35 @@
 
 #[derive(Clone, Copy, PartialEq)]
 enum Party {
-    Stranger,
+    Unidentified,
     Collector,
     Proxy(ProxyId),
 }
 
 /// Messages, and what ends the connection after them.
-type Heard = (Vec<Told>, Option<String>);
+type Heard = (Vec<Message>, Option<String>);
 
 /// One connection, as its reader has it.
 struct Conn {
     read: OwnedReadHalf,
     write: Option<OwnedWriteHalf>, // until a writer has it
     queue: Option<(Orders, Rc<Cell<usize>>)>,
-    door: u64,
-    doors: Rc<Doors>,
+    connection: u64,
+    connections: Rc<Connections>,
     events: mpsc::Sender<Event>,
     own: Rc<OnceCell<AbortHandle>>,
     party: Party,
     frames: Frames,
     heard: Rc<Cell<Instant>>,
-    held: usize, // of what the doors may hold unread
+    held: usize, // of what the connections may hold unread
 }
 
 impl Drop for Conn {
     fn drop(&mut self) {
-        self.doors.settle(self.door);
-        self.doors.unread.set(self.doors.unread.get() - self.held);
-        for of in self.doors.collectors.borrow_mut().values_mut() {
-            of.retain(|(door, _)| *door != self.door);
+        self.connections.settle(self.connection);
+        self.connections.unread.set(self.connections.unread.get() - self.held);
+        for of in self.connections.collectors.borrow_mut().values_mut() {
+            of.retain(|(connection, _)| *connection != self.connection);
         }
     }
 }
@@ -242,8 +242,8 @@
 impl Conn {
     fn new(
         stream: TcpStream,
-        door: u64,
-        doors: Rc<Doors>,
+        connection: u64,
+        connections: Rc<Connections>,
         events: mpsc::Sender<Event>,
         own: Rc<OnceCell<AbortHandle>>,
     ) -> Self {
@@ -254,11 +254,11 @@
             read,
             write: Some(write),
             queue: None,
-            door,
-            doors,
+            connection,
+            connections,
             events,
             own,
-            party: Party::Stranger,
+            party: Party::Unidentified,
             frames: Frames::default(),
             heard: Rc::new(Cell::new(Instant::now())),
             held: 0,
@@ -266,23 +266,23 @@
     }
 
     async fn serve(mut self) {
-        let until = Instant::now() + STRANGER_FOR;
+        let until = Instant::now() + IDENTIFY_WITHIN;
         let why = loop {
             // What has come is read before the wait is judged: it may be the governor that stood still.
             let ready = tokio::select! {
                 biased;
                 ready = self.read.readable() => ready,
-                () = sleep_until(until), if self.party == Party::Stranger => {
-                    break Some("stranger: did not say who it is".to_string());
+                () = sleep_until(until), if self.party == Party::Unidentified => {
+                    break Some("unidentified: did not say who it is".to_string());
                 }
             };
-            let told = match ready.and_then(|()| self.take()) {
-                Ok(Some(told)) => told,
+            let heard = match ready.and_then(|()| self.take()) {
+                Ok(Some(heard)) => heard,
                 Ok(None) => break None,
                 Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => continue,
                 Err(_) => break None,
             };
-            let (messages, fault) = told;
+            let (messages, fault) = heard;
             let mut out_of_order = None;
             for message in messages {
                 if let Err(why) = self.heed(message).await {
@@ -296,34 +296,34 @@
         };
         if let Some(why) = why {
             self.say(NACK);
-            self.doors.count(why);
+            self.connections.count(why);
         }
         if let Party::Proxy(proxy) = self.party {
-            let _ = self.events.send(Event::Ended { door: self.door, proxy }).await;
+            let _ = self.events.send(Event::Ended { connection: self.connection, proxy }).await;
         }
     }
 
     /// Reads what is there: messages, and what ends the connection after them; none at its end.
     fn take(&mut self) -> std::io::Result<Option<Heard>> {
-        let doors = self.doors.clone();
-        let mut scratch = doors.scratch.borrow_mut();
+        let connections = self.connections.clone();
+        let mut scratch = connections.scratch.borrow_mut();
         let count = self.read.try_read(&mut scratch)?;
         if count == 0 {
             return Ok(None);
         }
         self.heard.set(Instant::now());
-        let (names, party) = (doors.names.borrow(), self.party);
-        let most = if party == Party::Stranger { STRANGER_BYTES } else { MESSAGE_MOST };
+        let (names, party) = (connections.names.borrow(), self.party);
+        let most = if party == Party::Unidentified { UNIDENTIFIED_BYTES } else { MESSAGE_MOST };
         let (mut messages, mut fault) = (Vec::new(), None);
         let pushed = self.frames.push(&scratch[..count], most, |frame| {
-            match doors.decoder.read(frame, |name| names.get(name).cloned()) {
-                Ok(told) => messages.push(told),
+            match connections.decoder.read(frame, |name| names.get(name).cloned()) {
+                Ok(message) => messages.push(message),
                 Err(Fault::Unreadable(why)) => fault = Some(format!("unreadable: {}", kind(&why))),
                 // Nobody who is not known yet has a neighbour message that might be good.
-                Err(why) if party == Party::Stranger && messages.is_empty() => {
-                    fault = Some(format!("stranger: {why}"));
+                Err(why) if party == Party::Unidentified && messages.is_empty() => {
+                    fault = Some(format!("unidentified: {why}"));
                 }
-                Err(why) => doors.spoilt(&why, frame),
+                Err(why) => connections.spoilt(&why, frame),
             }
             fault.is_none()
         });
@@ -336,35 +336,38 @@
             fault = Some("unreadable: not an object".into());
         }
         let held = self.frames.waiting().len();
-        doors.unread.set(doors.unread.get() - self.held + held);
+        connections.unread.set(connections.unread.get() - self.held + held);
         self.held = held;
-        if fault.is_none() && held > STRANGER_BYTES && doors.unread.get() > doors.unread_most.get() {
+        if fault.is_none()
+            && held > UNIDENTIFIED_BYTES
+            && connections.unread.get() > connections.unread_most.get()
+        {
             fault = Some("unread: too much in all".into());
         }
         Ok(Some((messages, fault)))
     }
 
     /// Errors: what can't come from this party.
-    async fn heed(&mut self, told: Told) -> Result<(), String> {
-        match (told, self.party) {
-            (Told::Ping, _) => {
+    async fn heed(&mut self, message: Message) -> Result<(), String> {
+        match (message, self.party) {
+            (Message::Ping, _) => {
                 return if self.say(PONG) { Ok(()) } else { Err("unread: answers to PING".into()) };
             }
-            (Told::Source(zone), Party::Stranger) => {
+            (Message::Source(zone), Party::Unidentified) => {
                 self.party = Party::Collector;
-                self.doors.settle(self.door);
+                self.connections.settle(self.connection);
                 if let Some(own) = self.own.get() {
-                    self.doors.collects(zone, self.door, own.clone());
+                    self.connections.collects(zone, self.connection, own.clone());
                 }
             }
-            (Told::Joined { proxy, zone, usual, fresh }, Party::Stranger) => {
+            (Message::Joined { proxy, zone, usual, fresh }, Party::Unidentified) => {
                 let (Some(write), Some(own)) = (self.write.take(), self.own.get()) else { return Ok(()) };
                 self.party = Party::Proxy(proxy);
-                self.doors.settle(self.door);
+                self.connections.settle(self.connection);
                 let (queue, orders) = mpsc::unbounded_channel();
                 let unsent = Rc::new(Cell::new(0));
                 let writer = spawn_local(send(write, orders, unsent.clone())).abort_handle();
-                let line = Line {
+                let handle = Handle {
                     queue: queue.clone(),
                     unsent: unsent.clone(),
                     heard: self.heard.clone(),
@@ -372,22 +375,25 @@
                     writer,
                 };
                 self.queue = Some((queue, unsent));
-                self.tell(Event::Joined { door: self.door, proxy, zone, usual, fresh, line }).await;
+                self.tell(Event::Joined { connection: self.connection, proxy, zone, usual, fresh, handle })
+                    .await;
             }
-            (told @ (Told::Met(_) | Told::Came(_)), Party::Collector) => self.said(told).await,
-            (Told::Came(came), Party::Proxy(own)) if came.proxy == own => self.said(Told::Came(came)).await,
-            (Told::Acked { proxy, mark, took }, Party::Proxy(own)) if proxy == own => {
-                self.said(Told::Acked { proxy, mark, took }).await;
+            (message @ (Message::Met(_) | Message::Came(_)), Party::Collector) => self.said(message).await,
+            (Message::Came(came), Party::Proxy(own)) if came.proxy == own => {
+                self.said(Message::Came(came)).await
             }
-            (_, Party::Stranger) => return Err("stranger: reports before it says who it is".into()),
+            (Message::Acked { proxy, nonce, took }, Party::Proxy(own)) if proxy == own => {
+                self.said(Message::Acked { proxy, nonce, took }).await;
+            }
+            (_, Party::Unidentified) => return Err("unidentified: reports before it says who it is".into()),
             // A spoilt message may name what it does not mean; its neighbours count.
-            _ => self.doors.count("spoilt: not this party's to say"),
+            _ => self.connections.count("spoilt: not this party's to say"),
         }
         Ok(())
     }
 
-    async fn said(&self, told: Told) {
-        self.tell(Event::Said { door: self.door, told }).await;
+    async fn said(&self, message: Message) {
+        self.tell(Event::Said { connection: self.connection, message }).await;
     }
 
     async fn tell(&self, event: Event) {
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -1,4 +1,5 @@
-//! The real program by the platform's protocol: an agent of discovery, proxies and strangers on loopback.
+//! The real program by the platform's protocol: an agent of discovery, proxies and
+//! unidentified peers on loopback.
 
 mod common;
 
@@ -224,8 +225,8 @@
     node.told.lock().unwrap().push(listed(2, false, &[("r2", "draining")]));
     let drained = proxy.until(|order| names(order, "lines").contains(&"r2".into()));
     assert!(drained["lines"].as_array().unwrap().contains(&json!(["r2", 0.0])), "{drained}");
-    let mark = if drained["more"] == true { proxy.until(|order| order["more"] != true) } else { drained };
-    proxy.say(&json!({"@type": "ACK", "node": 17, "nonce": mark["ticket"], "latency": 3.5}));
+    let last = if drained["more"] == true { proxy.until(|order| order["more"] != true) } else { drained };
+    proxy.say(&json!({"@type": "ACK", "node": 17, "nonce": last["ticket"], "latency": 3.5}));
     proxy.say(&json!({"@type": "PING"}));
     assert_eq!(proxy.until(|said| said["@type"] == "PONG")["@type"], "PONG");
     // A newer stream of the same proxy: the older one's end is no leaving.
@@ -242,8 +243,8 @@
 }
 
 #[test]
-fn strangers_are_sent_away_and_keep_nobody_out() {
-    let node = Node::start("strangers");
+fn unidentified_peers_are_sent_away_and_keep_nobody_out() {
+    let node = Node::start("unidentified");
     let mut silent: Vec<Party> = (0..300).map(|_| node.dial()).collect();
     let mut proxy = node.join(3);
     proxy.until(|order| order["whole"] == true);
@@ -258,9 +259,9 @@
         b"{\"@type\":\"PING\"}\n",
     ];
     for bytes in strange {
-        let mut stranger = node.dial();
-        let _ = stranger.write(bytes);
-        assert!(stranger.ended_within(Duration::from_secs(3)), "{}", String::from_utf8_lossy(bytes));
+        let mut peer = node.dial();
+        let _ = peer.write(bytes);
+        assert!(peer.ended_within(Duration::from_secs(3)), "{}", String::from_utf8_lossy(bytes));
     }
     let mut endless = node.dial();
     let began = Instant::now();
@@ -268,8 +269,8 @@
         assert!(began.elapsed() < Duration::from_secs(3), "it may go on for ever");
         std::thread::sleep(Duration::from_millis(5));
     }
-    for stranger in &mut silent {
-        assert!(stranger.ended_within(Duration::from_secs(3)));
+    for peer in &mut silent {
+        assert!(peer.ended_within(Duration::from_secs(3)));
     }
     proxy.say(&json!({"@type": "PING"}));
     proxy.until(|said| said["@type"] == "PONG");
--- a/crates/info/src/lib.rs
+++ b/crates/info/src/lib.rs
@@ -65,7 +65,7 @@
         self.get(name).and_then(Value::as_f64).filter(|x| x.is_finite()).unwrap_or(other)
     }
 
-    pub fn mark(&self, name: &str) -> bool {
+    pub fn flag(&self, name: &str) -> bool {
         self.get(name).and_then(Value::as_bool).unwrap_or(false)
     }
 
@@ -150,7 +150,7 @@
             _ => FurtherTries::Once,
         },
         crossing_cost: penalties.number("cross_zone", 0.0),
-        probe_cost: limits.mark("probes").then(|| penalties.number("probe", 0.0)),
+        probe_cost: limits.flag("probes").then(|| penalties.number("probe", 0.0)),
         load_fields: load_fields.collect(),
     };
     let texts =
--- a/crates/lines/src/decode.rs
+++ b/crates/lines/src/decode.rs
@@ -10,7 +10,7 @@
 
 /// What one message says.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Told {
+pub enum Message {
     Ping,
     /// The collector of a zone.
     Source(usize),
@@ -24,7 +24,7 @@
     Came(Came),
     Acked {
         proxy: ProxyId,
-        mark: u16,
+        nonce: u16,
         took: Duration,
     },
 }
@@ -78,7 +78,7 @@
         Ok(Duration::from_secs_f64(self.number(name, most)? / 1000.0))
     }
 
-    fn mark(&self, name: &'static str) -> Result<bool, Fault> {
+    fn flag(&self, name: &'static str) -> Result<bool, Fault> {
         match self.0.get(name) {
             None | Some(Value::Null) => Ok(false),
             Some(value) => value.as_bool().ok_or(Fault::Field(name)),
@@ -115,7 +115,7 @@
     /// Reads one message. `replica` gives the name of a replica that the list has, or lately had.
     ///
     /// Errors: what can't be read at all, or is spoilt.
-    pub fn read(&self, frame: &[u8], replica: impl Fn(&str) -> Option<ReplicaId>) -> Result<Told, Fault> {
+    pub fn read(&self, frame: &[u8], replica: impl Fn(&str) -> Option<ReplicaId>) -> Result<Message, Fault> {
         let whole = match serde_json::from_slice(frame) {
             Ok(Value::Object(whole)) => whole,
             Ok(_) => return Err(Fault::Unreadable("no object".into())),
@@ -123,17 +123,17 @@
         };
         let fields = Fields(&whole);
         match fields.text("@type")? {
-            "PING" => Ok(Told::Ping),
-            "SOURCE" => Ok(Told::Source(self.zone(&fields)?)),
-            "SUBSCRIBE" => Ok(Told::Joined {
+            "PING" => Ok(Message::Ping),
+            "SOURCE" => Ok(Message::Source(self.zone(&fields)?)),
+            "SUBSCRIBE" => Ok(Message::Joined {
                 proxy: self.proxy(&fields)?,
                 zone: self.zone(&fields)?,
                 usual: fields.number("w", RATE_MOST)?,
-                fresh: fields.mark("cold")?,
+                fresh: fields.flag("cold")?,
             }),
-            "ACK" => Ok(Told::Acked {
+            "ACK" => Ok(Message::Acked {
                 proxy: self.proxy(&fields)?,
-                mark: fields.whole("nonce", f64::from(u16::MAX))? as u16,
+                nonce: fields.whole("nonce", f64::from(u16::MAX))? as u16,
                 took: fields.millis("latency", SPAN_MOST)?,
             }),
             "LOAD" => {
@@ -143,7 +143,7 @@
                     None | Some(Value::Null) if !answered => Duration::ZERO,
                     _ => fields.millis("rtt", self.answer_most)?,
                 };
-                Ok(Told::Met(Met {
+                Ok(Message::Met(Met {
                     zone: self.zone(&fields)?,
                     replica: replica(fields.text("endpoint")?).ok_or(Fault::Unknown("endpoint"))?,
                     tries,
@@ -156,7 +156,7 @@
             "RATE" => {
                 let (flows, dropped, span) = fields.sums(false)?;
                 let group = self.groups.get(fields.text("route")?).ok_or(Fault::Unknown("route"))?;
-                Ok(Told::Came(Came { proxy: self.proxy(&fields)?, group: *group, flows, dropped, span }))
+                Ok(Message::Came(Came { proxy: self.proxy(&fields)?, group: *group, flows, dropped, span }))
             }
             _ => Err(Fault::Unknown("@type")),
         }
@@ -207,7 +207,7 @@
         Decoder::new(&wrenthread_info::read(&wrenthread_info::Fields(&info)).expect("it is whole"))
     }
 
-    fn read(text: &str) -> Result<Told, Fault> {
+    fn read(text: &str) -> Result<Message, Fault> {
         decoder().read(text.as_bytes(), |name| (name == "r1").then(|| name.into()))
     }
 
@@ -217,11 +217,13 @@
 
     #[test]
     fn a_load_report_stands_in_the_settings_order() {
-        let Ok(Told::Met(met)) = read(LOAD) else { panic!("{:?}", read(LOAD)) };
+        let Ok(Message::Met(met)) = read(LOAD) else { panic!("{:?}", read(LOAD)) };
         assert_eq!((met.zone, met.tries, met.dropped, &*met.replica), (1, 4, 1, "r1"));
         assert_eq!((met.mean, met.span), (Some(Duration::from_micros(41500)), Duration::from_millis(500)));
         assert_eq!(met.load, [2.0, 7.0]);
-        let Ok(Told::Met(met)) = read(&LOAD.replace("\"queue\":2", "\"qps\":2")) else { panic!("not read") };
+        let Ok(Message::Met(met)) = read(&LOAD.replace("\"queue\":2", "\"qps\":2")) else {
+            panic!("not read")
+        };
         assert!(met.load.is_empty(), "an absent value is not 0, nor another's");
     }
 
@@ -246,13 +248,13 @@
         assert_eq!(read(&RATE.replace("17", "20")), Err(Fault::Unknown("node")));
         assert_eq!(read(&RATE.replace("find", "lose")), Err(Fault::Unknown("route")));
         assert!(matches!(read("{\"@type\":"), Err(Fault::Unreadable(_))));
-        assert!(matches!(read(RATE), Ok(Told::Came(Came { proxy: 17, group: 0, flows: 19, .. }))));
+        assert!(matches!(read(RATE), Ok(Message::Came(Came { proxy: 17, group: 0, flows: 19, .. }))));
     }
 
     #[test]
     fn flows_of_an_earlier_span_may_be_dropped_in_this_one() {
         let late = RATE.replace("\"total\":19,\"errors\":0", "\"total\":0,\"errors\":2");
-        assert!(matches!(read(&late), Ok(Told::Came(Came { flows: 0, dropped: 2, .. }))));
+        assert!(matches!(read(&late), Ok(Message::Came(Came { flows: 0, dropped: 2, .. }))));
         assert_eq!(read(&late.replace(":2", ":2e9")), Err(Fault::Field("errors")));
     }
 
--- a/crates/lines/src/book.rs
+++ b/crates/lines/src/outbox.rs
@@ -17,9 +17,9 @@
 const PART_MOST: usize = 2000;
 /// Parts of one message at most.
 const PARTS_MOST: usize = 64;
-/// Marks that may be unanswered on a stream; older ones are forgotten.
-const MARKS_MOST: usize = 64;
-/// How much sooner than a mark was sent the proxy may claim to have heard of it, by rounding.
+/// Nonces that may be unanswered on a stream; older ones are forgotten.
+const NONCES_MOST: usize = 64;
+/// How much sooner than a nonce was sent the proxy may claim to have heard of it, by rounding.
 const SLACK: Duration = Duration::from_millis(100);
 
 type Lines = BTreeMap<ReplicaId, f64>;
@@ -32,13 +32,13 @@
     said: BTreeMap<ReplicaId, bool>,
     /// By group, as the proxy holds it; none where it may hold one that it brought.
     levels: Vec<Option<Level>>,
-    marks: VecDeque<(u16, Duration)>,
+    nonces: VecDeque<(u16, Duration)>,
     /// Tables that this pull had it follow.
     bound: BTreeSet<TableId>,
 }
 
 /// All of one governor's streams, and what is decided for them.
-pub struct Book {
+pub struct Outbox {
     groups: Vec<String>,
     usual: Level,
     tables: BTreeMap<TableId, Lines>,
@@ -54,7 +54,7 @@
     lines: BTreeMap<TableId, Lines>,
     out: BTreeSet<ReplicaId>,
     levels: bool,
-    mark: Option<u16>,
+    nonce: Option<u16>,
     any: bool,
 }
 
@@ -91,10 +91,10 @@
     }
 }
 
-impl Book {
+impl Outbox {
     /// `usual`: what proxies do about further tries until told otherwise.
     pub fn new(groups: Vec<String>, usual: FurtherTries) -> Self {
-        Book {
+        Outbox {
             levels: vec![None; groups.len()],
             groups,
             usual: (1.0, usual),
@@ -116,20 +116,20 @@
     }
 
     /// Whether the stream owes this answer; it counts once.
-    pub fn acked(&mut self, now: Duration, proxy: ProxyId, mark: u16, took: Duration) -> bool {
+    pub fn acked(&mut self, now: Duration, proxy: ProxyId, nonce: u16, took: Duration) -> bool {
         let Some(stream) = self.streams.get_mut(&proxy) else { return false };
-        let Some(at) = stream.marks.iter().position(|(owed, _)| *owed == mark) else { return false };
-        if took > now.saturating_sub(stream.marks[at].1) + SLACK {
+        let Some(at) = stream.nonces.iter().position(|(owed, _)| *owed == nonce) else { return false };
+        if took > now.saturating_sub(stream.nonces[at].1) + SLACK {
             return false;
         }
-        stream.marks.drain(..=at);
+        stream.nonces.drain(..=at);
         true
     }
 
-    /// When the oldest mark was sent that the stream owes an answer to, of those sent after `heard`.
+    /// When the oldest nonce was sent that the stream owes an answer to, of those sent after `heard`.
     pub fn owes_since(&self, proxy: ProxyId, heard: Duration) -> Option<Duration> {
-        let marks = self.streams.get(&proxy).map(|stream| &stream.marks)?;
-        marks.iter().map(|(_, sent)| *sent).find(|sent| *sent > heard)
+        let nonces = self.streams.get(&proxy).map(|stream| &stream.nonces)?;
+        nonces.iter().map(|(_, sent)| *sent).find(|sent| *sent > heard)
     }
 
     /// Forgets replicas that the rules no longer know.
@@ -177,7 +177,7 @@
                 }
                 self.pull.levels = true;
             }
-            Decision::Mark(mark) => self.pull.mark = Some(mark),
+            Decision::Mark(nonce) => self.pull.nonce = Some(nonce),
         }
         None
     }
@@ -201,13 +201,13 @@
             if parts.is_empty() {
                 continue;
             }
-            if let Some(mark) = pull.mark {
-                stream.marks.push_back((mark, now));
-                if stream.marks.len() > MARKS_MOST {
-                    stream.marks.pop_front();
+            if let Some(nonce) = pull.nonce {
+                stream.nonces.push_back((nonce, now));
+                if stream.nonces.len() > NONCES_MOST {
+                    stream.nonces.pop_front();
                 }
             }
-            send(*proxy, encode(&mut parts, pull.mark));
+            send(*proxy, encode(&mut parts, pull.nonce));
         }
     }
 }
@@ -216,9 +216,9 @@
     if groups >= 64 { GroupSet::MAX } else { (1 << groups) - 1 }
 }
 
-fn encode(parts: &mut [Part], mark: Option<u16>) -> Vec<u8> {
+fn encode(parts: &mut [Part], nonce: Option<u16>) -> Vec<u8> {
     let last = parts.len() - 1;
-    parts[last].ticket = mark;
+    parts[last].ticket = nonce;
     let mut bytes = Vec::new();
     for (at, part) in parts.iter_mut().enumerate() {
         part.kind = "CONFIG";
--- a/crates/lines/src/book/tests.rs
+++ b/crates/lines/src/outbox/tests.rs
@@ -91,20 +91,20 @@
 }
 
 /// What a proxy that follows tables must send by, and what it must heed.
-fn check(book: &Book, proxies: &[Proxy]) -> Result<(), TestCaseError> {
-    for (number, stream) in &book.streams {
+fn check(outbox: &Outbox, proxies: &[Proxy]) -> Result<(), TestCaseError> {
+    for (number, stream) in &outbox.streams {
         let proxy = &proxies[usize::from(*number)];
         for (table, groups) in &stream.follows {
-            let held = book.tables.get(table).cloned().unwrap_or_default();
+            let held = outbox.tables.get(table).cloned().unwrap_or_default();
             let wanted: BTreeMap<String, f64> = held.iter().map(|(id, it)| (id.to_string(), *it)).collect();
             for place in (0..2).filter(|place| groups >> place & 1 == 1) {
                 prop_assert_eq!(proxy.tables[place].as_ref(), Some(&wanted));
                 let level =
-                    book.levels[place].map_or(USUAL, |(level, tries)| (level, u64::from(retry(tries))));
+                    outbox.levels[place].map_or(USUAL, |(level, tries)| (level, u64::from(retry(tries))));
                 prop_assert_eq!(proxy.levels[place], level);
             }
             for id in held.keys() {
-                prop_assert_eq!(proxy.shut.contains(&**id), book.out.contains(id), "{}", id);
+                prop_assert_eq!(proxy.shut.contains(&**id), outbox.out.contains(id), "{}", id);
             }
         }
     }
@@ -114,38 +114,38 @@
 proptest! {
     #[test]
     fn a_proxy_holds_what_was_decided(steps in steps()) {
-        let mut book = Book::new(GROUPS.map(String::from).to_vec(), FurtherTries::Never);
+        let mut outbox = Outbox::new(GROUPS.map(String::from).to_vec(), FurtherTries::Never);
         let proxy = |_| Proxy { levels: [USUAL; 2], ..Proxy::default() };
         let mut proxies: Vec<Proxy> = (0..3).map(proxy).collect();
-        (0..3).for_each(|proxy| book.joined(proxy));
+        (0..3).for_each(|proxy| outbox.joined(proxy));
         for step in steps.into_iter().chain([Step::Flush]) {
             match step {
                 Step::Lines(table, lines) => {
                     let lines = lines.iter().map(|(at, weight)| (name(*at).into(), f64::from(*weight)));
-                    book.take(Decision::Lines(table, lines.collect()));
+                    outbox.take(Decision::Lines(table, lines.collect()));
                 }
                 Step::Follow(proxy, table, groups) => {
-                    book.take(Decision::Follow(proxy, table, groups));
+                    outbox.take(Decision::Follow(proxy, table, groups));
                 }
                 Step::Withdraw(at, out) => {
-                    book.take(Decision::Withdraw(name(at).into(), out));
+                    outbox.take(Decision::Withdraw(name(at).into(), out));
                 }
                 Step::Level(groups, level) => {
-                    book.take(Decision::Level(groups, f64::from(level) / 4.0, FurtherTries::IfNeverRan));
+                    outbox.take(Decision::Level(groups, f64::from(level) / 4.0, FurtherTries::IfNeverRan));
                 }
                 Step::Rejoin(proxy, out) => {
                     let held = &mut proxies[usize::from(proxy)];
                     held.shut.extend(out.map(name));
                     held.levels = [(0.3, 2); 2];
-                    book.joined(proxy);
+                    outbox.joined(proxy);
                 }
                 Step::Flush => {
-                    book.take(Decision::Mark(7));
+                    outbox.take(Decision::Mark(7));
                     let before: Vec<usize> = proxies.iter().map(|proxy| proxy.tickets.len()).collect();
-                    book.flush(Duration::ZERO, |proxy, bytes| proxies[usize::from(proxy)].heed(&bytes));
+                    outbox.flush(Duration::ZERO, |proxy, bytes| proxies[usize::from(proxy)].heed(&bytes));
                     let news = proxies.iter().zip(before).map(|(proxy, before)| proxy.tickets.len() - before);
                     prop_assert!(news.max() <= Some(1), "a message has one ticket");
-                    check(&book, &proxies)?;
+                    check(&outbox, &proxies)?;
                 }
             }
         }
@@ -154,29 +154,29 @@
 
 #[test]
 fn nothing_empty_is_sent_and_what_stands_is_not_sent_again() {
-    let mut book = Book::new(GROUPS.map(String::from).to_vec(), FurtherTries::Never);
+    let mut outbox = Outbox::new(GROUPS.map(String::from).to_vec(), FurtherTries::Never);
     let mut proxies = [Proxy::default(), Proxy::default()];
-    (0..2).for_each(|proxy| book.joined(proxy));
-    book.take(Decision::Lines(1, vec![("r1".into(), 1.0), ("r2".into(), 2.0)]));
-    book.take(Decision::Follow(0, 1, 0));
-    book.flush(Duration::ZERO, |proxy, bytes| proxies[usize::from(proxy)].heed(&bytes));
-    book.take(Decision::Lines(1, vec![("r2".into(), 0.0)]));
-    book.flush(Duration::ZERO, |proxy, bytes| proxies[usize::from(proxy)].heed(&bytes));
-    book.take(Decision::Mark(3));
-    book.flush(Duration::ZERO, |_, bytes| panic!("{}", String::from_utf8_lossy(&bytes)));
+    (0..2).for_each(|proxy| outbox.joined(proxy));
+    outbox.take(Decision::Lines(1, vec![("r1".into(), 1.0), ("r2".into(), 2.0)]));
+    outbox.take(Decision::Follow(0, 1, 0));
+    outbox.flush(Duration::ZERO, |proxy, bytes| proxies[usize::from(proxy)].heed(&bytes));
+    outbox.take(Decision::Lines(1, vec![("r2".into(), 0.0)]));
+    outbox.flush(Duration::ZERO, |proxy, bytes| proxies[usize::from(proxy)].heed(&bytes));
+    outbox.take(Decision::Mark(3));
+    outbox.flush(Duration::ZERO, |_, bytes| panic!("{}", String::from_utf8_lossy(&bytes)));
     assert_eq!((proxies[0].lines, proxies[1].lines), (3, 0));
 }
 
 #[test]
 fn an_answer_counts_once_and_only_if_it_is_owed() {
-    let mut book = Book::new(GROUPS.map(String::from).to_vec(), FurtherTries::Never);
-    book.joined(0);
+    let mut outbox = Outbox::new(GROUPS.map(String::from).to_vec(), FurtherTries::Never);
+    outbox.joined(0);
     let (sent, later) = (Duration::from_secs(10), Duration::from_secs(12));
-    book.take(Decision::Follow(0, 1, 0));
-    book.take(Decision::Mark(9));
-    book.flush(sent, |_, _| {});
-    assert!(!book.acked(later, 0, 8, Duration::from_secs(1)), "no such mark");
-    assert!(!book.acked(later, 0, 9, Duration::from_secs(3)), "it took longer than it has been");
-    assert!(book.acked(later, 0, 9, Duration::from_secs(1)));
-    assert!(!book.acked(later, 0, 9, Duration::from_secs(1)), "answered already");
+    outbox.take(Decision::Follow(0, 1, 0));
+    outbox.take(Decision::Mark(9));
+    outbox.flush(sent, |_, _| {});
+    assert!(!outbox.acked(later, 0, 8, Duration::from_secs(1)), "no such nonce");
+    assert!(!outbox.acked(later, 0, 9, Duration::from_secs(3)), "it took longer than it has been");
+    assert!(outbox.acked(later, 0, 9, Duration::from_secs(1)));
+    assert!(!outbox.acked(later, 0, 9, Duration::from_secs(1)), "answered already");
 }
