Streams and followers are told apart by number; what has bytes to read is read before it goes

Stampede (connection.rs, make_room): the accept loop took a burst of connections before any reader ran, and ended all but 16 unread, though their SUBSCRIBE lay in the socket. Now the reader of whoever is to give up its place looks at its socket once more; those who have begun to speak stay before those who have said nothing. Also, only 128 connections could wait to be accepted: a fleet that dials at once waited a second and more for the next try; 4,096 may. 2. Two streams of one proxy (node.rs, Joined): the one processed last won. Now the one accepted last does. 3. Reports of a replaced stream counted for the newer one. They are left out by the connection's number, and counted. 4. Discovery moves (node.rs, reread): the follower was cut off with what it had read or what lay in its socket, a drain among it. It is heard out for 2.5 s. An object of the earlier follower that was spoilt told a task that was gone to ask for the whole list; that the whole list is wanted is now the list's own state, and the present follower is started for it. 5. A whole list from an agent that is behind settled a spoilt drain. It is asked for until one comes that has it. 6. An agent whose versions start over was ignored for ever. After 20 s of nothing but older versions it is believed. 7. A stream whose orders are stuck in its socket was never taken for silent (node.rs, silent: only if all had left).

Ruled out: a message cut at any byte, two in a segment, an end of line by itself; a start with an old list; discovery moved twice at once: tests for each passed at once. The clock reads tokio's time so that tests can hold it.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -1,6 +1,8 @@
 //! The one place that reads clocks.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
 
 /// The host's time begins this long before its start, so that replicas that started before it have a time
 /// too.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,15 +10,15 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 use wrenthread::interface::{Decision, ProxyId};
 use wrenthread::rules::Governor;
 use wrenthread_discovery::list::{Change, List};
-use wrenthread_discovery::watch::{self, Object};
+use wrenthread_discovery::watch::{self, Listener, Object};
 use wrenthread_lines::decode::{Decoder, Message};
 use wrenthread_lines::outbox::Outbox;
 
@@ -41,6 +41,14 @@
 /// hundred thousand looks. It guards against streams of machines that vanished; a live proxy whose clients
 /// went away all at once would lose its stream, and join anew.
 const FLOWS_MISSED: f64 = 12.0;
+/// A connection to the address that discovery moved from is heard out for so long: what was written to it
+/// counts as told, and the new address may be silent yet. It is closed sooner, most likely.
+const HEARD_OUT: Duration = Duration::from_millis(2500);
+/// What discovery has to tell reaches each address within some seconds. One that tells of older versions for
+/// longer is not behind: it counts anew.
+const BEHIND_MOST: Duration = Duration::from_secs(20);
+/// Connections that may wait to be accepted: a whole fleet may dial at once as other governors die.
+const BACKLOG: u32 = 4096;
 /// A file that is being written is read again after this, and so often.
 const REREAD: (Duration, u32) = (Duration::from_millis(300), 40);
 
@@ -57,37 +65,70 @@
     // Before all else: a signal that comes meanwhile waits.
     let mut terminate = signal(SignalKind::terminate()).context("signals")?;
     let mut hangup = signal(SignalKind::hangup()).context("signals")?;
-    let clock = Clock::start();
     let config = Config::read(&variables.config)?;
-    let listen = variables.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|error| {
-        config::Fault::Address("RELAY_LISTEN", format!("{listen}, which can't be listened on: {error}"))
-    })?;
-    let (events, mut heard) = mpsc::channel(EVENTS);
-    let (objects, mut lists) = mpsc::channel(4);
-    let mut node = Node::new(clock, variables, config, objects);
-    spawn_local(connection::open(listener, node.connections.clone(), events));
-    tracing::info!(governor = %node.variables.name, %listen, discovery = %node.discovery, "it serves");
-    node.pull();
+    let listener = listen(variables.listen)?;
+    let mut service = Service::start(variables, config, listener);
     loop {
         tokio::select! {
             biased;
             _ = terminate.recv() => break,
-            _ = hangup.recv() => node.reread(REREAD.1),
-            Some(object) = lists.recv() => node.listed(object),
-            Some(event) = heard.recv() => {
+            _ = hangup.recv() => service.node.reread(REREAD.1),
+            () = service.heed() => {}
+        }
+        service.node.pull();
+    }
+    tracing::info!("it ends: told to");
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, config::Fault> {
+    let listener = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?; // its earlier life's connections may linger
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listener().map_err(|error: std::io::Error| {
+        config::Fault::Address("RELAY_LISTEN", format!("{address}, which can't be listened on: {error}"))
+    })
+}
+
+/// The node, and what comes to it.
+struct Service {
+    node: Node,
+    events: mpsc::Receiver<Event>,
+    objects: mpsc::Receiver<Object>,
+}
+
+impl Service {
+    fn start(variables: Variables, config: Config, listener: TcpListener) -> Self {
+        let (events, heard) = mpsc::channel(EVENTS);
+        let (objects, lists) = mpsc::channel(4);
+        let mut node = Node::new(Clock::start(), variables, config, objects);
+        spawn_local(connection::open(listener, node.connections.clone(), events));
+        let (governor, listen) = (&node.variables.name, node.variables.listen);
+        tracing::info!(%governor, %listen, discovery = %node.discovery, "it serves");
+        node.pull();
+        Service { node, events: heard, objects: lists }
+    }
+
+    /// Waits for what comes next, and takes it in.
+    async fn heed(&mut self) {
+        let node = &mut self.node;
+        let due = node.due.min(node.housekeeping);
+        tokio::select! {
+            biased;
+            Some(object) = self.objects.recv() => node.listed(object),
+            Some(event) = self.events.recv() => {
                 node.take(event);
                 for _ in 1..AT_ONCE {
-                    let Ok(event) = heard.try_recv() else { break };
+                    let Ok(event) = self.events.try_recv() else { break };
                     node.take(event);
                 }
             }
-            () = sleep_until(node.due.min(node.housekeeping)) => {}
+            () = sleep_until(node.reread_at.map_or(due, |at| at.min(due))) => {}
         }
-        node.pull();
     }
-    tracing::info!("it ends: told to");
-    Ok(())
 }
 
 /// A proxy's newest stream.
@@ -97,13 +138,24 @@
     usual: f64,
 }
 
+/// Who follows discovery at its present address.
+struct Follower {
+    /// It tells this one's objects from those of earlier ones.
+    number: u64,
+    /// It has been told to ask for the whole list, and has not had it.
+    asks_whole: bool,
+    task: JoinHandle<()>,
+}
+
 struct Node {
     clock: Clock,
     variables: Variables,
     config: Config,
     discovery: SocketAddr,
-    follower: JoinHandle<()>,
+    follower: Follower,
     objects: mpsc::Sender<Object>,
+    /// Since when discovery has told of nothing but older versions.
+    behind: Option<Instant>,
     governor: Governor,
     list: List,
     outbox: Outbox,
@@ -117,6 +169,14 @@
     reread_at: Option<Instant>,
 }
 
+impl Follower {
+    fn start(number: u64, address: SocketAddr, list: &List, objects: &mpsc::Sender<Object>) -> Self {
+        let listener = Listener { follower: number, objects: objects.clone() };
+        let task = spawn_local(watch::follow(address.to_string(), list.version(), listener));
+        Follower { number, asks_whole: list.version().is_none(), task }
+    }
+}
+
 impl Node {
     fn new(clock: Clock, variables: Variables, config: Config, objects: mpsc::Sender<Object>) -> Self {
         let info = &config.info;
@@ -127,10 +187,11 @@
         let mut node = Node {
             governor: Governor::new(info.settings.clone(), clock.now()),
             outbox: Outbox::new(info.groups.clone(), info.settings.usual_tries),
-            follower: spawn_local(watch::follow(discovery.to_string(), list.version(), objects.clone())),
+            follower: Follower::start(1, discovery, &list, &objects),
             connections,
             list,
             objects,
+            behind: None,
             discovery,
             streams: BTreeMap::new(),
             due: Instant::now() + Duration::from_secs(3600),
@@ -159,17 +220,29 @@
     fn listed(&mut self, object: Object) {
         let clock = self.clock;
         match self.list.read(&object.bytes, |at| clock.at(at)) {
-            Ok(change) => {
-                // The watch may have ended meanwhile; the list counts all the same.
-                let lost = change.as_ref().is_some_and(|change| change.lost);
-                let _ = object.known.send(self.list.version().filter(|_| !lost));
-                change.into_iter().for_each(|change| self.tell(change));
-            }
-            Err(fault) => {
-                tracing::warn!(%fault, "an object of discovery can't be used: all is asked for");
-                let _ = object.known.send(None);
-            }
+            Ok(change) => change.into_iter().for_each(|change| self.tell(change)),
+            Err(fault) => tracing::warn!(%fault, "an object of discovery can't be used: all is asked for"),
         }
+        let known = self.list.version();
+        let _ = object.known.send(known); // its follower may be gone; the object counts all the same
+        if object.follower == self.follower.number {
+            self.follower.asks_whole = known.is_none();
+            self.behind = self.list.is_behind().then(|| self.behind.unwrap_or_else(Instant::now));
+        } else if known.is_none() && !self.follower.asks_whole {
+            // The present one watches from a version that has what was spoilt behind it.
+            self.follow();
+        }
+    }
+
+    /// Follows discovery anew, from what the list has. The earlier follower is heard out.
+    fn follow(&mut self) {
+        let next = Follower::start(self.follower.number + 1, self.discovery, &self.list, &self.objects);
+        let earlier = std::mem::replace(&mut self.follower, next).task;
+        self.behind = None;
+        spawn_local(async move {
+            sleep(HEARD_OUT).await;
+            earlier.abort();
+        });
     }
 
     fn tell(&mut self, change: Change) {
@@ -184,6 +257,11 @@
         let now = self.clock.now();
         match event {
             Event::Joined { connection, proxy, zone, usual, fresh, handle } => {
+                if self.streams.get(&proxy).is_some_and(|newest| newest.connection > connection) {
+                    // Its joining was held up while the proxy dialled anew. Its handle ends it.
+                    self.connections.count("late: a joining on a stream older than the proxy's");
+                    return;
+                }
                 // An older stream of the proxy ends with its handle.
                 self.streams.insert(proxy, Stream { connection, handle, usual });
                 self.outbox.joined(proxy);
@@ -194,17 +272,22 @@
                     self.leave(proxy);
                 }
             }
-            Event::Said { message: Message::Met(met), .. } => self.governor.met(now, met),
+            Event::Handed(Message::Met(met)) => self.governor.met(now, met),
+            Event::Handed(Message::Came(came)) => self.governor.came(now, came),
+            Event::Said { connection, proxy, .. }
+                if self.streams.get(&proxy).is_none_or(|stream| stream.connection != connection) =>
+            {
+                self.connections.count("late: said on a stream that ended or was replaced");
+            }
             Event::Said { message: Message::Came(came), .. } => self.governor.came(now, came),
-            Event::Said { connection, message: Message::Acked { proxy, nonce, took } } => {
-                let newest = self.streams.get(&proxy).is_some_and(|stream| stream.connection == connection);
-                if newest && self.outbox.acked(now, proxy, nonce, took) {
+            Event::Said { message: Message::Acked { proxy, nonce, took }, .. } => {
+                if self.outbox.acked(now, proxy, nonce, took) {
                     self.governor.acked(took);
                 } else {
                     self.connections.count("spoilt: an answer to no nonce");
                 }
             }
-            Event::Said { .. } => {}
+            Event::Said { .. } | Event::Handed(_) => {}
         }
     }
 
@@ -255,6 +338,11 @@
                 self.leave(proxy);
             }
         }
+        if self.behind.is_some_and(|since| since.elapsed() > BEHIND_MOST) {
+            tracing::warn!("discovery tells of older versions only: it is taken to count anew");
+            self.list.renumber();
+            self.follow();
+        }
         let governor = &self.governor;
         self.outbox.retain(|id| governor.knows(id));
         self.connections.names.borrow_mut().retain(|id| governor.knows(id));
@@ -279,9 +367,10 @@
             return Vec::new(); // whatever keeps them all from being heard, it is not each of them
         }
         let silent = self.streams.iter().filter(|(proxy, stream)| {
-            let heard = self.clock.since(stream.handle.heard().into_std());
+            let heard = self.clock.since(stream.handle.heard());
             let owed = self.outbox.owes_since(**proxy, heard).map(|sent| now.saturating_sub(sent));
-            stream.handle.sent() && has_fallen_silent(silence(stream), owed, stream.usual, every)
+            // Whether what it owes an answer to has left or is stuck on its way: nothing is heard either way.
+            has_fallen_silent(silence(stream), owed, stream.usual, every)
         });
         silent.map(|(proxy, _)| *proxy).collect()
     }
@@ -307,9 +396,7 @@
         let discovery = self.config.discovery.unwrap_or(self.discovery);
         if discovery != self.discovery {
             self.discovery = discovery;
-            self.follower.abort();
-            let (known, objects) = (self.list.version(), self.objects.clone());
-            self.follower = spawn_local(watch::follow(discovery.to_string(), known, objects));
+            self.follow();
         }
         tracing::info!(%discovery, "a new configuration is in force");
     }
@@ -324,18 +411,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn who_has_little_to_say_is_not_taken_for_silent() {
-        let (second, every) = (Duration::from_secs(1), Duration::from_millis(500));
-        let silent = |silence, owed: Option<u32>, usual| {
-            has_fallen_silent(silence * second, owed.map(|owed| owed * second), usual, every)
-        };
-        assert!(!silent(12, Some(12), 50.0), "answers may wait in a slow channel");
-        assert!(silent(14, Some(14), 0.1), "it owes an answer");
-        assert!(silent(16, None, 6.0), "eighteen flows would have come");
-        assert!(!silent(60, None, 0.2), "nine would, and chance may leave them out");
-    }
-}
+mod tests;
--- a/crates/daemon/src/node/connection.rs
+++ b/crates/daemon/src/node/connection.rs
@@ -1,7 +1,8 @@
 //! Connections at the governor's address: unidentified peers, collectors and proxies' streams.
 //!
-//! An unidentified peer has a second and a small buffer to say who it is. Whatever can't be read, or comes out
-//! of order, ends the connection with a `NACK`; a spoilt message of a known party is left out and counted.
+//! An unidentified peer has a second and a small buffer to say who it is. Whatever can't be read, or comes
+//! out of order, ends the connection with a `NACK`; a spoilt message of a known party is left out and
+//! counted.
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,10 +12,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::sync::{Notify, mpsc};
+use tokio::task::{AbortHandle, spawn_local, yield_now};
 use tokio::time::{Instant, sleep, sleep_until};
-use wrenthread::interface::{ProxyId, ReplicaId};
+use wrenthread::interface::{Came, ProxyId, ReplicaId};
 use wrenthread_lines::decode::{Decoder, Fault, Message};
 use wrenthread_lines::frames::Frames;
 
@@ -45,10 +46,14 @@
         fresh: bool,
         handle: Handle,
     },
+    /// What the stream of a proxy says.
     Said {
         connection: u64,
+        proxy: ProxyId,
         message: Message,
     },
+    /// What a collector hands on, of whichever proxies.
+    Handed(Message),
     /// The stream of a proxy has ended.
     Ended {
         connection: u64,
@@ -77,11 +82,6 @@
     pub fn heard(&self) -> Instant {
         self.heard.get()
     }
-
-    /// Whether what was sent has left for the other side.
-    pub fn sent(&self) -> bool {
-        self.unsent.get() == 0
-    }
 }
 
 impl Drop for Handle {
@@ -99,6 +99,15 @@
     queue.send(bytes).is_ok()
 }
 
+/// The place that an unidentified peer takes.
+#[derive(Default)]
+struct Place {
+    /// Others want it: the reader looks at its socket once more, and goes if nothing is there.
+    wanted: Notify,
+    /// It has begun to say who it is.
+    begun: Cell<bool>,
+}
+
 /// What all connections share, on the one thread.
 pub struct Connections {
     pub decoder: Decoder,
@@ -111,7 +120,7 @@
     /// Bytes that may wait for the end of their frames, in all connections together.
     unread_most: Cell<usize>,
     unread: Cell<usize>,
-    unidentified: RefCell<BTreeMap<u64, AbortHandle>>,
+    unidentified: RefCell<BTreeMap<u64, Rc<Place>>>,
     collectors: RefCell<BTreeMap<usize, Vec<(u64, AbortHandle)>>>,
     scratch: RefCell<Vec<u8>>,
 }
@@ -139,6 +148,12 @@
         self.unread_most.set((memory / 8).max(2 * MESSAGE_MOST));
     }
 
+    /// Bytes that wait for the end of their frames, in all connections together.
+    #[cfg(test)]
+    pub fn unread(&self) -> usize {
+        self.unread.get()
+    }
+
     pub fn count(&self, why: impl Into<String>) {
         *self.faults.borrow_mut().entry(why.into()).or_insert(0) += 1;
     }
@@ -157,13 +172,13 @@
         self.unidentified.borrow_mut().remove(&connection);
     }
 
-    /// The unidentified peer that has waited longest goes.
+    /// Whoever has said nothing for longest gives up its place, unless bytes of it wait to be read.
     fn make_room(&self, most: usize) {
         let mut unidentified = self.unidentified.borrow_mut();
         while unidentified.len() > most {
-            let Some((_, peer)) = unidentified.pop_first() else { return };
-            peer.abort();
-            self.count("unidentified: others came");
+            let silent = unidentified.iter().find(|(_, place)| !place.begun.get()).map(|(number, _)| *number);
+            let Some(number) = silent.or(unidentified.keys().next().copied()) else { return };
+            unidentified.remove(&number).inspect(|place| place.wanted.notify_one());
         }
     }
 
@@ -187,10 +202,9 @@
                 connection += 1;
                 let own = Rc::new(OnceCell::new());
                 let conn = Conn::new(stream, connection, connections.clone(), events.clone(), own.clone());
-                let handle = spawn_local(conn.serve()).abort_handle();
+                connections.unidentified.borrow_mut().insert(connection, conn.place.clone());
                 // It is not polled before this task waits.
-                let _ = own.set(handle.clone());
-                connections.unidentified.borrow_mut().insert(connection, handle);
+                let _ = own.set(spawn_local(conn.serve()).abort_handle());
                 connections.make_room(connections.unidentified_most.get());
             }
             Err(error) => {
@@ -224,6 +238,7 @@
     events: mpsc::Sender<Event>,
     own: Rc<OnceCell<AbortHandle>>,
     party: Party,
+    place: Rc<Place>,
     frames: Frames,
     heard: Rc<Cell<Instant>>,
     held: usize, // of what the connections may hold unread
@@ -259,6 +274,7 @@
             events,
             own,
             party: Party::Unidentified,
+            place: Rc::default(),
             frames: Frames::default(),
             heard: Rc::new(Cell::new(Instant::now())),
             held: 0,
@@ -267,12 +283,23 @@
 
     async fn serve(mut self) {
         let until = Instant::now() + IDENTIFY_WITHIN;
+        let place = self.place.clone();
+        let mut last_look = false;
         let why = loop {
+            let unidentified = self.party == Party::Unidentified;
             // What has come is read before the wait is judged: it may be the governor that stood still.
             let ready = tokio::select! {
                 biased;
                 ready = self.read.readable() => ready,
-                () = sleep_until(until), if self.party == Party::Unidentified => {
+                () = std::future::ready(()), if unidentified && last_look => {
+                    break Some("unidentified: others came".to_string());
+                }
+                () = place.wanted.notified(), if unidentified => {
+                    last_look = true;
+                    yield_now().await; // which has the sockets looked at, this one's with them
+                    continue;
+                }
+                () = sleep_until(until), if unidentified => {
                     break Some("unidentified: did not say who it is".to_string());
                 }
             };
@@ -293,6 +320,15 @@
             if let Some(why) = out_of_order.or(fault) {
                 break Some(why);
             }
+            let begun = place.begun.replace(self.held > 0);
+            if std::mem::take(&mut last_look) && self.party == Party::Unidentified {
+                if begun || self.held == 0 {
+                    break Some("unidentified: others came".to_string());
+                }
+                // It had begun, unread: those who said nothing go first, once it is among the others again.
+                self.connections.unidentified.borrow_mut().insert(self.connection, place.clone());
+                self.connections.make_room(self.connections.unidentified_most.get());
+            }
         };
         if let Some(why) = why {
             self.say(NACK);
@@ -378,12 +414,14 @@
                 self.tell(Event::Joined { connection: self.connection, proxy, zone, usual, fresh, handle })
                     .await;
             }
-            (message @ (Message::Met(_) | Message::Came(_)), Party::Collector) => self.said(message).await,
-            (Message::Came(came), Party::Proxy(own)) if came.proxy == own => {
-                self.said(Message::Came(came)).await
+            (message @ (Message::Met(_) | Message::Came(_)), Party::Collector) => {
+                self.tell(Event::Handed(message)).await;
             }
-            (Message::Acked { proxy, nonce, took }, Party::Proxy(own)) if proxy == own => {
-                self.said(Message::Acked { proxy, nonce, took }).await;
+            (
+                message @ (Message::Came(Came { proxy, .. }) | Message::Acked { proxy, .. }),
+                Party::Proxy(own),
+            ) if proxy == own => {
+                self.tell(Event::Said { connection: self.connection, proxy, message }).await;
             }
             (_, Party::Unidentified) => return Err("unidentified: reports before it says who it is".into()),
             // A spoilt message may name what it does not mean; its neighbours count.
@@ -392,10 +430,6 @@
         Ok(())
     }
 
-    async fn said(&self, message: Message) {
-        self.tell(Event::Said { connection: self.connection, message }).await;
-    }
-
     async fn tell(&self, event: Event) {
         // Nobody listens only as the program ends.
         let _ = self.events.send(event).await;
--- /dev/null
+++ b/crates/daemon/src/node/tests/peers.rs
@@ -0,0 +1,121 @@
+//! Who dials: stampedes, messages in pieces, two streams of one proxy.
+
+use super::*;
+
+/// Places for sixteen unidentified peers, the fewest there are.
+fn crowded(config: &mut Value) {
+    config["limits"]["sockets"] = json!(256);
+}
+
+#[test]
+fn a_fleet_that_dials_at_once_is_read_before_anyone_is_sent_away() {
+    play(async || {
+        let agent = Agent::start().await;
+        let mut stage = Stage::start("stampede", &agent, crowded).await;
+        // Nothing runs between these: all have said who they are before the first of them is accepted.
+        let dial = |_| std::net::TcpStream::connect_timeout(&stage.address, Duration::from_secs(5)).unwrap();
+        let mut peers: Vec<std::net::TcpStream> = (0..300).map(dial).collect();
+        for (proxy, peer) in peers.iter_mut().enumerate() {
+            use std::io::Write;
+            peer.write_all(format!("{}\n", joining(proxy as u16)).as_bytes()).unwrap();
+        }
+        stage.until("all are served", |service| service.node.streams.len() == 300).await;
+        assert_eq!(stage.faults("unidentified"), 0);
+    });
+}
+
+#[test]
+fn those_who_say_nothing_make_room_for_one_who_has_begun() {
+    play(async || {
+        let agent = Agent::start().await;
+        let mut stage = Stage::start("begun", &agent, crowded).await;
+        let message = format!("{}\n", joining(7));
+        let (first, rest) = message.split_at(40);
+        let mut slow = stage.dial().await;
+        slow.write(first.as_bytes());
+        stage.held_until("it is read", |service| service.node.connections.unread() == first.len()).await;
+        let mut silent = Vec::new();
+        for _ in 0..64 {
+            silent.push(stage.dial().await);
+        }
+        let sent_away = |service: &Service| {
+            let faults = service.node.connections.faults.borrow();
+            faults.get("unidentified: others came").is_some_and(|count| *count >= 49)
+        };
+        stage.until("the others are sent away", sent_away).await;
+        // One whose first bytes are there, but not yet read, is not silent either.
+        let mut unread = std::net::TcpStream::connect(stage.address).unwrap();
+        std::io::Write::write_all(&mut unread, b"{\"@type\":").unwrap();
+        let more: Vec<_> = (0..64).map(|_| std::net::TcpStream::connect(stage.address).unwrap()).collect();
+        stage.held_until("it is read", |service| service.node.connections.unread() == first.len() + 9).await;
+        std::io::Write::write_all(&mut unread, &format!("{}\n", joining(8)).as_bytes()[9..]).unwrap();
+        slow.write(rest.as_bytes());
+        stage.until("both are served", |service| service.node.streams.len() == 2).await;
+        assert!(stage.serves(7) && stage.serves(8));
+        drop(more);
+    });
+}
+
+#[test]
+fn a_message_may_be_cut_anywhere() {
+    play(async || {
+        let agent = Agent::start().await;
+        let mut stage = Stage::start("pieces", &agent, |_| {}).await;
+        let message = format!("{}\n", joining(100));
+        for cut in 1..message.len() {
+            let mut peer = stage.dial().await;
+            peer.write(&message.as_bytes()[..cut]);
+            stage.held_until("it is read", |service| service.node.connections.unread() == cut).await;
+            peer.write(&message.as_bytes()[cut..]);
+            stage.held_until("it joins", |service| service.events.len() == 1).await;
+            peer.until_told(&mut stage, |order| order["whole"] == true).await;
+        }
+        // Two messages in one segment, and an end of line by itself.
+        let mut peer = stage.dial().await;
+        peer.write(format!("{}\n{}", joining(101), rate(101, 3)).as_bytes());
+        stage.held_until("it joins", |service| service.events.len() == 2).await;
+        peer.write(b"\n");
+        stage.held_until("it reports", |service| service.events.len() == 3).await;
+        peer.write(b"\n");
+        peer.until_told(&mut stage, |order| order["whole"] == true).await;
+        assert_eq!(stage.faults("unreadable"), 0);
+    });
+}
+
+#[test]
+fn an_older_stream_that_joins_later_takes_nothing_from_the_newer() {
+    play(async || {
+        let agent = Agent::start().await;
+        let mut stage = Stage::start("older", &agent, |_| {}).await;
+        let mut older = stage.dial().await;
+        // Its joining is held up while the proxy dials anew.
+        let mut newer = stage.join(17).await;
+        older.say(&joining(17));
+        older.until_ended(&mut stage).await;
+        assert_eq!(stage.faults("late: a joining"), 1);
+        stage.until("it watches", |_| agent.heard(&watch_from(1)) == 1).await;
+        agent.tell(&watch_from(1), &[object(2, false, &[("r3", "draining")])]).await;
+        newer.until_told(&mut stage, |order| takes_out(order, "r3")).await;
+    });
+}
+
+#[test]
+fn what_a_replaced_stream_said_does_not_count_for_the_newer() {
+    play(async || {
+        let agent = Agent::start().await;
+        let mut stage = Stage::start("replaced", &agent, |_| {}).await;
+        let mut older = stage.join(17).await;
+        let mut newer = stage.dial().await;
+        // The node takes in neither until both are there: the report stands behind the joining.
+        newer.say(&joining(17));
+        stage.held_until("it joins", |service| service.events.len() == 1).await;
+        older.say(&rate(17, 40_000));
+        stage.held_until("it reports", |service| service.events.len() == 2).await;
+        let offered = stage.service.node.governor.beliefs().offered;
+        stage.step();
+        assert_eq!(stage.service.node.governor.beliefs().offered, offered);
+        assert_eq!(stage.faults("late: said on a stream"), 1);
+        older.until_ended(&mut stage).await;
+        newer.until_told(&mut stage, |order| order["whole"] == true).await;
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/node/tests/silence.rs
@@ -0,0 +1,47 @@
+//! Streams that fall silent.
+
+use tokio::net::TcpSocket;
+
+use super::*;
+
+#[test]
+fn who_has_little_to_say_is_not_taken_for_silent() {
+    let (second, every) = (Duration::from_secs(1), Duration::from_millis(500));
+    let silent = |silence, owed: Option<u32>, usual| {
+        has_fallen_silent(silence * second, owed.map(|owed| owed * second), usual, every)
+    };
+    assert!(!silent(12, Some(12), 50.0), "answers may wait in a slow channel");
+    assert!(silent(14, Some(14), 0.1), "it owes an answer");
+    assert!(silent(16, None, 6.0), "eighteen flows would have come");
+    assert!(!silent(60, None, 0.2), "nine would, and chance may leave them out");
+}
+
+#[test]
+fn a_stream_whose_orders_do_not_get_away_is_silent_all_the_same() {
+    play(async || {
+        let agent = Agent::start().await;
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_send_buffer_size(4096).unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut stage = Stage::on("stuck", &agent, |_| {}, socket.listen(16).unwrap());
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4096).unwrap();
+        let mut stuck = Peer { stream: socket.connect(stage.address).await.unwrap(), unread: Vec::new() };
+        stuck.say(&joining(1));
+        let (mut second, mut third) = (stage.join(2).await, stage.join(3).await);
+        // More than the sockets hold, and less than a party may leave unread: it reads nothing from here on.
+        let handle = &stage.service.node.streams[&1].handle;
+        assert!(handle.send([vec![b' '; 200 << 10], vec![b'\n']].concat()));
+        stage.until("it watches", |_| agent.heard(&watch_from(1)) == 1).await;
+        agent.tell(&watch_from(1), &[object(2, false, &[("r3", "draining")])]).await;
+        for _ in 0..30 {
+            assert!(stage.serves(2) && stage.serves(3));
+            for (proxy, peer) in [(2, &mut second), (3, &mut third)] {
+                peer.read();
+                peer.say(&rate(proxy, 1));
+            }
+            stage.pass(Duration::from_millis(500)).await;
+        }
+        assert!(!stage.serves(1), "it said nothing for fifteen seconds");
+    });
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -274,7 +274,7 @@
                 }
             }
             Some(query) = asked.recv() => answer(&mut host, &clock, &metrics, query),
-            () = tokio::time::sleep_until(due.into()) => {}
+            () = tokio::time::sleep_until(due) => {}
         }
         let began = std::time::Instant::now();
         let _span = tracing::debug_span!("pump").entered();
--- a/crates/discovery/src/list.rs
+++ b/crates/discovery/src/list.rs
@@ -29,8 +29,6 @@
     pub complete: bool,
     /// Why entries were left out.
     pub spoilt: Vec<String>,
-    /// What was left out will not be told again: only the whole list has it.
-    pub lost: bool,
 }
 
 /// The list as last told, and its version.
@@ -39,6 +37,8 @@
     zones: BTreeMap<String, usize>,
     version: Option<u64>,
     entries: BTreeMap<ReplicaId, Listed>,
+    incomplete: bool,
+    behind: bool,
 }
 
 impl List {
@@ -49,8 +49,19 @@
         }
     }
 
+    /// The version that a watch may go on from; none while only the whole list will do.
     pub fn version(&self) -> Option<u64> {
-        self.version
+        self.version.filter(|_| !self.incomplete)
+    }
+
+    /// Whether the last object was older than what is known.
+    pub fn is_behind(&self) -> bool {
+        self.behind
+    }
+
+    /// Whoever tells the list counts anew: what comes next is taken whatever its version, once it is whole.
+    pub fn renumber(&mut self) {
+        (self.version, self.incomplete) = (None, true);
     }
 
     /// Takes in one object; `started` turns seconds of the calendar into the host's time. An object older
@@ -63,8 +74,11 @@
         object: &[u8],
         started: impl Fn(f64) -> Option<Duration>,
     ) -> Result<Option<Change>, Fault> {
-        let object = serde_json::from_slice(object).map_err(|error| Fault::Unreadable(error.to_string()))?;
-        self.take(&object, started)
+        let object = serde_json::from_slice(object).map_err(|error| Fault::Unreadable(error.to_string()));
+        let change = object.and_then(|object| self.take(&object, started));
+        // Whatever it was to tell will not be told again.
+        self.incomplete |= change.is_err();
+        change
     }
 
     /// As [`List::read`], of an object that is read already.
@@ -78,7 +92,8 @@
         let version = object["index"].as_u64().ok_or(Fault::Field("index"))?;
         let complete = object["snapshot"].as_bool().ok_or(Fault::Field("snapshot"))?;
         let rows = object["endpoints"].as_array().ok_or(Fault::Field("endpoints"))?;
-        if self.version.is_some_and(|known| version < known || version == known && !complete) {
+        self.behind = self.version.is_some_and(|known| version < known);
+        if self.behind || self.version == Some(version) && !complete {
             return Ok(None);
         }
         let mut change = Change { complete, ..Change::default() };
@@ -94,7 +109,8 @@
                 }
             }
         }
-        change.lost = !complete && !change.spoilt.is_empty();
+        // What is left out of a change is not told again; asking anew for a whole list would bring the same.
+        self.incomplete = !complete && (self.incomplete || !change.spoilt.is_empty());
         self.version = Some(version);
         if change.complete {
             self.entries.clear();
@@ -171,7 +187,7 @@
         assert!(change.complete && change.spoilt.len() == 1);
         // One whose name can't be read may be any that is missing: nothing is taken for gone.
         let change = take(&mut list, 3, true, &[json!({"name": 3}), row("r3", "up")]).expect("newer");
-        assert!(!change.complete && !change.lost, "asking again would bring the same");
+        assert!(!change.complete && list.version() == Some(3), "asking again would bring the same");
     }
 
     #[test]
@@ -179,9 +195,9 @@
         let mut list = List::new(&["a".into()]);
         take(&mut list, 1, true, &[row("r1", "up")]);
         let spoilt = take(&mut list, 2, false, &[row("r1", "drained")]).expect("newer");
-        assert!(spoilt.lost);
+        assert_eq!((spoilt.spoilt.len(), list.version()), (1, None));
         let whole = take(&mut list, 2, true, &[row("r1", "draining")]).expect("no older than what is known");
-        assert_eq!((names(&whole), whole.lost), (vec![("r1", Phase::Draining)], false));
+        assert_eq!((names(&whole), list.version()), (vec![("r1", Phase::Draining)], Some(2)));
     }
 
     #[test]
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -53,18 +53,27 @@
 
 /// One object as it came, and where to say what is known after it: the version, or none if all is to be told.
 pub struct Object {
+    /// The number of the follower that heard it.
+    pub follower: u64,
     pub bytes: Vec<u8>,
     pub known: oneshot::Sender<Option<u64>>,
 }
 
+/// Where objects go, and the number that tells this follower's from others'.
+#[derive(Clone)]
+pub struct Listener {
+    pub follower: u64,
+    pub objects: mpsc::Sender<Object>,
+}
+
 /// Follows discovery at `address` until it is dropped. `known` is the version that the list has.
-pub async fn follow(address: String, mut known: Option<u64>, objects: mpsc::Sender<Object>) {
+pub async fn follow(address: String, mut known: Option<u64>, listener: Listener) {
     let mut wait = WAITS.0;
     loop {
         let before = known;
         let ended = match known {
-            None => whole(&address, &mut known, &objects).await,
-            Some(version) => watch(&address, version, &mut known, &objects).await,
+            None => whole(&address, &mut known, &listener).await,
+            Some(version) => watch(&address, version, &mut known, &listener).await,
         };
         let fault = match ended {
             Ok(()) => continue,
@@ -86,7 +95,7 @@
 }
 
 /// Has all of the list told, from which a watch may go on.
-async fn whole(address: &str, known: &mut Option<u64>, objects: &mpsc::Sender<Object>) -> Result<(), Fault> {
+async fn whole(address: &str, known: &mut Option<u64>, listener: &Listener) -> Result<(), Fault> {
     let (answer, _driver) = ask(address, "/registry/instances").await?;
     let (mut body, mut list) = (answer.into_body(), Vec::new());
     while let Some(data) = piece(&mut body).await? {
@@ -95,17 +104,12 @@
         }
         list.extend_from_slice(&data);
     }
-    *known = Some(tell(objects, list).await?);
+    *known = Some(listener.tell(list).await?);
     Ok(())
 }
 
 /// Watches from a version on, for as long as the connection lasts.
-async fn watch(
-    address: &str,
-    from: u64,
-    known: &mut Option<u64>,
-    objects: &mpsc::Sender<Object>,
-) -> Result<(), Fault> {
+async fn watch(address: &str, from: u64, known: &mut Option<u64>, listener: &Listener) -> Result<(), Fault> {
     let (answer, _driver) = ask(address, &format!("/registry/instances?watch=1&from={from}")).await?;
     let (mut body, mut frames) = (answer.into_body(), Frames::default());
     while let Some(data) = piece(&mut body).await? {
@@ -116,7 +120,7 @@
         })?;
         for line in lines {
             *known = None;
-            *known = Some(tell(objects, line).await?);
+            *known = Some(listener.tell(line).await?);
         }
     }
     Err(Fault::Ended)
@@ -130,11 +134,14 @@
     }
 }
 
-/// The version that the list has after an object.
-async fn tell(objects: &mpsc::Sender<Object>, bytes: Vec<u8>) -> Result<u64, Fault> {
-    let (known, told) = oneshot::channel();
-    objects.send(Object { bytes, known }).await.map_err(|_| Fault::Unheard)?;
-    told.await.map_err(|_| Fault::Unheard)?.ok_or(Fault::Unusable)
+impl Listener {
+    /// The version that the list has after an object.
+    async fn tell(&self, bytes: Vec<u8>) -> Result<u64, Fault> {
+        let (known, told) = oneshot::channel();
+        let object = Object { follower: self.follower, bytes, known };
+        self.objects.send(object).await.map_err(|_| Fault::Unheard)?;
+        told.await.map_err(|_| Fault::Unheard)?.ok_or(Fault::Unusable)
+    }
 }
 
 /// Ends a connection's task with the watch that uses it.
