A configuration whose figures are of another type is refused by name, and a count may come as 20.0

Seen by reading: a figure of the settings that was no number, or below 0, was taken for absent, so a governor went by what is usual elsewhere (without extra.agents it took the fleet for one proxy and sent all others away: ready, and serving nobody). A count that came as 20.0 was taken for absent as well. Lines: info's Fields::whole, and read's defaults as config.rs used them.

--- /dev/null
+++ b/crates/daemon/src/node/config/tests.rs
@@ -0,0 +1,31 @@
+use super::*;
+use serde_json::json;
+
+fn whole() -> Value {
+    json!({"discovery": "127.0.0.1:8500", "limits": {"memory_mb": 64, "sockets": 256},
+        "settings": {"zones": ["a"], "extra": {"agents": 20.0, "channel_rate": 100},
+            "categories": [{"name": "find", "deadline_us": 5000000, "objective_us": 2000000}]}})
+}
+
+#[test]
+fn what_is_wrong_is_named() {
+    let config = Config::take(whole()).expect("it is whole");
+    assert_eq!((config.memory, config.sockets), (64 << 20, 256));
+    assert_eq!(config.info.settings.proxies, 20, "a count may come as 20.0");
+    for (at, wrong, why) in [
+        ("/discovery", json!("nowhere"), "`discovery`"),
+        ("/limits/sockets", json!(-3), "`limits.sockets`"),
+        ("/settings/zones", json!([]), "`settings.zones`"),
+        ("/settings/categories/0/deadline_us", json!("long"), "`deadline_us`"),
+        ("/settings/extra/agents", json!(0), "`settings.extra.agents`"),
+        ("/settings/extra/agents", json!("20"), "`settings.extra.agents`"),
+        ("/settings/extra/channel_rate", json!(-1), "`settings.extra.channel_rate`"),
+        ("/settings/extra", json!([]), "`settings.extra`"),
+        ("/settings", json!(3), "`settings`"),
+    ] {
+        let mut broken = whole();
+        *broken.pointer_mut(at).expect("it is there") = wrong;
+        let fault = Config::take(broken).expect_err(at);
+        assert!(fault.contains(why), "{at}: {fault}");
+    }
+}
--- a/crates/info/src/lib.rs
+++ b/crates/info/src/lib.rs
@@ -45,8 +45,10 @@
         self.0.get(name).filter(|value| !value.is_null())
     }
 
+    /// A number that may come as 3.0, from a writer that knows one kind only, or with a part no count has.
     pub fn whole(&self, name: &str) -> Result<u64, Fault> {
-        self.get(name).and_then(Value::as_u64).ok_or_else(|| Fault::Whole(name.into()))
+        let number = self.get(name).and_then(Value::as_f64).filter(|number| (0.0..9e15).contains(number));
+        number.map(|number| number.round() as u64).ok_or_else(|| Fault::Whole(name.into()))
     }
 
     pub fn small<T: TryFrom<u64>>(&self, name: &str) -> Result<T, Fault> {
