Ends and whole lists in a watch: two suspects refuted, by tests that can fail

SIGTERM and SIGKILL with a stream that reads nothing, a joining half said and a mute peer, then a start at the same address with the old list: it ends with 0 at once, and comes back (fails where the address is not taken over from lingering connections). A whole list in the middle of a watch, older and newer (fails where an older one is taken).

--- a/crates/daemon/src/node/tests.rs
+++ b/crates/daemon/src/node/tests.rs
@@ -78,6 +78,12 @@
         self.write(path, &format!("{head}{:x}\r\n{lines}\r\n", lines.len())).await;
     }
 
+    /// Says more on the newest watch for this path.
+    async fn tell_more(&self, path: &str, object: &Value) {
+        let line = format!("{object}\n");
+        self.write(path, &format!("{:x}\r\n{line}\r\n", line.len())).await;
+    }
+
     /// Answers the newest request for the whole list.
     async fn tell_whole(&self, list: &Value) {
         let list = list.to_string();
--- a/crates/daemon/src/node/tests/discovery.rs
+++ b/crates/daemon/src/node/tests/discovery.rs
@@ -122,3 +122,21 @@
         proxy.until_told(&mut stage, |order| takes_out(order, "r2") && takes_out(order, "r3")).await;
     });
 }
+
+#[test]
+fn a_whole_list_in_the_middle_of_a_watch_counts_and_an_older_one_does_not() {
+    play(async || {
+        let agent = Agent::start().await;
+        let mut stage = Stage::start("middle", &agent, |_| {}).await;
+        let mut proxy = stage.join(3).await;
+        stage.until("it watches", |_| agent.heard(&watch_from(1)) == 1).await;
+        agent.tell(&watch_from(1), &[object(3, false, &[("r3", "draining")])]).await;
+        proxy.until_told(&mut stage, |order| takes_out(order, "r3")).await;
+        agent.tell_more(&watch_from(1), &object(2, true, &UP)).await;
+        stage.pass(Duration::from_secs(1)).await;
+        assert!(!proxy.read().0.iter().any(|order| order.to_string().contains("r3")), "it is older");
+        agent.tell_more(&watch_from(1), &object(5, true, &[("r1", "up"), ("r2", "up")])).await;
+        proxy.until_told(&mut stage, |order| takes_out(order, "r4")).await;
+        assert_eq!(agent.asked.borrow().len(), 1, "one watch told all of it");
+    });
+}
--- a/crates/daemon/src/node/tests/peers.rs
+++ b/crates/daemon/src/node/tests/peers.rs
@@ -144,7 +144,7 @@
             peers[usize::from(proxy)].say(&joining(proxy));
         }
         stage.held_until("all have joined", |service| service.events.len() == 300).await;
-        // The channel sends as slowly as one in trouble does: lines leave it in order, a fifth of what it should.
+        // The channel sends as slowly as one in trouble does: a fifth of what it should.
         let (mut waiting, mut served, mut began) = (0.0, 0, Instant::now());
         while served < 300 {
             stage.pass(Duration::from_millis(20)).await;
--- a/crates/daemon/tests/node.rs
+++ b/crates/daemon/tests/node.rs
@@ -5,7 +5,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -103,6 +103,18 @@
     .to_string()
 }
 
+fn spawn(folder: &Path, listen: &str, discovery: SocketAddr) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_wrenthread"))
+        .arg("node")
+        .env("RELAY_NAME", "n0")
+        .env("RELAY_LISTEN", listen)
+        .env("RELAY_DISCOVERY", discovery.to_string())
+        .env("RELAY_CONFIG", folder.join("config.json"))
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
 impl Node {
     fn start(name: &str) -> Node {
         let folder = std::env::temp_dir().join(format!("wrenthread-node-{}-{name}", std::process::id()));
@@ -110,22 +122,24 @@
         let (told, listen) = (Told::default(), format!("127.0.0.1:{}", common::port()));
         let discovery = agent(told.clone());
         std::fs::write(folder.join("config.json"), config(discovery)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_wrenthread"))
-            .arg("node")
-            .env("RELAY_NAME", "n0")
-            .env("RELAY_LISTEN", &listen)
-            .env("RELAY_DISCOVERY", discovery.to_string())
-            .env("RELAY_CONFIG", folder.join("config.json"))
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap();
+        let child = spawn(&folder, &listen, discovery);
         let node = Node { child, folder, listen, told };
+        node.until_it_listens();
+        node
+    }
+
+    fn until_it_listens(&self) {
         let began = Instant::now();
-        while TcpStream::connect(&node.listen).is_err() {
+        while TcpStream::connect(&self.listen).is_err() {
             assert!(began.elapsed() < Duration::from_secs(20), "it never listened");
             std::thread::sleep(Duration::from_millis(20));
         }
-        node
+    }
+
+    /// Starts again under the same name and address, with the list that it was first started with.
+    fn again(&mut self) {
+        self.child = spawn(&self.folder, &self.listen, agent(self.told.clone()));
+        self.until_it_listens();
     }
 
     fn dial(&self) -> Party {
@@ -316,3 +330,30 @@
         variables.push((name, right));
     }
 }
+
+#[test]
+fn it_ends_whatever_is_on_its_way_and_starts_again_at_its_address() {
+    let mut node = Node::start("again");
+    for (signal, code) in [("-TERM", Some(0)), ("-KILL", None)] {
+        let mut reading = node.join(17);
+        reading.until(|order| order["whole"] == true);
+        // One reads nothing, one is in the middle of its joining, one says nothing: all are open as it ends.
+        let _deaf = node.join(3);
+        let mut half = node.dial();
+        half.write(b"{\"@type\":\"SUBSCRIBE\",").unwrap();
+        let _mute = node.dial();
+        node.signal(signal);
+        assert_eq!(node.child.wait().unwrap().code(), code);
+        assert!(reading.ended_within(Duration::from_secs(5)));
+        node.told.lock().unwrap().push(listed(9, false, &[("r2", "draining")]));
+        node.again();
+    }
+    // It starts from its old list, and hears of the drain that was meanwhile.
+    let mut proxy = node.join(17);
+    let order = proxy.until(|order| order["whole"] == true);
+    if names(&order, "lines").contains(&"r2".into()) {
+        proxy.until(|order| {
+            order["lines"].as_array().is_some_and(|lines| lines.contains(&json!(["r2", 0.0])))
+        });
+    }
+}
