Settings of another type are named where they are read, not in a second list

Now info's reading itself tells an absent figure from one of another type, for both wires; a count may come as 3.0 and not as 4.5; the list is gone. The test has two cases more (2.5 proxies, no such field).

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -18,7 +18,7 @@
 use wrenthread::interface::{Decision, ProxyId};
 use wrenthread::rules::Governor;
 use wrenthread_discovery::list::{Change, List};
-use wrenthread_discovery::watch::{self, Listener, Object};
+use wrenthread_discovery::watch::{self, Object, Subscriber};
 use wrenthread_lines::decode::{Decoder, Message};
 use wrenthread_lines::outbox::Outbox;
 
@@ -171,8 +171,8 @@
 
 impl Follower {
     fn start(number: u64, address: SocketAddr, list: &List, objects: &mpsc::Sender<Object>) -> Self {
-        let listener = Listener { follower: number, objects: objects.clone() };
-        let task = spawn_local(watch::follow(address.to_string(), list.version(), listener));
+        let subscriber = Subscriber { follower: number, objects: objects.clone() };
+        let task = spawn_local(watch::follow(address.to_string(), list.version(), subscriber));
         Follower { number, asks_whole: list.version().is_none(), task }
     }
 }
--- a/crates/daemon/src/node/config.rs
+++ b/crates/daemon/src/node/config.rs
@@ -85,8 +85,11 @@
         };
         let settings = whole.get("settings").and_then(Value::as_object);
         let settings = Fields(settings.ok_or("`settings` is no object")?);
-        sound(&settings)?;
         let info = wrenthread_info::read(&settings)?;
+        // Where the simulator tells of no number there is one proxy; here it would be ready, and serve nobody.
+        if settings.part("extra").get("agents").is_none() || info.settings.proxies == 0 {
+            return Err("`settings.extra.agents` is missing or 0: no proxy could join".into());
+        }
         named("settings.zones", &info.zones)?;
         named("settings.categories", &info.groups)?;
         let limits = fields.part("limits");
@@ -100,51 +103,6 @@
     }
 }
 
-/// Figures that the rules go by, by their part of the settings. One that is absent stands for none.
-const FIGURES: [(&str, &[&str]); 4] = [
-    ("", &["siblings"]),
-    ("rules", &["cold_from", "warm_after_us"]),
-    ("penalties", &["cross_zone"]),
-    (
-        "extra",
-        &[
-            "agents",
-            "bootstrap",
-            "channel_rate",
-            "cycle_us",
-            "ejects",
-            "messages_over_us",
-            "most_waiting",
-            "per_message",
-            "retry_default",
-            "shards",
-            "update_cap",
-            "worst_transit_us",
-        ],
-    ),
-];
-
-/// A figure of another type would be taken for absent, and the rules would go by what is usual elsewhere.
-fn sound(settings: &Fields) -> Result<(), String> {
-    for (part, names) in FIGURES {
-        let place = if part.is_empty() { "settings".to_string() } else { format!("settings.{part}") };
-        let fields = if part.is_empty() { Fields(settings.0) } else { settings.part(part) };
-        if settings.get(part).is_some_and(|part| !part.is_object()) {
-            return Err(format!("`{place}` is no object"));
-        }
-        for name in names {
-            let wrong = fields.get(name).filter(|value| value.as_f64().is_none_or(|number| number < 0.0));
-            if let Some(wrong) = wrong {
-                return Err(format!("`{place}.{name}` is not a number from 0 on: {wrong}"));
-            }
-        }
-    }
-    if settings.part("extra").whole("agents").unwrap_or(0) == 0 {
-        return Err("`settings.extra.agents` is missing or 0: no proxy could join".into());
-    }
-    Ok(())
-}
-
 fn limit(limits: &Fields, name: &str, usual: u64) -> Result<usize, String> {
     let most = if limits.get(name).is_some() { limits.number(name, -1.0) } else { usual as f64 };
     if (1.0..1e9).contains(&most) {
--- a/crates/daemon/src/node/config/tests.rs
+++ b/crates/daemon/src/node/config/tests.rs
@@ -18,9 +18,11 @@
         ("/settings/zones", json!([]), "`settings.zones`"),
         ("/settings/categories/0/deadline_us", json!("long"), "`deadline_us`"),
         ("/settings/extra/agents", json!(0), "`settings.extra.agents`"),
-        ("/settings/extra/agents", json!("20"), "`settings.extra.agents`"),
-        ("/settings/extra/channel_rate", json!(-1), "`settings.extra.channel_rate`"),
-        ("/settings/extra", json!([]), "`settings.extra`"),
+        ("/settings/extra/agents", json!("20"), "`agents`"),
+        ("/settings/extra/channel_rate", json!(-1), "`channel_rate`"),
+        ("/settings/extra/agents", json!(2.5), "`agents`"),
+        ("/settings/extra/agents", Value::Null, "`settings.extra.agents`"),
+        ("/settings/extra", json!([]), "`extra`"),
         ("/settings", json!(3), "`settings`"),
     ] {
         let mut broken = whole();
--- a/crates/discovery/src/watch.rs
+++ b/crates/discovery/src/watch.rs
@@ -61,19 +61,19 @@
 
 /// Where objects go, and the number that tells this follower's from others'.
 #[derive(Clone)]
-pub struct Listener {
+pub struct Subscriber {
     pub follower: u64,
     pub objects: mpsc::Sender<Object>,
 }
 
 /// Follows discovery at `address` until it is dropped. `known` is the version that the list has.
-pub async fn follow(address: String, mut known: Option<u64>, listener: Listener) {
+pub async fn follow(address: String, mut known: Option<u64>, subscriber: Subscriber) {
     let mut wait = WAITS.0;
     loop {
         let before = known;
         let ended = match known {
-            None => whole(&address, &mut known, &listener).await,
-            Some(version) => watch(&address, version, &mut known, &listener).await,
+            None => whole(&address, &mut known, &subscriber).await,
+            Some(version) => watch(&address, version, &mut known, &subscriber).await,
         };
         let fault = match ended {
             Ok(()) => continue,
@@ -95,7 +95,7 @@
 }
 
 /// Has all of the list told, from which a watch may go on.
-async fn whole(address: &str, known: &mut Option<u64>, listener: &Listener) -> Result<(), Fault> {
+async fn whole(address: &str, known: &mut Option<u64>, subscriber: &Subscriber) -> Result<(), Fault> {
     let (answer, _driver) = ask(address, "/registry/instances").await?;
     let (mut body, mut list) = (answer.into_body(), Vec::new());
     while let Some(data) = piece(&mut body).await? {
@@ -104,12 +104,17 @@
         }
         list.extend_from_slice(&data);
     }
-    *known = Some(listener.tell(list).await?);
+    *known = Some(subscriber.tell(list).await?);
     Ok(())
 }
 
 /// Watches from a version on, for as long as the connection lasts.
-async fn watch(address: &str, from: u64, known: &mut Option<u64>, listener: &Listener) -> Result<(), Fault> {
+async fn watch(
+    address: &str,
+    from: u64,
+    known: &mut Option<u64>,
+    subscriber: &Subscriber,
+) -> Result<(), Fault> {
     let (answer, _driver) = ask(address, &format!("/registry/instances?watch=1&from={from}")).await?;
     let (mut body, mut frames) = (answer.into_body(), Frames::default());
     while let Some(data) = piece(&mut body).await? {
@@ -120,7 +125,7 @@
         })?;
         for line in lines {
             *known = None;
-            *known = Some(listener.tell(line).await?);
+            *known = Some(subscriber.tell(line).await?);
         }
     }
     Err(Fault::Ended)
@@ -134,7 +139,7 @@
     }
 }
 
-impl Listener {
+impl Subscriber {
     /// The version that the list has after an object.
     async fn tell(&self, bytes: Vec<u8>) -> Result<u64, Fault> {
         let (known, told) = oneshot::channel();
--- a/crates/discovery/tests/watch.rs
+++ b/crates/discovery/tests/watch.rs
@@ -6,7 +6,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
-use wrenthread_discovery::watch::{Listener, Object, follow};
+use wrenthread_discovery::watch::{Object, Subscriber, follow};
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -44,7 +44,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (send, mut objects) = mpsc::channel(4);
         let address = listener.local_addr().unwrap().to_string();
-        tokio::task::spawn_local(follow(address, Some(41), Listener { follower: 1, objects: send }));
+        tokio::task::spawn_local(follow(address, Some(41), Subscriber { follower: 1, objects: send }));
         // Objects come in pieces, empty lines between them.
         let (mut stream, path) = asked(&listener).await;
         assert_eq!(path, "/registry/instances?watch=1&from=41");
--- a/crates/info/src/lib.rs
+++ b/crates/info/src/lib.rs
@@ -12,12 +12,14 @@
 pub enum Fault {
     #[error("`{0}` is not a whole number")]
     Whole(String),
+    #[error("`{0}` is not a number from 0 on")]
+    Figure(String),
     #[error("`{0}` is too large")]
     Large(String),
     #[error("`{0}` is not a text")]
     Text(String),
-    #[error("an entry of `{0}` is no object")]
-    Object(&'static str),
+    #[error("`{0}`, or an entry of it, is no object")]
+    Object(String),
 }
 
 impl From<Fault> for String {
@@ -45,10 +47,26 @@
         self.0.get(name).filter(|value| !value.is_null())
     }
 
-    /// A number that may come as 3.0, from a writer that knows one kind only, or with a part no count has.
+    /// A count, which may come as 3.0 from a writer that knows one kind of number only.
     pub fn whole(&self, name: &str) -> Result<u64, Fault> {
-        let number = self.get(name).and_then(Value::as_f64).filter(|number| (0.0..9e15).contains(number));
-        number.map(|number| number.round() as u64).ok_or_else(|| Fault::Whole(name.into()))
+        let number = self.figure(name).ok().filter(|number| number.fract() == 0.0 && *number < 9e15);
+        number.map(|number| number as u64).ok_or_else(|| Fault::Whole(name.into()))
+    }
+
+    pub fn figure(&self, name: &str) -> Result<f64, Fault> {
+        let number = self.get(name).and_then(Value::as_f64).filter(|number| *number >= 0.0);
+        number.ok_or_else(|| Fault::Figure(name.into()))
+    }
+
+    /// What is absent is `other`. Of another type it would be taken for absent, and the rules would go by what
+    /// is usual elsewhere.
+    fn or<T>(
+        &self,
+        name: &str,
+        other: T,
+        read: impl Fn(&Self, &str) -> Result<T, Fault>,
+    ) -> Result<T, Fault> {
+        if self.get(name).is_some() { read(self, name) } else { Ok(other) }
     }
 
     pub fn small<T: TryFrom<u64>>(&self, name: &str) -> Result<T, Fault> {
@@ -59,10 +77,6 @@
         self.whole(name).map(Duration::from_micros)
     }
 
-    pub fn span_or(&self, name: &str, other: Duration) -> Duration {
-        self.span(name).unwrap_or(other)
-    }
-
     pub fn number(&self, name: &str, other: f64) -> f64 {
         self.get(name).and_then(Value::as_f64).filter(|x| x.is_finite()).unwrap_or(other)
     }
@@ -84,6 +98,12 @@
         Fields(self.get(name).and_then(Value::as_object).unwrap_or(&NOTHING))
     }
 
+    /// As [`Fields::part`], where what is no object is not taken for an absent one.
+    fn section(&self, name: &str) -> Result<Fields<'a>, Fault> {
+        let object = self.get(name).is_none_or(Value::is_object);
+        if object { Ok(self.part(name)) } else { Err(Fault::Object(name.into())) }
+    }
+
     pub fn row(&self, name: &str) -> &'a [Value] {
         self.get(name).and_then(Value::as_array).map_or(&[], Vec::as_slice)
     }
@@ -92,14 +112,14 @@
 /// Reads what a governor is told first. What it does not know it leaves out, and what may be missing stands
 /// as where there is none of it.
 ///
-/// Errors: a group without its spans, or that is no object.
+/// Errors: a group without its spans, or that is no object; a part or a figure of another type.
 pub fn read(info: &Fields) -> Result<Info, Fault> {
-    let (extra, rules) = (info.part("extra"), info.part("rules"));
-    let (limits, penalties) = (info.part("limits"), info.part("penalties"));
+    let (extra, rules) = (info.section("extra")?, info.section("rules")?);
+    let (limits, penalties) = (info.section("limits")?, info.section("penalties")?);
     let own_zone = extra.row("class_own_zone");
     let groups = info.row("categories").iter().enumerate().map(|(place, group)| {
-        let group = Fields(group.as_object().ok_or(Fault::Object("categories"))?);
-        let window = group.span_or("key_ttl_us", Duration::ZERO);
+        let group = Fields(group.as_object().ok_or(Fault::Object("categories".into()))?);
+        let window = group.or("key_ttl_us", Duration::ZERO, Fields::span)?;
         let by = match group.word("group") {
             "all" => Dedupers::All,
             "cell" => Dedupers::SamePack,
@@ -113,45 +133,46 @@
             },
             latency_budget: group.span("objective_us")?,
             expiry: group.span("deadline_us")?,
-            utility: group.number("worth", 1.0),
+            utility: group.or("worth", 1.0, Fields::figure)?,
             own_zone: own_zone.get(place).and_then(Value::as_bool).unwrap_or(false),
         })
     });
     let groups = groups.collect::<Result<Vec<_>, Fault>>()?;
-    let report = info.part("report");
+    let report = info.section("report")?;
     let load_fields = report.row("fields").iter().map(|field| match field.as_str() {
         Some("inflight") => LoadField::InHand,
         Some("queue") => LoadField::Waiting,
         Some("latency_ms") => LoadField::ServiceMillis,
         _ => LoadField::Other,
     });
-    let cap = extra.whole("update_cap").unwrap_or(0) as usize;
+    let cap = extra.or("update_cap", 0, Fields::whole)? as usize;
+    let over = extra.or("messages_over_us", None, |fields, name| fields.span(name).map(Some))?;
     let settings = Settings {
-        governors: info.whole("siblings").unwrap_or(1),
+        governors: info.or("siblings", 1, Fields::whole)?,
         groups,
-        slices: extra.whole("shards").unwrap_or(0),
-        proxies: extra.whole("agents").unwrap_or(1),
-        standing_lines: extra.whole("bootstrap").map_or(usize::MAX, |most| most as usize),
-        cold_share: rules.number("cold_from", 1.0),
-        warm_after: rules.span_or("warm_after_us", Duration::ZERO),
-        proxies_avoid: extra.whole("ejects").unwrap_or(0) > 0,
-        sums_every: extra.span_or("cycle_us", Duration::from_secs(1)),
-        lines_per_s: extra.number("channel_rate", f64::MAX),
-        head_lines: extra.number("per_message", 0.0),
-        waiting_most: extra.number("most_waiting", f64::MAX),
-        transit_most: extra.span_or("worst_transit_us", Duration::ZERO),
-        messages_most: extra.span("messages_over_us").ok().filter(|_| cap > 0).map(|over| (cap, over)),
+        slices: extra.or("shards", 0, Fields::whole)?,
+        proxies: extra.or("agents", 1, Fields::whole)?,
+        standing_lines: extra.or("bootstrap", u64::MAX, Fields::whole)? as usize,
+        cold_share: rules.or("cold_from", 1.0, Fields::figure)?,
+        warm_after: rules.or("warm_after_us", Duration::ZERO, Fields::span)?,
+        proxies_avoid: extra.or("ejects", 0, Fields::whole)? > 0,
+        sums_every: extra.or("cycle_us", Duration::from_secs(1), Fields::span)?,
+        lines_per_s: extra.or("channel_rate", f64::MAX, Fields::figure)?,
+        head_lines: extra.or("per_message", 0.0, Fields::figure)?,
+        waiting_most: extra.or("most_waiting", f64::MAX, Fields::figure)?,
+        transit_most: extra.or("worst_transit_us", Duration::ZERO, Fields::span)?,
+        messages_most: over.filter(|_| cap > 0).map(|over| (cap, over)),
         level_kind: match extra.word("level_kind") {
             "ratio" => LevelKind::Share,
             "rps" => LevelKind::Rate,
             _ => LevelKind::None,
         },
-        usual_tries: match extra.whole("retry_default") {
-            Ok(0) => FurtherTries::Never,
-            Ok(1) => FurtherTries::IfNeverRan,
+        usual_tries: match extra.or("retry_default", 2, Fields::whole)? {
+            0 => FurtherTries::Never,
+            1 => FurtherTries::IfNeverRan,
             _ => FurtherTries::Once,
         },
-        crossing_cost: penalties.number("cross_zone", 0.0),
+        crossing_cost: penalties.or("cross_zone", 0.0, Fields::figure)?,
         probe_cost: limits.flag("probes").then(|| penalties.number("probe", 0.0)),
         load_fields: load_fields.collect(),
     };
@@ -195,6 +216,6 @@
             told(&INFO.replace("deadline_us\":5000000", "deadline_us\":-1")),
             Err(Fault::Whole("deadline_us".into()))
         );
-        assert_eq!(told(r#"{"categories":[3]}"#), Err(Fault::Object("categories")));
+        assert_eq!(told(r#"{"categories":[3]}"#), Err(Fault::Object("categories".into())));
     }
 }
