--- a/crates/daemon/src/node/config.rs
+++ b/crates/daemon/src/node/config.rs
@@ -86,7 +86,7 @@
         let settings = whole.get("settings").and_then(Value::as_object);
         let settings = Fields(settings.ok_or("`settings` is no object")?);
         let info = wrenthread_info::read(&settings)?;
-        // Where the simulator tells of no number there is one proxy; here it would be ready, and serve nobody.
+        // Where the simulator tells of no number there is one proxy; here it would be ready and serve nobody.
         if settings.part("extra").get("agents").is_none() || info.settings.proxies == 0 {
             return Err("`settings.extra.agents` is missing or 0: no proxy could join".into());
         }
--- a/crates/info/src/lib.rs
+++ b/crates/info/src/lib.rs
@@ -58,8 +58,7 @@
         number.ok_or_else(|| Fault::Figure(name.into()))
     }
 
-    /// What is absent is `other`. Of another type it would be taken for absent, and the rules would go by what
-    /// is usual elsewhere.
+    /// What is absent is `other`. What is of another type is not: the rules would go by what is usual elsewhere.
     fn or<T>(
         &self,
         name: &str,
