--- a/crates/info/src/lib.rs
+++ b/crates/info/src/lib.rs
@@ -58,7 +58,7 @@
         number.ok_or_else(|| Fault::Figure(name.into()))
     }
 
-    /// What is absent is `other`. What is of another type is not: the rules would go by what is usual elsewhere.
+    /// What is absent is `other`; what is of another type is not, or the rules would go by what is usual.
     fn or<T>(
         &self,
         name: &str,
