The platform's governor is a state machine of its own, without sockets or clock

What crates/daemon/src/node.rs kept (streams, outbox, list, silence, which follower counts, due times) is crates/node: inputs with their time in; bytes for streams, closings and followings out; the module pulled until None. The daemon is left with sockets, files and signals. The list moved there from crates/discovery, which is the watch alone now. No behaviour was to change, and none of the tests' checks did: those over real connections look at the machine through its public side. Silence's constants and their test went along.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -1,5 +1,5 @@
-//! `wrenthread node`: one governor by the platform's protocol. It feeds the rules what comes over the
-//! sockets, pulls what they decide, and sends it; it decides nothing itself.
+//! `wrenthread node`: sockets, files and signals of one governor by the platform's protocol. What they bring
+//! goes to the state machine in `wrenthread-node`, and what that says is done.
 
 pub mod config;
 mod connection;
@@ -15,12 +15,9 @@
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
-use wrenthread::interface::{Decision, ProxyId};
-use wrenthread::rules::Governor;
-use wrenthread_discovery::list::{Change, List};
 use wrenthread_discovery::watch::{self, Object, Subscriber};
-use wrenthread_lines::decode::{Decoder, Message};
-use wrenthread_lines::outbox::Outbox;
+use wrenthread_lines::decode::Decoder;
+use wrenthread_node::{Node, Output};
 
 use crate::clock::Clock;
 use config::{Config, Variables};
@@ -30,23 +27,11 @@
 const EVENTS: usize = 1024;
 /// Events taken before decisions are pulled, so that a burst is one pull.
 const AT_ONCE: usize = 512;
-/// How often streams are looked over for silence, and names that are gone forgotten.
-const HOUSEKEEPING: Duration = Duration::from_secs(1);
-/// How many times of those pass before what was left out is logged.
-const LOGGED: u32 = 5;
-/// An answer to a nonce takes as long as lines wait in a channel that may run slower than it ought to, and
-/// some.
-const ANSWER_WITHIN: Duration = Duration::from_secs(12);
-/// Flows that a proxy would have been sent meanwhile: chance alone leaves none of so many out once in a
-/// hundred thousand looks. It guards against streams of machines that vanished; a live proxy whose clients
-/// went away all at once would lose its stream, and join anew.
-const FLOWS_MISSED: f64 = 12.0;
+/// How often it is logged what is believed, and what was left out.
+const LOGGED: Duration = Duration::from_secs(5);
 /// A connection to the address that discovery moved from is heard out for so long: what was written to it
 /// counts as told, and the new address may be silent yet. It is closed sooner, most likely.
 const HEARD_OUT: Duration = Duration::from_millis(2500);
-/// What discovery has to tell reaches each address within some seconds. One that tells of older versions for
-/// longer is not behind: it counts anew.
-const BEHIND_MOST: Duration = Duration::from_secs(20);
 /// Connections that may wait to be accepted: a whole fleet may dial at once as other governors die.
 const BACKLOG: u32 = 4096;
 /// A file that is being written is read again after this, and so often.
@@ -72,10 +57,10 @@
         tokio::select! {
             biased;
             _ = terminate.recv() => break,
-            _ = hangup.recv() => service.node.reread(REREAD.1),
+            _ = hangup.recv() => service.reread(REREAD.1),
             () = service.heed() => {}
         }
-        service.node.pull();
+        service.pull();
     }
     tracing::info!("it ends: told to");
     Ok(())
@@ -93,123 +78,58 @@
     })
 }
 
-/// The node, and what comes to it.
+/// The node, what comes to it, and what it has the host do.
 struct Service {
-    node: Node,
-    events: mpsc::Receiver<Event>,
-    objects: mpsc::Receiver<Object>,
-}
-
-impl Service {
-    fn start(variables: Variables, config: Config, listener: TcpListener) -> Self {
-        let (events, heard) = mpsc::channel(EVENTS);
-        let (objects, lists) = mpsc::channel(4);
-        let mut node = Node::new(Clock::start(), variables, config, objects);
-        spawn_local(connection::open(listener, node.connections.clone(), events));
-        let (governor, listen) = (&node.variables.name, node.variables.listen);
-        tracing::info!(%governor, %listen, discovery = %node.discovery, "it serves");
-        node.pull();
-        Service { node, events: heard, objects: lists }
-    }
-
-    /// Waits for what comes next, and takes it in.
-    async fn heed(&mut self) {
-        let node = &mut self.node;
-        let due = node.due.min(node.housekeeping);
-        tokio::select! {
-            biased;
-            Some(object) = self.objects.recv() => node.listed(object),
-            Some(event) = self.events.recv() => {
-                node.take(event);
-                for _ in 1..AT_ONCE {
-                    let Ok(event) = self.events.try_recv() else { break };
-                    node.take(event);
-                }
-            }
-            () = sleep_until(node.reread_at.map_or(due, |at| at.min(due))) => {}
-        }
-    }
-}
-
-/// A proxy's newest stream.
-struct Stream {
-    connection: u64,
-    handle: Handle,
-    usual: f64,
-}
-
-/// Who follows discovery at its present address.
-struct Follower {
-    /// It tells this one's objects from those of earlier ones.
-    number: u64,
-    /// It has been told to ask for the whole list, and has not had it.
-    asks_whole: bool,
-    task: JoinHandle<()>,
-}
-
-struct Node {
     clock: Clock,
     variables: Variables,
     config: Config,
     discovery: SocketAddr,
-    follower: Follower,
-    objects: mpsc::Sender<Object>,
-    /// Since when discovery has told of nothing but older versions.
-    behind: Option<Instant>,
-    governor: Governor,
-    list: List,
-    outbox: Outbox,
+    node: Node,
+    /// By connection, the sending side of each stream.
+    handles: BTreeMap<u64, Handle>,
     connections: Rc<Connections>,
-    streams: BTreeMap<ProxyId, Stream>,
-    /// When the rules asked to be called.
-    due: Instant,
-    housekeeping: Instant,
-    houses_kept: u32,
+    events: mpsc::Receiver<Event>,
+    objects: mpsc::Receiver<Object>,
+    subscribers: mpsc::Sender<Object>,
+    follower: Option<JoinHandle<()>>,
+    log_at: Instant,
     rereads: u32,
     reread_at: Option<Instant>,
 }
 
-impl Follower {
-    fn start(number: u64, address: SocketAddr, list: &List, objects: &mpsc::Sender<Object>) -> Self {
-        let subscriber = Subscriber { follower: number, objects: objects.clone() };
-        let task = spawn_local(watch::follow(address.to_string(), list.version(), subscriber));
-        Follower { number, asks_whole: list.version().is_none(), task }
-    }
-}
-
-impl Node {
-    fn new(clock: Clock, variables: Variables, config: Config, objects: mpsc::Sender<Object>) -> Self {
-        let info = &config.info;
-        let connections = Rc::new(Connections::new(Decoder::new(info)));
+impl Service {
+    fn start(variables: Variables, config: Config, listener: TcpListener) -> Self {
+        let clock = Clock::start();
+        let (events, heard) = mpsc::channel(EVENTS);
+        let (subscribers, objects) = mpsc::channel(4);
+        let mut node = Node::new(&config.info, clock.now());
+        if let Err(fault) = node.know(clock.now(), &config.known, |at| clock.at(at)) {
+            tracing::warn!(%fault, "the configuration's list can't be used");
+        }
+        node.follow();
+        let connections = Rc::new(Connections::new(Decoder::new(&config.info)));
+        spawn_local(connection::open(listener, connections.clone(), events));
         let discovery = config.discovery.unwrap_or(variables.discovery);
-        let mut list = List::new(&info.zones);
-        let known = list.take(&config.known, |at| clock.at(at));
-        let mut node = Node {
-            governor: Governor::new(info.settings.clone(), clock.now()),
-            outbox: Outbox::new(info.groups.clone(), info.settings.usual_tries),
-            follower: Follower::start(1, discovery, &list, &objects),
+        tracing::info!(governor = %variables.name, listen = %variables.listen, %discovery, "it serves");
+        let mut service = Service {
+            clock,
+            variables,
+            config,
+            discovery,
+            node,
+            handles: BTreeMap::new(),
             connections,
-            list,
+            events: heard,
             objects,
-            behind: None,
-            discovery,
-            streams: BTreeMap::new(),
-            due: Instant::now() + Duration::from_secs(3600),
-            housekeeping: Instant::now() + HOUSEKEEPING,
-            houses_kept: 0,
+            subscribers,
+            follower: None,
+            log_at: Instant::now() + LOGGED,
             rereads: 0,
             reread_at: None,
-            clock,
-            variables,
-            config,
         };
-        node.limit();
-        match known {
-            Ok(Some(change)) => node.tell(change),
-            Ok(None) => {}
-            Err(fault) => tracing::warn!(%fault, "the configuration's list can't be used"),
-        }
-        node
+        service.limit();
+        service.pull();
+        service
     }
 
     fn limit(&self) {
@@ -217,162 +137,87 @@
         self.connections.limit(config.sockets, config.memory, info.settings.proxies, info.zones.len());
     }
 
-    fn listed(&mut self, object: Object) {
-        let clock = self.clock;
-        match self.list.read(&object.bytes, |at| clock.at(at)) {
-            Ok(change) => change.into_iter().for_each(|change| self.tell(change)),
-            Err(fault) => tracing::warn!(%fault, "an object of discovery can't be used: all is asked for"),
-        }
-        let known = self.list.version();
-        let _ = object.known.send(known); // its follower may be gone; the object counts all the same
-        if object.follower == self.follower.number {
-            self.follower.asks_whole = known.is_none();
-            self.behind = self.list.is_behind().then(|| self.behind.unwrap_or_else(Instant::now));
-        } else if known.is_none() && !self.follower.asks_whole {
-            // The present one watches from a version that has what was spoilt behind it.
-            self.follow();
+    /// Waits for what comes next, and takes it in.
+    async fn heed(&mut self) {
+        let due = self.clock.instant(self.node.due()).min(self.log_at);
+        tokio::select! {
+            biased;
+            Some(object) = self.objects.recv() => self.object(object),
+            Some(event) = self.events.recv() => {
+                self.take(event);
+                for _ in 1..AT_ONCE {
+                    let Ok(event) = self.events.try_recv() else { break };
+                    self.take(event);
+                }
+            }
+            () = sleep_until(self.reread_at.map_or(due, |at| at.min(due))) => {}
         }
     }
 
-    /// Follows discovery anew, from what the list has. The earlier follower is heard out.
-    fn follow(&mut self) {
-        let next = Follower::start(self.follower.number + 1, self.discovery, &self.list, &self.objects);
-        let earlier = std::mem::replace(&mut self.follower, next).task;
-        self.behind = None;
-        spawn_local(async move {
-            sleep(HEARD_OUT).await;
-            earlier.abort();
-        });
-    }
-
-    fn tell(&mut self, change: Change) {
-        for why in &change.spoilt {
-            tracing::warn!(%why, "an entry of discovery is spoilt and left out");
-        }
-        self.connections.names.borrow_mut().extend(change.entries.iter().map(|entry| entry.id.clone()));
-        self.governor.listed(self.clock.now(), &change.entries, change.complete);
+    fn object(&mut self, object: Object) {
+        let clock = self.clock;
+        let known = self.node.object(clock.now(), object.follower, &object.bytes, |at| clock.at(at));
+        let _ = object.known.send(known); // its follower may be gone; the object counts all the same
     }
 
     fn take(&mut self, event: Event) {
         let now = self.clock.now();
         match event {
-            Event::Joined { connection, proxy, zone, usual, fresh, handle } => {
-                if self.streams.get(&proxy).is_some_and(|newest| newest.connection > connection) {
-                    // Its joining was held up while the proxy dialled anew. Its handle ends it.
-                    self.connections.count("late: a joining on a stream older than the proxy's");
-                    return;
-                }
-                // An older stream of the proxy ends with its handle.
-                self.streams.insert(proxy, Stream { connection, handle, usual });
-                self.outbox.joined(proxy);
-                self.governor.joined(now, proxy, zone, usual, fresh);
+            Event::Joined { connection, joining, handle } => {
+                self.handles.insert(connection, handle);
+                self.node.joined(now, connection, joining);
             }
             Event::Ended { connection, proxy } => {
-                if self.streams.get(&proxy).is_some_and(|stream| stream.connection == connection) {
-                    self.leave(proxy);
-                }
-            }
-            Event::Handed(Message::Met(met)) => self.governor.met(now, met),
-            Event::Handed(Message::Came(came)) => self.governor.came(now, came),
-            Event::Said { connection, proxy, .. }
-                if self.streams.get(&proxy).is_none_or(|stream| stream.connection != connection) =>
-            {
-                self.connections.count("late: said on a stream that ended or was replaced");
-            }
-            Event::Said { message: Message::Came(came), .. } => self.governor.came(now, came),
-            Event::Said { message: Message::Acked { proxy, nonce, took }, .. } => {
-                if self.outbox.acked(now, proxy, nonce, took) {
-                    self.governor.acked(took);
-                } else {
-                    self.connections.count("spoilt: an answer to no nonce");
-                }
+                self.handles.remove(&connection);
+                self.node.ended(connection, proxy);
             }
-            Event::Said { .. } | Event::Handed(_) => {}
+            Event::Said { connection, proxy, message } => self.node.said(now, connection, proxy, message),
+            Event::Handed(message) => self.node.handed(now, message),
         }
     }
 
-    fn leave(&mut self, proxy: ProxyId) {
-        self.streams.remove(&proxy);
-        self.outbox.left(proxy);
-        self.governor.left(proxy);
-    }
-
-    /// Lets the rules see what has become due, and sends what they decide.
+    /// Lets the node see what has become due, and does what it says.
     fn pull(&mut self) {
         let at = Instant::now();
-        if at >= self.due {
-            self.due = at + Duration::from_secs(3600);
-            self.governor.beat();
-        }
-        if at >= self.housekeeping {
-            let late = at > self.housekeeping + HOUSEKEEPING;
-            self.housekeeping = at + HOUSEKEEPING;
-            self.keep_house(late);
-        }
         if self.reread_at.is_some_and(|due| at >= due) {
             self.reread(self.rereads);
         }
-        let now = self.clock.now();
-        while let Some(decision) = self.governor.decide(now) {
-            if let Some(Decision::Wake(after)) = self.outbox.take(decision) {
-                self.due = at + after;
-            }
-        }
-        let mut unread = Vec::new();
-        self.outbox.flush(now, |proxy, bytes| {
-            if self.streams.get(&proxy).is_some_and(|stream| !stream.handle.send(bytes)) {
-                unread.push(proxy);
+        let (clock, handles) = (self.clock, &self.handles);
+        let heard = |connection| handles.get(&connection).map_or(clock.now(), |one| clock.since(one.heard()));
+        self.node.pull(clock.now(), heard);
+        while let Some(output) = self.node.next() {
+            match output {
+                Output::Send { connection, bytes } => {
+                    if self.handles.get(&connection).is_some_and(|handle| !handle.send(bytes)) {
+                        self.node.unread(connection);
+                    }
+                }
+                // Dropping the handle ends the connection.
+                Output::Close { connection } => drop(self.handles.remove(&connection)),
+                Output::Follow { follower, from } => self.follow(follower, from),
+                Output::Names => self.connections.names.borrow_mut().clone_from(self.node.names()),
             }
-        });
-        for proxy in unread {
-            tracing::warn!(proxy, "a proxy leaves its orders unread: its stream ends");
-            self.leave(proxy);
         }
-    }
-
-    fn keep_house(&mut self, late: bool) {
-        // A governor that stood still has heard of nobody: what waits is read before the next look.
-        if !late {
-            for proxy in self.silent() {
-                tracing::info!(proxy, "a proxy has fallen silent: its stream ends");
-                self.leave(proxy);
+        if at >= self.log_at {
+            self.log_at = at + LOGGED;
+            tracing::info!("{:?}", self.node.beliefs());
+            let mut faults = std::mem::take(&mut *self.connections.faults.borrow_mut());
+            faults.extend(self.node.faults().into_iter().map(|(why, count)| (why.to_string(), count)));
+            if !faults.is_empty() {
+                tracing::info!(?faults, "left out or ended");
             }
         }
-        if self.behind.is_some_and(|since| since.elapsed() > BEHIND_MOST) {
-            tracing::warn!("discovery tells of older versions only: it is taken to count anew");
-            self.list.renumber();
-            self.follow();
-        }
-        let governor = &self.governor;
-        self.outbox.retain(|id| governor.knows(id));
-        self.connections.names.borrow_mut().retain(|id| governor.knows(id));
-        self.houses_kept += 1;
-        if !self.houses_kept.is_multiple_of(LOGGED) {
-            return;
-        }
-        tracing::info!("{:?}", governor.beliefs());
-        let faults = std::mem::take(&mut *self.connections.faults.borrow_mut());
-        if !faults.is_empty() {
-            tracing::info!(?faults, "left out or ended");
-        }
     }
 
-    /// Proxies that said nothing for as long as they would have had to say something, while others did.
-    fn silent(&self) -> Vec<ProxyId> {
-        let (at, now) = (Instant::now(), self.clock.now());
-        let every = self.config.info.settings.sums_every;
-        let silence = |stream: &Stream| at.saturating_duration_since(stream.handle.heard());
-        let speaking = self.streams.values().filter(|stream| silence(stream) < ANSWER_WITHIN).count();
-        if 2 * speaking < self.streams.len() {
-            return Vec::new(); // whatever keeps them all from being heard, it is not each of them
+    fn follow(&mut self, follower: u64, from: Option<u64>) {
+        let subscriber = Subscriber { follower, objects: self.subscribers.clone() };
+        let follower = spawn_local(watch::follow(self.discovery.to_string(), from, subscriber));
+        if let Some(earlier) = self.follower.replace(follower) {
+            spawn_local(async move {
+                sleep(HEARD_OUT).await;
+                earlier.abort();
+            });
         }
-        let silent = self.streams.iter().filter(|(proxy, stream)| {
-            let heard = self.clock.since(stream.handle.heard());
-            let owed = self.outbox.owes_since(**proxy, heard).map(|sent| now.saturating_sub(sent));
-            // Whether what it owes an answer to has left or is stuck on its way: nothing is heard either way.
-            has_fallen_silent(silence(stream), owed, stream.usual, every)
-        });
-        silent.map(|(proxy, _)| *proxy).collect()
     }
 
     /// Reads the configuration again. A broken one leaves what stands, and is tried again for a while.
@@ -396,19 +241,11 @@
         let discovery = self.config.discovery.unwrap_or(self.discovery);
         if discovery != self.discovery {
             self.discovery = discovery;
-            self.follow();
+            self.node.follow();
         }
         tracing::info!(%discovery, "a new configuration is in force");
     }
 }
 
-/// Whether a stream that was silent so long, and has owed an answer since, would have had to say something by
-/// now. Sums come `every` so often, where there are any flows.
-fn has_fallen_silent(silence: Duration, owed: Option<Duration>, usual: f64, every: Duration) -> bool {
-    let due = ANSWER_WITHIN + 2 * every;
-    let flows = silence.saturating_sub(due).as_secs_f64() * usual;
-    owed.is_some_and(|owed| owed > due) || flows > FLOWS_MISSED
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/daemon/src/node/connection.rs
+++ b/crates/daemon/src/node/connection.rs
@@ -18,6 +18,7 @@
 use wrenthread::interface::{Came, ProxyId, ReplicaId};
 use wrenthread_lines::decode::{Decoder, Fault, Message};
 use wrenthread_lines::frames::Frames;
+use wrenthread_node::Joining;
 
 /// What a connection has to say who it is; it may be closed then.
 const IDENTIFY_WITHIN: Duration = Duration::from_millis(1000);
@@ -40,10 +41,7 @@
 pub enum Event {
     Joined {
         connection: u64,
-        proxy: ProxyId,
-        zone: usize,
-        usual: f64,
-        fresh: bool,
+        joining: Joining,
         handle: Handle,
     },
     /// What the stream of a proxy says.
@@ -411,8 +409,8 @@
                     writer,
                 };
                 self.queue = Some((queue, unsent));
-                self.tell(Event::Joined { connection: self.connection, proxy, zone, usual, fresh, handle })
-                    .await;
+                let joining = Joining { proxy, zone, usual, fresh };
+                self.tell(Event::Joined { connection: self.connection, joining, handle }).await;
             }
             (message @ (Message::Met(_) | Message::Came(_)), Party::Collector) => {
                 self.tell(Event::Handed(message)).await;
--- a/crates/daemon/src/node/tests.rs
+++ b/crates/daemon/src/node/tests.rs
@@ -151,12 +151,12 @@
     /// Has the node take in all that waits for it, and send what comes of it.
     fn step(&mut self) {
         while let Ok(object) = self.service.objects.try_recv() {
-            self.service.node.listed(object);
+            self.service.object(object);
         }
         while let Ok(event) = self.service.events.try_recv() {
-            self.service.node.take(event);
+            self.service.take(event);
         }
-        self.service.node.pull();
+        self.service.pull();
     }
 
     /// Lets connections go on, but not the node, until something is so.
@@ -205,16 +205,17 @@
     /// Writes another configuration, and has it read.
     fn reload(&mut self, whole: &Value) {
         std::fs::write(self.folder.join("config.json"), whole.to_string()).unwrap();
-        self.service.node.reread(0);
+        self.service.reread(0);
     }
 
-    fn faults(&self, why: &str) -> u64 {
-        let faults = self.service.node.connections.faults.borrow();
+    fn faults(&mut self, why: &str) -> u64 {
+        let mut faults = self.service.connections.faults.borrow_mut();
+        faults.extend(self.service.node.faults().into_iter().map(|(why, count)| (why.to_string(), count)));
         faults.iter().filter(|(fault, _)| fault.starts_with(why)).map(|(_, count)| count).sum()
     }
 
     fn serves(&self, proxy: u16) -> bool {
-        self.service.node.streams.contains_key(&proxy)
+        self.service.node.stream(proxy).is_some()
     }
 }
 
--- a/crates/daemon/src/node/tests/discovery.rs
+++ b/crates/daemon/src/node/tests/discovery.rs
@@ -99,9 +99,9 @@
             if agent.heard(WHOLE) == 0 {
                 agent.tell(&watch_from(100), std::slice::from_ref(&older)).await;
             }
-            assert!(began.elapsed() < 2 * BEHIND_MOST, "it is never believed");
+            assert!(began.elapsed() < 40 * Duration::from_secs(1), "it is never believed");
         }
-        assert!(began.elapsed() > BEHIND_MOST, "{:?}", began.elapsed());
+        assert!(began.elapsed() > 20 * Duration::from_secs(1), "{:?}", began.elapsed());
         assert!(!proxy.read().0.iter().any(|order| takes_out(order, "r3")), "it may just be behind");
         agent.tell_whole(&older).await;
         proxy.until_told(&mut stage, |order| takes_out(order, "r3")).await;
--- a/crates/daemon/src/node/tests/peers.rs
+++ b/crates/daemon/src/node/tests/peers.rs
@@ -19,7 +19,7 @@
             use std::io::Write;
             peer.write_all(format!("{}\n", joining(proxy as u16)).as_bytes()).unwrap();
         }
-        stage.until("all are served", |service| service.node.streams.len() == 300).await;
+        stage.until("all are served", |service| service.handles.len() == 300).await;
         assert_eq!(stage.faults("unidentified"), 0);
     });
 }
@@ -33,13 +33,13 @@
         let (first, rest) = message.split_at(40);
         let mut slow = stage.dial().await;
         slow.write(first.as_bytes());
-        stage.held_until("it is read", |service| service.node.connections.unread() == first.len()).await;
+        stage.held_until("it is read", |service| service.connections.unread() == first.len()).await;
         let mut silent = Vec::new();
         for _ in 0..64 {
             silent.push(stage.dial().await);
         }
         let sent_away = |service: &Service| {
-            let faults = service.node.connections.faults.borrow();
+            let faults = service.connections.faults.borrow();
             faults.get("unidentified: others came").is_some_and(|count| *count >= 49)
         };
         stage.until("the others are sent away", sent_away).await;
@@ -47,10 +47,10 @@
         let mut unread = std::net::TcpStream::connect(stage.address).unwrap();
         std::io::Write::write_all(&mut unread, b"{\"@type\":").unwrap();
         let more: Vec<_> = (0..64).map(|_| std::net::TcpStream::connect(stage.address).unwrap()).collect();
-        stage.held_until("it is read", |service| service.node.connections.unread() == first.len() + 9).await;
+        stage.held_until("it is read", |service| service.connections.unread() == first.len() + 9).await;
         std::io::Write::write_all(&mut unread, &format!("{}\n", joining(8)).as_bytes()[9..]).unwrap();
         slow.write(rest.as_bytes());
-        stage.until("both are served", |service| service.node.streams.len() == 2).await;
+        stage.until("both are served", |service| service.handles.len() == 2).await;
         assert!(stage.serves(7) && stage.serves(8));
         drop(more);
     });
@@ -65,7 +65,7 @@
         for cut in 1..message.len() {
             let mut peer = stage.dial().await;
             peer.write(&message.as_bytes()[..cut]);
-            stage.held_until("it is read", |service| service.node.connections.unread() == cut).await;
+            stage.held_until("it is read", |service| service.connections.unread() == cut).await;
             peer.write(&message.as_bytes()[cut..]);
             stage.held_until("it joins", |service| service.events.len() == 1).await;
             peer.until_told(&mut stage, |order| order["whole"] == true).await;
@@ -111,9 +111,9 @@
         stage.held_until("it joins", |service| service.events.len() == 1).await;
         older.say(&rate(17, 40_000));
         stage.held_until("it reports", |service| service.events.len() == 2).await;
-        let offered = stage.service.node.governor.beliefs().offered;
+        let offered = stage.service.node.beliefs().offered;
         stage.step();
-        assert_eq!(stage.service.node.governor.beliefs().offered, offered);
+        assert_eq!(stage.service.node.beliefs().offered, offered);
         assert_eq!(stage.faults("late: said on a stream"), 1);
         older.until_ended(&mut stage).await;
         newer.until_told(&mut stage, |order| order["whole"] == true).await;
@@ -156,7 +156,7 @@
                 waiting += channel_lines(&order) as f64;
             }
             assert!(waiting <= MOST as f64, "{waiting} lines wait as {served} are served");
-            assert!(stage.service.node.clock.up() < Duration::from_secs(60), "{served} are served");
+            assert!(stage.service.clock.up() < Duration::from_secs(60), "{served} are served");
         }
     });
 }
--- a/crates/daemon/src/node/tests/silence.rs
+++ b/crates/daemon/src/node/tests/silence.rs
@@ -4,18 +4,6 @@
 
 use super::*;
 
-#[test]
-fn who_has_little_to_say_is_not_taken_for_silent() {
-    let (second, every) = (Duration::from_secs(1), Duration::from_millis(500));
-    let silent = |silence, owed: Option<u32>, usual| {
-        has_fallen_silent(silence * second, owed.map(|owed| owed * second), usual, every)
-    };
-    assert!(!silent(12, Some(12), 50.0), "answers may wait in a slow channel");
-    assert!(silent(14, Some(14), 0.1), "it owes an answer");
-    assert!(silent(16, None, 6.0), "eighteen flows would have come");
-    assert!(!silent(60, None, 0.2), "nine would, and chance may leave them out");
-}
-
 #[test]
 fn a_stream_whose_orders_do_not_get_away_is_silent_all_the_same() {
     play(async || {
@@ -30,7 +18,7 @@
         stuck.say(&joining(1));
         let (mut second, mut third) = (stage.join(2).await, stage.join(3).await);
         // More than the sockets hold, and less than a party may leave unread: it reads nothing from here on.
-        let handle = &stage.service.node.streams[&1].handle;
+        let handle = &stage.service.handles[&stage.service.node.stream(1).unwrap()];
         assert!(handle.send([vec![b' '; 200 << 10], vec![b'\n']].concat()));
         stage.until("it watches", |_| agent.heard(&watch_from(1)) == 1).await;
         agent.tell(&watch_from(1), &[object(2, false, &[("r3", "draining")])]).await;
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,5 +1,3 @@
-//! The platform's list of replicas: [`list`] reads it entry by entry and keeps it, [`watch`] follows it over
-//! HTTP/1.1.
+//! The platform's list of replicas, followed over HTTP/1.1.
 
-pub mod list;
 pub mod watch;
