A closed connection is logged as it ends, with its reason; so is a governor that stood still

Change: each end is logged at the time with the connection's number, role, age, bytes received and reason, the first 8 of a reason in 5 s (a crowd must not fill the log); the state machine gives the reason with each close. A governor that comes 0.4 s or more after its own deadline says so.

--- a/crates/daemon/src/platform/connection.rs
+++ b/crates/daemon/src/platform/connection.rs
@@ -67,6 +67,18 @@
     SendBufferFull,
 }
 
+/// How a connection ended.
+#[derive(Debug, Error)]
+enum ConnectionEnd {
+    #[error("{0}")]
+    Closed(#[from] CloseReason),
+    #[error("ended by the peer")]
+    EndedByPeer,
+    /// The kind alone, so that those of a kind count together.
+    #[error("failed: {}", .0.kind())]
+    Failed(#[from] std::io::Error),
+}
+
 /// Who the peer is.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum PeerRole {
@@ -98,6 +110,8 @@
     frames: FrameBuffer,
     /// The bytes in `frames`, as the connections' sum counts them.
     incomplete_bytes: usize,
+    accepted_at: Instant,
+    received_bytes: u64,
     last_received: Rc<Cell<Instant>>,
 }
 
@@ -130,6 +144,8 @@
             peer: Rc::default(),
             frames: FrameBuffer::default(),
             incomplete_bytes: 0,
+            accepted_at: Instant::now(),
+            received_bytes: 0,
             last_received: Rc::new(Cell::new(Instant::now())),
         }
     }
@@ -141,18 +157,32 @@
 
     /// Reads until the connection ends or is to be closed.
     pub async fn serve(mut self) {
-        if let Some(reason) = self.read_until_closed().await {
+        let end = self.read_until_ended().await;
+        if let ConnectionEnd::Closed(reason) = &end {
             self.write(NACK);
             self.connections.count_discard(reason);
         }
+        self.log(&end);
         if let PeerRole::Proxy(proxy) = self.role {
             self.emit(ConnectionEvent::Ended { connection: self.id, proxy }).await;
         }
     }
 
-    /// Gives why the connection is to be closed; none if the peer ended it.
-    async fn read_until_closed(&mut self) -> Option<CloseReason> {
-        let identify_by = Instant::now() + IDENTIFY_TIMEOUT;
+    fn log(&self, end: &ConnectionEnd) {
+        self.connections.log_closing(end, |reason| {
+            tracing::info!(
+                connection = self.id.0,
+                role = ?self.role,
+                open_ms = self.accepted_at.elapsed().as_millis() as u64,
+                received_bytes = self.received_bytes,
+                reason,
+                "connection closed"
+            );
+        });
+    }
+
+    async fn read_until_ended(&mut self) -> ConnectionEnd {
+        let identify_by = self.accepted_at + IDENTIFY_TIMEOUT;
         let peer = self.peer.clone();
         let mut is_last_look = false;
         loop {
@@ -162,7 +192,7 @@
                 biased;
                 ready = self.read.readable() => ready,
                 () = std::future::ready(()), if is_unidentified && is_last_look => {
-                    return Some(CloseReason::Evicted);
+                    return CloseReason::Evicted.into();
                 }
                 () = peer.evicted.notified(), if is_unidentified => {
                     is_last_look = true;
@@ -170,21 +200,22 @@
                     continue;
                 }
                 () = sleep_until(identify_by), if is_unidentified => {
-                    return Some(CloseReason::IdentifyTimeout);
+                    return CloseReason::IdentifyTimeout.into();
                 }
             };
             let received = match ready.and_then(|()| self.receive()) {
                 Ok(Some(received)) => received,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => continue,
-                Ok(None) | Err(_) => return None,
+                Ok(None) => return ConnectionEnd::EndedByPeer,
+                Err(error) => return error.into(),
             };
             if let Err(reason) = self.handle(received).await {
-                return Some(reason);
+                return reason.into();
             }
             let had_begun = peer.has_begun.replace(self.incomplete_bytes > 0);
             if std::mem::take(&mut is_last_look) && self.role == PeerRole::Unidentified {
                 if had_begun || self.incomplete_bytes == 0 {
-                    return Some(CloseReason::Evicted);
+                    return CloseReason::Evicted.into();
                 }
                 // It had begun, unread: it takes a place again, and those that sent nothing go first.
                 self.connections.add_unidentified(self.id, peer.clone());
@@ -200,6 +231,7 @@
         if count == 0 {
             return Ok(None);
         }
+        self.received_bytes += count as u64;
         self.last_received.set(Instant::now());
         let mut received = self.decode(&buffer[..count]);
         let incomplete_close = self.check_incomplete();
--- a/crates/daemon/src/platform/connections.rs
+++ b/crates/daemon/src/platform/connections.rs
@@ -20,6 +20,7 @@
 const RESERVED_SOCKETS: usize = 24;
 /// Collectors of a zone at once: one that vanished may linger beside its successor.
 const MAX_COLLECTORS: usize = 3;
+const COLLECTOR_REPLACED: &str = "collector: replaced by newer ones";
 /// The fewest and the most unidentified peers there may be at once.
 const MIN_UNIDENTIFIED: usize = 16;
 const MAX_UNIDENTIFIED: usize = 512;
@@ -32,6 +33,8 @@
 const SAMPLE_BYTES: usize = 200;
 /// Unidentified peers that are evicted where accepting fails, most likely for want of descriptors.
 const EVICTED_AT_ACCEPT_ERROR: usize = 8;
+/// So many closed connections of a kind are logged one by one between two logs of counts.
+const MAX_LOGGED_CLOSINGS: u64 = 8;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
 /// The place that an unidentified peer takes.
@@ -67,6 +70,8 @@
     pub read_buffer: RefCell<Vec<u8>>,
     /// Inputs that were discarded and connections that were closed, by reason, since the last log.
     discarded: RefCell<BTreeMap<String, u64>>,
+    /// Closed connections, by reason, since the last log.
+    closings: RefCell<BTreeMap<String, u64>>,
     max_unidentified: Cell<usize>,
     max_incomplete_bytes: Cell<usize>,
     /// Bytes that wait for the end of their frames, in all connections together.
@@ -82,6 +87,7 @@
             replica_names: RefCell::default(),
             read_buffer: RefCell::new(vec![0; READ_BUFFER_BYTES]),
             discarded: RefCell::default(),
+            closings: RefCell::default(),
             max_unidentified: Cell::new(MIN_UNIDENTIFIED),
             max_incomplete_bytes: Cell::new(INITIAL_MAX_INCOMPLETE_BYTES),
             incomplete_bytes: Cell::new(0),
@@ -128,8 +134,20 @@
         self.count_discard(reason);
     }
 
+    /// Logs a closed connection at the time, unless many of its kind were logged since the last log of counts.
+    pub fn log_closing(&self, reason: impl Display, log: impl FnOnce(&str)) {
+        let reason = reason.to_string();
+        let mut closings = self.closings.borrow_mut();
+        let logged = closings.entry(reason.clone()).or_insert(0);
+        *logged += 1;
+        if *logged <= MAX_LOGGED_CLOSINGS {
+            log(&reason);
+        }
+    }
+
     /// What was discarded, by reason, since the last call.
     pub fn take_discard_counts(&self) -> BTreeMap<String, u64> {
+        self.closings.borrow_mut().clear();
         std::mem::take(&mut *self.discarded.borrow_mut())
     }
 
@@ -171,8 +189,12 @@
         let zone_collectors = collectors.entry(zone).or_default();
         zone_collectors.push(Collector { connection, reader });
         if zone_collectors.len() > MAX_COLLECTORS {
-            zone_collectors.remove(0).reader.abort();
-            self.count_discard("collector: replaced by newer ones");
+            let oldest = zone_collectors.remove(0);
+            oldest.reader.abort();
+            self.count_discard(COLLECTOR_REPLACED);
+            self.log_closing(COLLECTOR_REPLACED, |reason| {
+                tracing::info!(connection = oldest.connection.0, zone, reason, "connection closed");
+            });
         }
     }
 
--- a/crates/daemon/src/platform/service.rs
+++ b/crates/daemon/src/platform/service.rs
@@ -10,7 +10,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 use wrenthread_discovery::{EventSender, WatchEvent, watch_endpoints};
-use wrenthread_platform_governor::{Action, ConnectionId, PlatformGovernor};
+use wrenthread_platform_governor::{Action, ConnectionId, DisconnectReason, PlatformGovernor};
 use wrenthread_platform_protocol::decode::Decoder;
 
 use super::config::{Config, Variables};
@@ -25,6 +25,8 @@
 const MAX_WATCH_EVENTS: usize = 4;
 /// Events taken in before decisions are pulled, so that a burst is one pull.
 const MAX_EVENTS_PER_PULL: usize = 512;
+/// A governor that is this late for its own deadline has stood still, or was kept from the processor.
+const STANDSTILL: Duration = Duration::from_millis(400);
 /// How often the state estimate and the discarded inputs are logged.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 /// How long a watcher at discovery's former address goes on: what was written to it counts, and the new address may be
@@ -109,7 +111,7 @@
 
     /// Waits for what comes next, and takes it in.
     pub(super) async fn receive(&mut self) {
-        let deadline = self.next_deadline();
+        let deadline = self.next_deadline().max(Instant::now());
         tokio::select! {
             biased;
             Some(event) = self.watch_events.recv() => self.handle_watch_event(event),
@@ -122,6 +124,10 @@
             }
             () = sleep_until(deadline) => {}
         }
+        let late = deadline.elapsed();
+        if late >= STANDSTILL {
+            tracing::warn!(late_ms = late.as_millis() as u64, "governor stood still");
+        }
     }
 
     fn next_deadline(&self) -> Instant {
@@ -188,8 +194,15 @@
                     self.governor.send_buffer_full(connection);
                 }
             }
-            // Dropping the handle ends the connection.
-            Action::Close { connection } => drop(self.streams.remove(&connection)),
+            Action::Close { connection, proxy, reason } => {
+                if reason != DisconnectReason::Ended {
+                    self.connections.log_closing(reason, |reason| {
+                        tracing::info!(connection = connection.0, proxy, "proxy disconnected: {reason}");
+                    });
+                }
+                // Dropping the handle ends the connection.
+                drop(self.streams.remove(&connection));
+            }
             Action::Watch { watcher, from_version } => self.start_watcher(watcher, from_version),
             Action::ReplicasChanged => {
                 self.connections.replica_names.borrow_mut().clone_from(self.governor.replica_names());
--- a/crates/platform-governor/src/governor.rs
+++ b/crates/platform-governor/src/governor.rs
@@ -10,6 +10,7 @@
 use wrenthread_platform_protocol::outbox::Outbox;
 
 use crate::discard::DiscardReason;
+use crate::disconnect::DisconnectReason;
 use crate::endpoint_list::EndpointList;
 use crate::silence::{StreamActivity, silent_proxies};
 use crate::watch::Watcher;
@@ -37,6 +38,10 @@
     Close {
         /// The connection.
         connection: ConnectionId,
+        /// Whose stream it was.
+        proxy: ProxyId,
+        /// Why it is closed.
+        reason: DisconnectReason,
     },
     /// Start a watcher of discovery. The earlier one may go on for a while.
     Watch {
@@ -95,10 +100,10 @@
             if newest > connection {
                 // Its first message was held up while the proxy connected anew.
                 self.discard(DiscardReason::StaleConnection);
-                self.actions.push_back(Action::Close { connection });
+                self.close(connection, proxy.proxy, DisconnectReason::StaleConnection);
                 return;
             }
-            self.actions.push_back(Action::Close { connection: newest });
+            self.close(newest, proxy.proxy, DisconnectReason::Replaced);
         }
         let stream = Stream { connection, requests_per_second: proxy.requests_per_second };
         self.streams.insert(proxy.proxy, stream);
@@ -109,7 +114,7 @@
     /// A connection that identified itself as this proxy's stream has ended.
     pub fn connection_ended(&mut self, connection: ConnectionId, proxy: ProxyId) {
         if self.is_newest(connection, proxy) {
-            self.disconnect(proxy);
+            self.disconnect(proxy, DisconnectReason::Ended);
         }
     }
 
@@ -117,8 +122,7 @@
     pub fn send_buffer_full(&mut self, connection: ConnectionId) {
         let mut streams = self.streams.iter();
         if let Some((&proxy, _)) = streams.find(|(_, stream)| stream.connection == connection) {
-            tracing::warn!(proxy, "proxy disconnected: send buffer full");
-            self.disconnect(proxy);
+            self.disconnect(proxy, DisconnectReason::SendBufferFull);
         }
     }
 
@@ -231,9 +235,13 @@
         *self.discarded.entry(reason).or_insert(0) += 1;
     }
 
-    fn disconnect(&mut self, proxy: ProxyId) {
+    fn close(&mut self, connection: ConnectionId, proxy: ProxyId, reason: DisconnectReason) {
+        self.actions.push_back(Action::Close { connection, proxy, reason });
+    }
+
+    fn disconnect(&mut self, proxy: ProxyId, reason: DisconnectReason) {
         if let Some(Stream { connection, .. }) = self.streams.remove(&proxy) {
-            self.actions.push_back(Action::Close { connection });
+            self.close(connection, proxy, reason);
         }
         self.outbox.proxy_disconnected(proxy);
         self.governor.proxy_disconnected(proxy);
@@ -253,8 +261,7 @@
             });
         }
         for proxy in silent_proxies(&activities, self.report_interval) {
-            tracing::info!(proxy, "proxy disconnected: silent");
-            self.disconnect(proxy);
+            self.disconnect(proxy, DisconnectReason::Silent);
         }
     }
 
--- a/crates/platform-governor/src/lib.rs
+++ b/crates/platform-governor/src/lib.rs
@@ -14,10 +14,12 @@
 #![warn(missing_docs)]
 
 mod discard;
+mod disconnect;
 pub mod endpoint_list;
 mod governor;
 mod silence;
 mod watch;
 
 pub use discard::DiscardReason;
+pub use disconnect::DisconnectReason;
 pub use governor::{Action, ConnectionId, PlatformGovernor};
