Node: what came while the governor stood still is read before a timeout is judged

Cause: the runtime's timer runs out as the process wakes, before its poll has told which sockets have bytes (epoll_wait returns with EINTR after SIGCONT); the select on 'readable' first does not help, as readiness is not known yet. Log of the failing run of the unchanged test with the governor stopped for 1.3 s between a proxy's connecting and its message: 'governor stood still late_ms=1067', then 'connection closed open_ms=1303 received_bytes=0 reason=unidentified: timed out'.

Change: as a timeout or an eviction is judged, the socket itself is read once more, whatever the runtime knows of it; the yield that the eviction path relied on is gone.

--- a/crates/daemon/src/platform/connection.rs
+++ b/crates/daemon/src/platform/connection.rs
@@ -4,16 +4,17 @@
 //! order, ends the connection with a `NACK`; an invalid message of an identified peer is discarded and counted.
 
 use std::cell::{Cell, OnceCell};
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Read};
 use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, yield_now};
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until};
 use wrenthread::types::{DemandStatistics, ProxyConnection, ProxyId};
 use wrenthread_platform_governor::ConnectionId;
@@ -45,7 +46,7 @@
 }
 
 /// Why a connection is closed. The text is what is logged, with a count.
-#[derive(Debug, Error)]
+#[derive(Debug, Clone, Error)]
 enum CloseReason {
     #[error("unidentified: evicted for others")]
     Evicted,
@@ -184,59 +185,82 @@
     async fn read_until_ended(&mut self) -> ConnectionEnd {
         let identify_by = self.accepted_at + IDENTIFY_TIMEOUT;
         let peer = self.peer.clone();
-        let mut is_last_look = false;
         loop {
             let is_unidentified = self.role == PeerRole::Unidentified;
-            // What has come is read before a timeout is judged: it may be the governor that stood still.
-            let ready = tokio::select! {
+            let expired = tokio::select! {
                 biased;
-                ready = self.read.readable() => ready,
-                () = std::future::ready(()), if is_unidentified && is_last_look => {
-                    return CloseReason::Evicted.into();
-                }
-                () = peer.evicted.notified(), if is_unidentified => {
-                    is_last_look = true;
-                    yield_now().await; // which has the sockets polled, this one's with them
-                    continue;
-                }
-                () = sleep_until(identify_by), if is_unidentified => {
-                    return CloseReason::IdentifyTimeout.into();
-                }
+                ready = self.read.readable() => match ready {
+                    Ok(()) => None,
+                    Err(error) => return error.into(),
+                },
+                () = peer.evicted.notified(), if is_unidentified => Some(CloseReason::Evicted),
+                () = sleep_until(identify_by), if is_unidentified => Some(CloseReason::IdentifyTimeout),
             };
-            let received = match ready.and_then(|()| self.receive()) {
+            let read = if expired.is_some() { self.receive_unnotified() } else { self.receive() };
+            let received = match read {
                 Ok(Some(received)) => received,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => continue,
                 Ok(None) => return ConnectionEnd::EndedByPeer,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => match expired {
+                    Some(reason) => return reason.into(),
+                    None => continue,
+                },
                 Err(error) => return error.into(),
             };
             if let Err(reason) = self.handle(received).await {
                 return reason.into();
             }
-            let had_begun = peer.has_begun.replace(self.incomplete_bytes > 0);
-            if std::mem::take(&mut is_last_look) && self.role == PeerRole::Unidentified {
-                if had_begun || self.incomplete_bytes == 0 {
-                    return CloseReason::Evicted.into();
-                }
-                // It had begun, unread: it takes a place again, and those that sent nothing go first.
-                self.connections.add_unidentified(self.id, peer.clone());
+            if let Some(reason) = self.still_unidentified(&peer, expired) {
+                return reason.into();
             }
         }
     }
 
+    /// Why the connection is closed after its last bytes were read, if it was to be closed and they don't identify it.
+    fn still_unidentified(
+        &self,
+        peer: &Rc<UnidentifiedPeer>,
+        expired: Option<CloseReason>,
+    ) -> Option<CloseReason> {
+        let has_begun = self.incomplete_bytes > 0;
+        let had_begun = peer.has_begun.replace(has_begun);
+        let reason = expired.filter(|_| self.role == PeerRole::Unidentified)?;
+        if matches!(reason, CloseReason::Evicted) && has_begun && !had_begun {
+            // It had begun, unread: it takes a place again, and those that sent nothing go first.
+            self.connections.add_unidentified(self.id, peer.clone());
+            return None;
+        }
+        Some(reason)
+    }
+
     /// Reads and decodes what is there; none at the connection's end.
     fn receive(&mut self) -> std::io::Result<Option<Received>> {
         let connections = self.connections.clone();
         let mut buffer = connections.read_buffer.borrow_mut();
         let count = self.read.try_read(&mut buffer)?;
-        if count == 0 {
-            return Ok(None);
+        Ok(self.received(&buffer[..count]))
+    }
+
+    /// As [`Connection::receive`], whether or not the runtime knows that there is something: a governor that stood still
+    /// has a timer run out before it has heard of the bytes that came meanwhile.
+    fn receive_unnotified(&mut self) -> std::io::Result<Option<Received>> {
+        let connections = self.connections.clone();
+        let mut buffer = connections.read_buffer.borrow_mut();
+        let socket = SockRef::from(self.read.as_ref());
+        let count = (&*socket).read(&mut buffer)?;
+        Ok(self.received(&buffer[..count]))
+    }
+
+    /// Decodes what was read; none if that is the connection's end.
+    fn received(&mut self, bytes: &[u8]) -> Option<Received> {
+        if bytes.is_empty() {
+            return None;
         }
-        self.received_bytes += count as u64;
+        self.received_bytes += bytes.len() as u64;
         self.last_received.set(Instant::now());
-        let mut received = self.decode(&buffer[..count]);
+        let mut received = self.decode(bytes);
         let incomplete_close = self.check_incomplete();
         received.close = received.close.or(incomplete_close);
-        Ok(Some(received))
+        Some(received)
     }
 
     fn decode(&mut self, bytes: &[u8]) -> Received {
--- a/crates/daemon/tests/node/main.rs
+++ b/crates/daemon/tests/node/main.rs
@@ -12,6 +12,7 @@
 mod common;
 mod discovery_agent;
 mod governor_process;
+mod standstill;
 
 use std::process::Command;
 use std::time::{Duration, Instant};
