Node: an eviction is heeded before the bytes that came with it

Change: the eviction is polled first; its own read finds the bytes, and the peer takes a place again.

--- a/crates/daemon/src/platform/connection.rs
+++ b/crates/daemon/src/platform/connection.rs
@@ -189,11 +189,12 @@
             let is_unidentified = self.role == PeerRole::Unidentified;
             let expired = tokio::select! {
                 biased;
+                // First, so that bytes that came are read as those of a peer that has lost its place.
+                () = peer.evicted.notified(), if is_unidentified => Some(CloseReason::Evicted),
                 ready = self.read.readable() => match ready {
                     Ok(()) => None,
                     Err(error) => return error.into(),
                 },
-                () = peer.evicted.notified(), if is_unidentified => Some(CloseReason::Evicted),
                 () = sleep_until(identify_by), if is_unidentified => Some(CloseReason::IdentifyTimeout),
             };
             let read = if expired.is_some() { self.receive_unnotified() } else { self.receive() };
