Tests of the platform's program wait for this process, at a port that no other test has

Cause, made to come: ports were looked for by listening on them for an instant, without a reservation, and any listener at the port was taken for the governor.

Change, in the tests' support (the test is unchanged): a port is reserved by a locked file, looked at without listening; the governor listens when its own log says so and its process lives; one that lost its port to a process that knows nothing of this starts again at another. The other fronts' support checks its process too.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,12 +1,16 @@
 //! The real program on loopback, for tests that meet it from outside.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 
 pub struct Governor {
     pub child: Child,
@@ -17,6 +21,13 @@
     pub joined_most: u32,
 }
 
+/// What a governor answers on its HTTP port.
+fn get(port: u16, path: &str) -> Option<String> {
+    let agent: ureq::Agent = ureq::Agent::config_builder().http_status_as_error(false).build().into();
+    let answered = agent.get(format!("http://127.0.0.1:{port}{path}")).call();
+    answered.ok()?.body_mut().read_to_string().ok()
+}
+
 impl Drop for Governor {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -25,16 +36,35 @@
     }
 }
 
-/// A port below those that the system gives to outgoing connections: one of these must not sit on a
-/// governor's port while the governor is down. Each process begins to look elsewhere.
+/// A port below those that the system gives to outgoing connections: one of these must not sit on a governor's port while
+/// the governor is down. It is this process's for as long as it runs, by a locked file: tests of other checkouts leave it
+/// alone. Each process begins to look elsewhere.
 pub fn port() -> u16 {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let port = || {
         let place = std::process::id().wrapping_mul(97).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
         15_100 + (place % 17_000) as u16
     };
-    let free = |port: &u16| std::net::TcpListener::bind(("127.0.0.1", *port)).is_ok();
-    std::iter::repeat_with(port).take(1000).find(free).expect("a free port on loopback")
+    std::iter::repeat_with(port).take(1000).find(|port| reserve(*port)).expect("a free port on loopback")
+}
+
+/// Whether the port is free, and no other test's. Looking does not listen there: whoever waits for a governor at this port
+/// would take the look for it.
+fn reserve(port: u16) -> bool {
+    static RESERVED: Mutex<Vec<File>> = Mutex::new(Vec::new());
+    let folder = std::env::temp_dir().join("wrenthread-test-ports");
+    std::fs::create_dir_all(&folder).unwrap();
+    let lock = File::options().create(true).append(true).open(folder.join(port.to_string())).unwrap();
+    if lock.try_lock().is_err() {
+        return false;
+    }
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let is_free = socket.bind(&address.into()).is_ok();
+    if is_free {
+        RESERVED.lock().unwrap().push(lock);
+    }
+    is_free
 }
 
 pub async fn until<T>(what: &str, mut found: impl FnMut() -> Option<T>) -> T {
@@ -99,7 +129,7 @@
     /// Starts it anew, and waits until it is ready.
     pub async fn spawn(&mut self) {
         let folder: &Path = &self.folder;
-        let log = std::fs::File::options().create(true).append(true).open(folder.join("log")).unwrap();
+        let log = File::options().create(true).append(true).open(folder.join("log")).unwrap();
         self.child = Command::new(env!("CARGO_BIN_EXE_wrenthread"))
             .arg("run")
             .arg(folder.join("settings.star"))
@@ -107,11 +137,11 @@
             .stderr(log)
             .spawn()
             .unwrap();
+        let (child, http) = (&mut self.child, self.http);
         until("ready", || {
-            self.get("/readyz").filter(|text| {
-                text == "ready
-"
-            })
+            let ended = child.try_wait().unwrap();
+            assert!(ended.is_none(), "it ended before it was ready: {ended:?}");
+            get(http, "/readyz").filter(|text| text == "ready\n")
         })
         .await;
     }
@@ -131,14 +161,7 @@
     }
 
     pub fn get(&self, path: &str) -> Option<String> {
-        let agent: ureq::Agent = ureq::Agent::config_builder().http_status_as_error(false).build().into();
-        agent
-            .get(format!("http://127.0.0.1:{}{path}", self.http))
-            .call()
-            .ok()?
-            .body_mut()
-            .read_to_string()
-            .ok()
+        get(self.http, path)
     }
 
     pub fn status(&self) -> Value {
--- a/crates/daemon/tests/node/governor_process.rs
+++ b/crates/daemon/tests/node/governor_process.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -11,6 +11,11 @@
 use super::common;
 use super::discovery_agent::{Events, event, start_discovery};
 
+/// Ports that are tried for one governor.
+const MAX_PORTS: usize = 5;
+/// How the system's error says that another process has a port.
+const ADDRESS_IN_USE: &str = "Address already in use";
+
 pub struct GovernorProcess {
     pub child: Child,
     pub folder: PathBuf,
@@ -24,7 +29,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         if std::thread::panicking() {
-            eprintln!("LOG {}", std::fs::read_to_string(self.folder.join("log")).unwrap_or_default());
+            eprintln!("LOG {}", self.log());
         }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
@@ -61,27 +66,47 @@
         let folder =
             std::env::temp_dir().join(format!("wrenthread-platform-governor-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
-        let (events, listen) = (Events::default(), format!("127.0.0.1:{}", common::port()));
+        let events = Events::default();
         let discovery = start_discovery(events.clone());
         std::fs::write(folder.join("config.json"), config(discovery)).unwrap();
-        let child = spawn_governor(&folder, &listen, discovery);
-        let governor = GovernorProcess { child, folder, listen, events };
-        governor.wait_until_listening();
-        governor
+        for _ in 0..MAX_PORTS {
+            let listen = format!("127.0.0.1:{}", common::port());
+            let child = spawn_governor(&folder, &listen, discovery);
+            let mut governor =
+                GovernorProcess { child, folder: folder.clone(), listen, events: events.clone() };
+            let Some(ended) = governor.wait_until_listening_or_ended() else { return governor };
+            // A process that knows nothing of these tests may have taken the port meanwhile.
+            assert!(governor.log().contains(ADDRESS_IN_USE), "it ended before it listened: {ended:?}");
+            // Whose folder the next one takes over.
+            governor.folder = PathBuf::new();
+        }
+        panic!("each port was taken by another process")
     }
 
-    pub fn wait_until_listening(&self) {
+    /// Waits until this process listens, by its own log: another process may answer at its port. Gives how it ended, if
+    /// it did.
+    fn wait_until_listening_or_ended(&mut self) -> Option<ExitStatus> {
         let began = Instant::now();
-        while TcpStream::connect(&self.listen).is_err() {
+        while !self.log().contains("governor listening") {
+            if let Some(ended) = self.child.try_wait().unwrap() {
+                return Some(ended);
+            }
             assert!(began.elapsed() < Duration::from_secs(20), "it never listened");
             std::thread::sleep(Duration::from_millis(20));
         }
+        None
+    }
+
+    /// What the process has logged since it was started last.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
     }
 
     /// Starts again under the same name and address, with the list that it was first started with.
     pub fn restart(&mut self) {
         self.child = spawn_governor(&self.folder, &self.listen, start_discovery(self.events.clone()));
-        self.wait_until_listening();
+        let ended = self.wait_until_listening_or_ended();
+        assert!(ended.is_none(), "it ended before it listened: {ended:?}");
     }
 
     pub fn connect(&self) -> Peer {
