Long-poll: a session is heard before it ends where the governor stood still

Callers would see: after a governor stood still for longer than a session lasts (15 s) all its proxies are told 'no such session', join again and get complete tables, though their polls waited in its sockets.

Cause: Sessions::next_expired judged by the clock alone, before requests were read.

Change: where the end is noticed more than 1 s late, a session has 2 s more, once between two polls.

Measured: the new test of the state machine failed before, passes now; nothing else was run for it.

--- a/crates/long-poll/src/sessions.rs
+++ b/crates/long-poll/src/sessions.rs
@@ -14,6 +14,10 @@
 
 /// A proxy is taken for gone when it has not polled for so long after its last poll was answered.
 const SESSION_TIMEOUT: Duration = Duration::from_secs(15);
+/// Where a session's end is noticed later than this, the governor stood still, and polls that came meanwhile are unread.
+const STANDSTILL: Duration = Duration::from_secs(1);
+/// What sessions have then, once, to be heard.
+const STANDSTILL_GRACE: Duration = Duration::from_secs(2);
 /// Report numbers that are remembered of each proxy.
 const MAX_REPORT_NUMBERS: usize = 64;
 
@@ -42,6 +46,8 @@
     unknown_digest: Option<Digest>,
     pending: Option<PendingPoll<R>>,
     deadline: Duration,
+    /// Its deadline was put off since its last poll, as the governor had stood still.
+    deferred: bool,
     report_numbers: VecDeque<u64>,
 }
 
@@ -154,6 +160,7 @@
             unknown_digest: None,
             pending: None,
             deadline,
+            deferred: false,
             report_numbers: VecDeque::new(),
         };
         self.sessions.insert(id, session);
@@ -195,6 +202,7 @@
         session.held = retained.or(newest);
         let acknowledged_version = session.held.map(|held| held.version);
         let pending = PendingPoll { reply, deadline: now + wait };
+        session.deferred = false;
         let superseded = session.pending.replace(pending).map(|earlier| earlier.reply);
         self.set_deadline(id, now + wait);
         Ok(AcceptedPoll { acknowledged_version, superseded })
@@ -275,21 +283,24 @@
 
     /// What has expired by now, one after another.
     pub fn next_expired(&mut self, now: Duration) -> Option<Expired<R>> {
-        let (deadline, id) = *self.deadlines.first()?;
-        if deadline > now {
-            return None;
-        }
-        let session = self.sessions.get_mut(&id)?;
-        match session.pending.take_if(|pending| pending.deadline <= now) {
-            Some(pending) => {
+        loop {
+            let (deadline, id) = *self.deadlines.first()?;
+            if deadline > now {
+                return None;
+            }
+            let session = self.sessions.get_mut(&id)?;
+            if let Some(pending) = session.pending.take_if(|pending| pending.deadline <= now) {
                 let outcome = PollOutcome::Unchanged { held: session.held };
                 self.set_deadline(id, now + SESSION_TIMEOUT);
-                Some(Expired::Poll { reply: pending.reply, outcome })
+                return Some(Expired::Poll { reply: pending.reply, outcome });
             }
-            None => {
+            let is_late = now > deadline + STANDSTILL;
+            if !is_late || session.deferred {
                 self.close(id);
-                Some(Expired::Session(id))
+                return Some(Expired::Session(id));
             }
+            session.deferred = true;
+            self.set_deadline(id, now + STANDSTILL_GRACE);
         }
     }
 
--- a/crates/long-poll/src/sessions/tests.rs
+++ b/crates/long-poll/src/sessions/tests.rs
@@ -123,3 +123,16 @@
     let remembered = sessions.sessions[&SESSION].report_numbers.len();
     assert_eq!(remembered, MAX_REPORT_NUMBERS, "and what is remembered is bounded");
 }
+
+/// Guards against a whole fleet that has to join again as the governor stood still for longer than a session lasts.
+#[test]
+fn a_session_is_heard_before_it_ends_where_the_governor_stood_still() {
+    let (mut sessions, history) = sessions(&[(1, 5)]);
+    assert!(sessions.next_expired(s(40)).is_none(), "a poll may wait unread");
+    sessions.poll(s(40), poll(held(1, 5), s(10), 1), &history).unwrap();
+    assert_eq!(sessions.len(), 1);
+    // One that says nothing then ends, also where the governor is always late.
+    assert!(matches!(sessions.next_expired(s(50)), Some(Expired::Poll { .. })));
+    assert!(sessions.next_expired(s(70)).is_none());
+    assert_eq!(sessions.next_expired(s(90)), Some(Expired::Session(SESSION)));
+}
