Module: a limit of one or two messages leaves a flush; it divided 0 by 0 and ended the governor

Callers saw: with update_cap 1 or 2 (a valid configuration) the governor panicked as its first proxy joined; its streams were reset and it ended.

Cause: FlushLimit.flushes was 0 after two reserved messages, and flushed_recently divides by its square: 'cannot convert float seconds to Duration: value is either too big or NaN'.

Change: a limit leaves one flush at the least. At 2 the first table of a joining proxy takes the other message, as before. At 1 there is no other: first tables go with a flush, and a drain waits for the interval at most. From 3 on nothing changes.

--- a/crates/daemon/tests/node/governor_process.rs
+++ b/crates/daemon/tests/node/governor_process.rs
@@ -35,7 +35,7 @@
     }
 }
 
-pub fn config(discovery: SocketAddr) -> String {
+pub fn config(discovery: SocketAddr) -> Value {
     json!({"discovery": discovery.to_string(), "limits": {"memory_mb": 32, "sockets": 256},
     "known": event(1, true, &[("r1", "up"), ("r2", "up"), ("r3", "up"), ("r4", "up")]).1,
     "settings": {
@@ -46,7 +46,6 @@
             "worst_transit_us": 100000},
         "rules": {"cold_from": 0.3, "warm_after_us": 10000000}, "siblings": 1, "zones": ["a"],
     }})
-    .to_string()
 }
 
 pub fn spawn_governor(folder: &Path, listen: &str, discovery: SocketAddr) -> Child {
@@ -63,12 +62,19 @@
 
 impl GovernorProcess {
     pub fn start(name: &str) -> GovernorProcess {
+        GovernorProcess::start_with(name, |_| {})
+    }
+
+    /// Starts one with its configuration changed.
+    pub fn start_with(name: &str, change: impl FnOnce(&mut Value)) -> GovernorProcess {
         let folder =
             std::env::temp_dir().join(format!("wrenthread-platform-governor-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let events = Events::default();
         let discovery = start_discovery(events.clone());
-        std::fs::write(folder.join("config.json"), config(discovery)).unwrap();
+        let mut config = config(discovery);
+        change(&mut config);
+        std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
         for _ in 0..MAX_PORTS {
             let listen = format!("127.0.0.1:{}", common::port());
             let child = spawn_governor(&folder, &listen, discovery);
--- a/crates/daemon/tests/node/main.rs
+++ b/crates/daemon/tests/node/main.rs
@@ -126,7 +126,7 @@
     // It is read again without another signal.
     let moved = Events::default();
     moved.lock().unwrap().push(event(2, false, &[("r4", "removed")]));
-    std::fs::write(&path, config(start_discovery(moved))).unwrap();
+    std::fs::write(&path, config(start_discovery(moved)).to_string()).unwrap();
     let message = proxy.wait_for(|message| replica_names(message, "lines").contains(&"r4".into()));
     assert!(message["lines"].as_array().unwrap().contains(&json!(["r4", 0.0])), "{message}");
 }
@@ -153,6 +153,30 @@
     }
 }
 
+/// Guards against a valid configuration that ends the governor as its first proxy joins.
+#[test]
+fn serves_and_drains_where_the_platform_allows_one_two_or_three_messages() {
+    for messages in 1..=3 {
+        let mut governor = GovernorProcess::start_with(&format!("limit-{messages}"), |config| {
+            let extra = &mut config["settings"]["extra"];
+            (extra["update_cap"], extra["messages_over_us"]) = (json!(messages), json!(1_000_000));
+        });
+        let mut proxies = [governor.connect_proxy(3), governor.connect_proxy(4)];
+        for proxy in &mut proxies {
+            proxy.wait_for(|message| message["whole"] == true);
+        }
+        governor.events.lock().unwrap().push(event(2, false, &[("r2", "draining")]));
+        for proxy in &mut proxies {
+            proxy.wait_for(|message| {
+                replica_names(message, "out").contains(&"r2".into())
+                    || message["lines"].as_array().is_some_and(|lines| lines.contains(&json!(["r2", 0.0])))
+            });
+        }
+        governor.signal("-TERM");
+        assert_eq!(governor.child.wait().unwrap().code(), Some(0), "{}", governor.log());
+    }
+}
+
 #[test]
 fn stops_with_connections_open_and_restarts_at_its_address() {
     let mut governor = GovernorProcess::start("again");
--- /dev/null
+++ b/crates/platform-governor/tests/driven/mod.rs
@@ -0,0 +1,125 @@
+//! A governor that is driven in its own time, with everything that it sends.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use wrenthread::types::{ProxyConnection, ProxyId};
+use wrenthread_deployment_config::{DeploymentConfig, FieldError, Fields, read};
+use wrenthread_platform_governor::{Action, ConnectionId, PlatformGovernor};
+use wrenthread_platform_protocol::decode::Message;
+
+/// Later than any age that is subtracted from it.
+pub const START: Duration = Duration::from_secs(86_400);
+/// How far the governor's time moves at once.
+pub const STEP: Duration = Duration::from_millis(25);
+/// The zone that all proxies and replicas are in.
+pub const ZONE: &str = "a";
+
+/// A message to a proxy, its parts decoded.
+pub struct SentMessage {
+    pub at: Duration,
+    pub proxy: ProxyId,
+    pub parts: Vec<Value>,
+}
+
+impl SentMessage {
+    /// Whether it takes a replica out of the proxy's tables, or out of its choice.
+    pub fn removes(&self, replica: &str) -> bool {
+        let is_removed = |part: &Value| {
+            let lines = part["lines"].as_array().into_iter().flatten();
+            let ejected = part["out"].as_array().into_iter().flatten();
+            lines.clone().any(|line| line[0] == replica && line[1] == 0.0)
+                || ejected.clone().any(|name| name == replica)
+        };
+        self.parts.iter().any(is_removed)
+    }
+
+    /// The replicas that it gives weight.
+    pub fn weighted_replicas(&self) -> BTreeSet<String> {
+        let lines = self.parts.iter().flat_map(|part| part["lines"].as_array().into_iter().flatten());
+        let weighted = lines.filter(|line| line[1].as_f64().is_some_and(|weight| weight > 0.0));
+        weighted.filter_map(|line| Some(line[0].as_str()?.to_string())).collect()
+    }
+}
+
+pub struct DrivenGovernor {
+    pub governor: PlatformGovernor,
+    pub now: Duration,
+    pub sent: Vec<SentMessage>,
+    proxies: BTreeMap<ConnectionId, ProxyId>,
+    connections: u64,
+    list_version: u64,
+}
+
+pub fn read_config(settings: &Value) -> Result<DeploymentConfig, FieldError> {
+    read(&Fields::new(settings.as_object().expect("an object")))
+}
+
+/// A row of discovery's list.
+pub fn replica(name: &str, status: &str) -> Value {
+    json!({"name": name, "zone": ZONE, "status": status, "weight": 1.0})
+}
+
+impl DrivenGovernor {
+    pub fn new(config: &DeploymentConfig) -> Self {
+        DrivenGovernor {
+            governor: PlatformGovernor::new(config, START),
+            now: START,
+            sent: Vec::new(),
+            proxies: BTreeMap::new(),
+            connections: 0,
+            list_version: 0,
+        }
+    }
+
+    /// A complete list, or changes of it.
+    pub fn list(&mut self, is_snapshot: bool, rows: &[Value]) {
+        self.list_version += 1;
+        let event = json!({"index": self.list_version, "snapshot": is_snapshot, "endpoints": rows});
+        self.governor.watch_event(self.now, 1, event.to_string().as_bytes(), |_| None);
+    }
+
+    pub fn connect(&mut self, proxy: ProxyId, requests_per_second: f64, holds_default_table: bool) {
+        self.connections += 1;
+        let connection = ConnectionId(self.connections);
+        self.proxies.insert(connection, proxy);
+        let joined = ProxyConnection { proxy, zone: 0, requests_per_second, holds_default_table };
+        self.governor.proxy_connected(self.now, connection, joined);
+    }
+
+    pub fn disconnect(&mut self, proxy: ProxyId) {
+        if let Some(connection) = self.governor.connection_of(proxy) {
+            self.governor.connection_ended(connection, proxy);
+        }
+    }
+
+    /// Lets time pass; all that is sent is acknowledged at once.
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += STEP;
+            self.advance();
+        }
+    }
+
+    pub fn advance(&mut self) {
+        let now = self.now;
+        self.governor.advance(now, |_| now);
+        while let Some(action) = self.governor.next_action() {
+            let Action::Send { connection, bytes } = action else { continue };
+            let lines = bytes.split(|byte| *byte == b'\n').filter(|line| !line.is_empty());
+            let parts: Vec<Value> =
+                lines.map(|line| serde_json::from_slice(line).expect("a part is JSON")).collect();
+            let proxy = self.proxies[&connection];
+            if let Some(nonce) = parts.last().and_then(|part| part["ticket"].as_u64()) {
+                let nonce = nonce as u16;
+                let latency = Duration::ZERO;
+                let acknowledged = Message::Acknowledged { proxy, nonce, latency };
+                self.governor.proxy_message(now, connection, proxy, acknowledged);
+            }
+            self.sent.push(SentMessage { at: now, proxy, parts });
+        }
+    }
+}
--- a/src/governor/parameters.rs
+++ b/src/governor/parameters.rs
@@ -13,7 +13,8 @@
 const TICKS_PER_FLUSH: u32 = 2;
 /// Ordinary flushes use the limit on messages divided by this; urgent ones take the rest.
 const FLUSH_SPACING: f64 = 1.5;
-/// Messages of the limit that flushes leave over, one of them for a connecting proxy.
+/// Messages of the limit that flushes leave over, one of them for a connecting proxy. A limit too low for that leaves one
+/// flush.
 const RESERVED_MESSAGES: usize = 2;
 /// The fraction of the channel's rate that is counted on while no acknowledgement tells more.
 const ASSURED_RATE_FRACTION: f64 = 0.2;
@@ -60,8 +61,11 @@
 /// How many flushes may be sent within a sliding interval.
 #[derive(Clone, Copy, Default)]
 pub(super) struct FlushLimit {
+    /// At least one: a drain must go out.
     pub(super) flushes: usize,
     pub(super) interval: Duration,
+    /// The limit leaves no message for a connecting proxy beside the flush: its first table waits for one.
+    pub(super) first_tables_need_flush: bool,
 }
 
 /// Where a load report holds the values that are made use of.
@@ -183,11 +187,14 @@
 }
 
 fn flush_limit(settings: &Settings) -> FlushLimit {
-    match settings.message_limit {
-        Some(limit) => {
-            FlushLimit { flushes: limit.messages.saturating_sub(RESERVED_MESSAGES), interval: limit.interval }
-        }
-        None => FlushLimit { flushes: usize::MAX - RESERVED_MESSAGES, interval: Duration::ZERO },
+    let Some(limit) = settings.message_limit else {
+        let flushes = usize::MAX - RESERVED_MESSAGES;
+        return FlushLimit { flushes, interval: Duration::ZERO, first_tables_need_flush: false };
+    };
+    FlushLimit {
+        flushes: limit.messages.saturating_sub(RESERVED_MESSAGES).max(1),
+        interval: limit.interval,
+        first_tables_need_flush: limit.messages <= 1,
     }
 }
 
--- a/src/governor/publishing.rs
+++ b/src/governor/publishing.rs
@@ -24,15 +24,17 @@
         self.send_queue.drain(now, self.parameters.assured_entries_per_second);
         let queued_before = self.send_queue.entries;
         let decisions_before = self.pending.len();
-        let flush = self.should_flush(now, trigger);
         let unsynchronised = self.proxies.values().any(|proxy| proxy.unsynchronised);
+        let first_tables_due = trigger != PublishTrigger::Event && unsynchronised;
+        let first_tables_need_flush = self.parameters.flush_limit.first_tables_need_flush;
+        let flush = self.should_flush(now, trigger, first_tables_due && first_tables_need_flush);
         if flush {
             self.send_ejections(EjectionChange::Eject);
             self.send_tables(now, Recipients::All);
             self.send_ejections(EjectionChange::Readmit);
             self.publish_admission(now);
             self.forget_gone_replicas(now);
-        } else if trigger != PublishTrigger::Event && unsynchronised {
+        } else if first_tables_due && !first_tables_need_flush {
             self.send_tables(now, Recipients::Unsynchronised);
         }
         self.send_queue.record_batch(now, queued_before);
@@ -43,12 +45,18 @@
         }
     }
 
-    fn should_flush(&mut self, now: Duration, trigger: PublishTrigger) -> bool {
+    fn should_flush(
+        &mut self,
+        now: Duration,
+        trigger: PublishTrigger,
+        needed_for_first_tables: bool,
+    ) -> bool {
         let limit = self.parameters.flush_limit;
         self.send_queue.forget_flushes(now, limit);
         let urgent = self.replicas.values().any(|replica| replica.is_unavailable() && !replica.ejection_sent);
         let flushed_recently = self.send_queue.flushed_recently(now, limit);
-        let due = trigger == PublishTrigger::FlushDue || urgent && !flushed_recently;
+        let due =
+            trigger == PublishTrigger::FlushDue || needed_for_first_tables || urgent && !flushed_recently;
         due && self.send_queue.recent_flushes.len() < limit.flushes && !self.proxies.is_empty()
     }
 }
