Platform protocol: classes beyond the 64th are looked up within the set's bits

Callers would see: with 65 classes or more a debug build panics on the one thread as a table is sent; a release build gives class 64 the admission of class 0, and so on.

Cause: classes >> class for a class from 64 on, in set_admission and reset_admissions; class_names had the bound. Found by the new property test over settings that are accepted.

Change: one lookup for all three; such classes go with the last that has a bit.

No other setting at its edge (0, 1, the largest; no, one or 130 classes; no proxies, no replicas) panicked or gave a figure that is no number.

--- a/crates/platform-protocol/src/outbox.rs
+++ b/crates/platform-protocol/src/outbox.rs
@@ -19,6 +19,9 @@
 use stream::{Admission, Stream};
 use wire::encode;
 
+/// Classes that a [`ClassSet`] has a bit for.
+const MAX_CLASSES: usize = ClassSet::BITS as usize;
+
 type TableEntries = BTreeMap<ReplicaId, f64>;
 
 /// All of one governor's streams, and what is decided for them.
@@ -132,7 +135,7 @@
     fn set_admission(&mut self, classes: ClassSet, admission: Admission) {
         let classes = self.existing_classes(classes);
         for (class, held) in self.admissions.iter_mut().enumerate() {
-            if classes >> class & 1 == 1 {
+            if contains_class(classes, class) {
                 *held = Some(admission);
             }
         }
@@ -172,7 +175,12 @@
     }
 }
 
+/// Whether the set holds a class, by its place. Classes that there are no bits for go with the last that has one.
+fn contains_class(classes: ClassSet, class: usize) -> bool {
+    classes >> class.min(MAX_CLASSES - 1) & 1 == 1
+}
+
 /// The set of all classes; beyond 64 there are no bits for them.
 fn all_classes(class_count: usize) -> ClassSet {
-    if class_count >= ClassSet::BITS as usize { ClassSet::MAX } else { (1 << class_count) - 1 }
+    if class_count >= MAX_CLASSES { ClassSet::MAX } else { (1 << class_count) - 1 }
 }
--- a/crates/platform-protocol/src/outbox/builder.rs
+++ b/crates/platform-protocol/src/outbox/builder.rs
@@ -6,12 +6,10 @@
 
 use super::stream::{Admission, Ejection, Stream};
 use super::wire::{ConfigPart, retry_policy_number};
-use super::{PendingChanges, TableEntries, all_classes};
+use super::{MAX_CLASSES, PendingChanges, TableEntries, all_classes, contains_class};
 
 /// Entries in a part at most, so that none comes near the size that a message may have.
 const MAX_ENTRIES_PER_PART: usize = 2000;
-/// Classes that a [`ClassSet`] has a bit for.
-const MAX_CLASSES: usize = ClassSet::BITS as usize;
 
 /// What is decided as a pull ends.
 pub(super) struct MessageBuilder<'a> {
@@ -57,7 +55,7 @@
     /// A complete table has the proxy forget its admission fractions.
     fn reset_admissions(&self, admissions: &mut [Option<Admission>], classes: ClassSet) {
         for (class, admission) in admissions.iter_mut().enumerate() {
-            if classes >> class & 1 == 1 {
+            if contains_class(classes, class) {
                 *admission = Some(self.default_admission);
             }
         }
@@ -168,7 +166,7 @@
         }
         let mut names = Vec::new();
         for (class, name) in self.class_names.iter().enumerate() {
-            if classes >> class.min(MAX_CLASSES - 1) & 1 == 1 {
+            if contains_class(classes, class) {
                 names.push(name.as_str());
             }
         }
--- a/crates/platform-protocol/src/outbox/tests.rs
+++ b/crates/platform-protocol/src/outbox/tests.rs
@@ -188,3 +188,25 @@
     assert!(outbox.acknowledge(later, 0, 9, Duration::from_secs(1)));
     assert!(!outbox.acknowledge(later, 0, 9, Duration::from_secs(1)), "answered already");
 }
+
+/// Guards against a shift out of range: classes beyond the 64 that a set has bits for go with the last of these.
+#[test]
+fn classes_beyond_the_bits_of_a_set_have_table_and_admission_of_the_last_that_has_one() {
+    let names: Vec<String> = (0..70).map(|class| format!("c{class}")).collect();
+    let mut outbox = Outbox::new(names, RetryPolicy::Never);
+    outbox.proxy_connected(1);
+    let entries = vec![TableEntry { replica: "r".into(), weight: 1.0 }];
+    outbox.record(Decision::UpdateTable { table: 2, entries });
+    outbox.record(Decision::AssignTable { proxy: 1, table: 2, classes: ClassSet::MAX });
+    let last = 1 << 63;
+    outbox.record(Decision::SetAdmission { classes: last, fraction: 0.5, retry_policy: RetryPolicy::Never });
+    let mut sent = Vec::new();
+    outbox.flush(Duration::ZERO, |_, bytes| sent.push(bytes));
+    let parts = sent[0].split(|byte| *byte == b'\n').filter(|part| !part.is_empty());
+    let parts: Vec<Value> = parts.map(|part| serde_json::from_slice(part).expect("JSON")).collect();
+    let whole = parts.iter().find(|part| part["whole"] == true).expect("a complete table");
+    assert!(whole.get("classes").is_none(), "it is for all classes");
+    let reduced = parts.iter().find(|part| part["level"] == 0.5).expect("an admission");
+    let expected: Vec<String> = (63..70).map(|class| format!("c{class}")).collect();
+    assert_eq!(reduced["classes"], serde_json::json!(expected));
+}
