Durable store: a write that fails changes nothing in memory; past a limit entries go one by one

Callers would see: an override or a proxy's state that Store::write reported as failed (past its size bound) was in memory without a record on disk until the next compaction, and lost by a kill before; after a disk's error memory was ahead of the disk.

Change: changes are applied with what undoes them, and undone if the bound or the disk refuses. Files of an older generation that can't be listed no longer fail a write that is durable. The daemon's writer tries the batch again itself; past a size limit it writes entry by entry, removals first, and names what does not fit.

Measured: a write at each call of the disk failing by error, partial append or crash, looked at in memory and after five kinds of crash: failed before at call 0, passes; the write past the bound failed before, passes. The test '..._and_the_next_write_includes_it' keeps its assertions; its name told the former contract, which none of them held, so it is renamed; the new test is stricter.

--- a/crates/daemon/src/state/writer.rs
+++ b/crates/daemon/src/state/writer.rs
@@ -6,7 +6,7 @@
 
 use tokio::sync::{mpsc, watch};
 use wrenthread_core::snapshot::{self, StoredItem, StoredItems};
-use wrenthread_durable_store::disk::Folder;
+use wrenthread_durable_store::disk::{DiskError, Folder};
 use wrenthread_durable_store::{Change, Store};
 
 /// How often the time is stored: at a restart, ages are reckoned from the last one.
@@ -130,32 +130,67 @@
     }
 }
 
-/// The thread's whole work. After an error the changes are still in the store's hands, and are written with the next try.
+/// The thread's whole work.
 fn write_changes(
-    mut store: Store<Folder>,
+    store: Store<Folder>,
     mut changes: mpsc::Receiver<Vec<Change>>,
     progress: &watch::Sender<Progress>,
 ) {
-    let mut backoff = INITIAL_BACKOFF;
+    let mut writer = RetryingWriter { store, backoff: INITIAL_BACKOFF, progress };
     while let Some(batch) = changes.blocking_recv() {
-        let mut written = store.write(&batch);
-        while let Err(error) = written {
-            progress.send_modify(|progress| progress.errors += 1);
-            tracing::error!(%error, wait_s = backoff.as_secs_f64(), "what is known could not be written");
-            if error.is_size_limit() {
-                break;
-            }
-            std::thread::sleep(backoff);
-            backoff = (2 * backoff).min(MAX_BACKOFF);
-            written = store.write(&[]);
-            if written.is_ok() {
-                backoff = INITIAL_BACKOFF;
-            }
-        }
-        let sizes = store.sizes();
+        writer.write_batch(batch);
+        let sizes = writer.store.sizes();
         progress.send_modify(|progress| {
             progress.batches += 1;
             progress.bytes = sizes.entry_bytes + sizes.journal_bytes;
         });
     }
 }
+
+/// Writes each batch until the disk has it.
+struct RetryingWriter<'a> {
+    store: Store<Folder>,
+    backoff: Duration,
+    progress: &'a watch::Sender<Progress>,
+}
+
+impl RetryingWriter<'_> {
+    /// Writes a batch as one. Past a size limit, which a retry can't help, its changes are written one by one, removals
+    /// first, and those that don't fit are left out.
+    fn write_batch(&mut self, mut batch: Vec<Change>) {
+        if self.write(&batch).is_ok() {
+            return;
+        }
+        batch.sort_by_key(|change| change.content.is_some());
+        for change in batch {
+            if let Err(error) = self.write(std::slice::from_ref(&change)) {
+                tracing::error!(%error, entry = %change.name, "an entry could not be written");
+            }
+        }
+    }
+
+    fn report(&self, error: &DiskError) {
+        self.progress.send_modify(|progress| progress.errors += 1);
+        tracing::error!(%error, wait_s = self.backoff.as_secs_f64(), "what is known could not be written");
+    }
+
+    /// Writes until the disk has taken it, or a size limit is exceeded.
+    fn write(&mut self, changes: &[Change]) -> Result<(), DiskError> {
+        loop {
+            match self.store.write(changes) {
+                Ok(()) => {
+                    self.backoff = INITIAL_BACKOFF;
+                    return Ok(());
+                }
+                Err(error) => {
+                    self.report(&error);
+                    if error.is_size_limit() {
+                        return Err(error);
+                    }
+                }
+            }
+            std::thread::sleep(self.backoff);
+            self.backoff = (2 * self.backoff).min(MAX_BACKOFF);
+        }
+    }
+}
--- a/crates/durable-store/src/store.rs
+++ b/crates/durable-store/src/store.rs
@@ -71,37 +71,51 @@
         StoreSizes { entry_bytes: self.entry_bytes, journal_bytes: self.journal_bytes }
     }
 
-    /// Writes changes as one: after a crash all of them hold, or none. They are durable once this has returned.
+    /// Writes changes as one: all of them hold, or none, in memory and after a crash. They are durable once this has
+    /// returned.
     ///
     /// # Errors
-    /// The disk's, or a size limit's. After a disk's error the changes are kept and written with the next ones: the next
-    /// write makes a new snapshot, as it is not known what the disk has of the old journal.
+    /// The disk's, or a size limit's; nothing has changed in memory then, and the caller may write the changes again.
+    /// After a disk's error the next write makes a new snapshot, as it is not known what the disk has of the old journal.
     pub fn write(&mut self, changes: &[Change]) -> Result<(), DiskError> {
-        self.apply(changes)?;
-        let compact_at = MIN_COMPACTION_BYTES.max(COMPACTION_FACTOR * self.entry_bytes);
-        match self.journal.take() {
-            Some(journal) if self.journal_bytes < compact_at => self.append(journal, changes),
-            _ => self.compact(),
+        check_entry_sizes(changes)?;
+        let undo = self.apply(changes);
+        let written = self.check_total_size().and_then(|()| self.persist(changes));
+        if written.is_err() {
+            self.apply(&undo);
         }
+        written
     }
 
-    fn apply(&mut self, changes: &[Change]) -> Result<(), DiskError> {
-        let longest = changes.iter().filter_map(|change| Some(change.content.as_ref()?.len())).max();
-        if let Some(bytes) = longest.filter(|bytes| *bytes > MAX_ENTRY_BYTES) {
-            return Err(DiskError::EntryTooLarge { bytes });
+    /// Applies changes in memory. Gives those that undo them.
+    fn apply(&mut self, changes: &[Change]) -> Vec<Change> {
+        let mut undo = Vec::with_capacity(changes.len());
+        for Change { name, content } in changes {
+            let previous = match content {
+                Some(content) => self.entries.insert(name.clone(), content.clone()),
+                None => self.entries.remove(name),
+            };
+            self.entry_bytes -= entry_bytes(name, previous.as_deref());
+            self.entry_bytes += entry_bytes(name, content.as_deref());
+            undo.push(Change { name: name.clone(), content: previous });
         }
-        for change in changes {
-            let name = &change.name;
-            let old_bytes = self.entries.get(name).map_or(0, |content| name.len() + content.len());
-            let new_bytes = change.content.as_ref().map_or(0, |content| name.len() + content.len());
-            let bytes = self.entry_bytes - old_bytes + new_bytes;
-            if bytes > MAX_TOTAL_BYTES {
-                return Err(DiskError::StoreTooLarge { bytes });
-            }
-            self.entry_bytes = bytes;
-            changes::apply(&mut self.entries, vec![change.clone()]);
+        undo.reverse();
+        undo
+    }
+
+    fn check_total_size(&self) -> Result<(), DiskError> {
+        match self.entry_bytes {
+            bytes if bytes > MAX_TOTAL_BYTES => Err(DiskError::StoreTooLarge { bytes }),
+            _ => Ok(()),
+        }
+    }
+
+    fn persist(&mut self, changes: &[Change]) -> Result<(), DiskError> {
+        let compact_at = MIN_COMPACTION_BYTES.max(COMPACTION_FACTOR * self.entry_bytes);
+        match self.journal.take() {
+            Some(journal) if self.journal_bytes < compact_at => self.append(journal, changes),
+            _ => self.compact(),
         }
-        Ok(())
     }
 
     fn append(&mut self, mut journal: OpenJournal, changes: &[Change]) -> Result<(), DiskError> {
@@ -135,7 +149,8 @@
         self.disk.sync_folder()?;
         self.journal = Some(OpenJournal { chain: RecordChain::new() });
         self.journal_bytes = frame::header().len();
-        self.remove_old_files()
+        self.remove_old_files();
+        Ok(())
     }
 
     fn write_snapshot(&mut self, file: &str) -> Result<(), DiskError> {
@@ -154,16 +169,28 @@
         self.disk.sync(file)
     }
 
-    fn remove_old_files(&mut self) -> Result<(), DiskError> {
-        for name in self.disk.list()? {
+    /// What can't be listed or removed does no harm: the new generation is durable.
+    fn remove_old_files(&mut self) {
+        for name in self.disk.list().unwrap_or_default() {
             let generation =
                 FileKind::Snapshot.generation(&name).or_else(|| FileKind::Journal.generation(&name));
             let is_old = generation.is_some_and(|of| of + RETAINED_GENERATIONS < self.generation);
             if is_old || name.ends_with(UNFINISHED) {
-                // What can't be removed does no harm.
                 let _ = self.disk.remove(&name);
             }
         }
-        Ok(())
     }
 }
+
+fn check_entry_sizes(changes: &[Change]) -> Result<(), DiskError> {
+    let longest = changes.iter().filter_map(|change| Some(change.content.as_ref()?.len())).max();
+    match longest {
+        Some(bytes) if bytes > MAX_ENTRY_BYTES => Err(DiskError::EntryTooLarge { bytes }),
+        _ => Ok(()),
+    }
+}
+
+/// What an entry counts for in the total; nothing if it is not there.
+fn entry_bytes(name: &str, content: Option<&[u8]>) -> usize {
+    content.map_or(0, |content| name.len() + content.len())
+}
--- a/crates/durable-store/src/tests.rs
+++ b/crates/durable-store/src/tests.rs
@@ -77,7 +77,7 @@
 }
 
 #[test]
-fn a_failed_call_loses_nothing_durable_and_the_next_write_includes_it() {
+fn a_failed_call_loses_nothing_durable_and_fails_one_write() {
     let quiet = MemoryDisk::default();
     run(&quiet);
     for call in 0..quiet.calls() {
@@ -96,6 +96,66 @@
     }
 }
 
+/// Three writes: two changes at once, a replacement beside a removal, and both again. A write that fails is asserted to
+/// have changed nothing in memory, and after a crash all of it or nothing.
+fn write_with_faults(disk: &MemoryDisk, fault: Option<Fault>, what: &str) {
+    let Ok((mut store, _)) = Store::open(disk.clone()) else { return };
+    let writes = [
+        vec![put("a", "1"), put("b", "1")],
+        vec![put("a", "2"), Change::remove("b"), put("c", "2")],
+        vec![put("b", "3"), put("a", "3")],
+    ];
+    for changes in &writes {
+        let before = store.entries().clone();
+        let sizes_before = store.sizes().entry_bytes;
+        let mut after = before.clone();
+        changes::apply(&mut after, changes.clone());
+        let written = store.write(changes);
+        let expected = if written.is_ok() { &after } else { &before };
+        assert_eq!(store.entries(), expected, "{what}: in memory, {written:?}");
+        let total: usize = expected.iter().map(|(name, content)| name.len() + content.len()).sum();
+        assert_eq!(store.sizes().entry_bytes, total, "{what}: sizes, {sizes_before} before");
+        for unsynced in ALL_UNSYNCED {
+            let recovered = Store::open(disk.after_crash(unsynced)).unwrap().1.entries;
+            let is_durable = recovered == after || (written.is_err() && recovered == before);
+            assert!(is_durable, "{what}, {unsynced:?}, {written:?}: {recovered:?}");
+        }
+        if written.is_err() && fault == Some(Fault::Crash) {
+            return; // nothing is written any more
+        }
+    }
+}
+
+/// Guards against changes that a failed write left in memory without a record of theirs.
+#[test]
+fn a_write_is_all_or_nothing_in_memory_and_after_a_crash_where_any_call_fails() {
+    let quiet = MemoryDisk::default();
+    write_with_faults(&quiet, None, "no fault");
+    for call in 0..quiet.calls() {
+        for fault in [Fault::Error, Fault::PartialAppend, Fault::Crash] {
+            let disk = MemoryDisk::default();
+            disk.fault(call, fault);
+            write_with_faults(&disk, Some(fault), &format!("call {call}, {fault:?}"));
+        }
+    }
+}
+
+#[test]
+fn a_write_past_the_total_limit_changes_nothing_and_the_journal_goes_on() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = Store::open(disk.clone()).unwrap();
+    store.write(&[put("small", "x"), put("other", "x")]).unwrap();
+    let before = store.entries().clone();
+    let large = |index: usize| Change::put(format!("large/{index}"), vec![7; MAX_ENTRY_BYTES]);
+    let mut changes = vec![put("small", "y"), Change::remove("other")];
+    changes.extend((0..=MAX_TOTAL_BYTES / MAX_ENTRY_BYTES).map(large));
+    assert!(matches!(store.write(&changes), Err(DiskError::StoreTooLarge { .. })));
+    assert!(*store.entries() == before, "a part of the write is in memory");
+    store.write(&[put("third", "z")]).unwrap();
+    let (_, recovered) = Store::open(disk.after_crash(Unsynced::Lost)).unwrap();
+    assert!(recovered.entries == *store.entries(), "memory and disk differ");
+}
+
 #[test]
 fn recovers_a_written_state_from_a_flipped_bit_or_a_truncation_anywhere() {
     let disk = MemoryDisk::default();
