State: what a governor has recalled and not used yet outlives a second restart

Cause: the first write of a life comes before its first roster. stored_items gave overrides in force only, and those that wait for the roster were removed from the store; so were ejections and admission fractions that wait, and rollbacks of proxies that have not come back. A roster that is late makes the gap as long as it is late.

Change: what is recalled and not in use yet is stored, too. An override that waited for its roster ends when it was to end, no longer counted from the roster's coming.

--- a/crates/core/src/engine/recovery.rs
+++ b/crates/core/src/engine/recovery.rs
@@ -48,8 +48,9 @@
         self.store_connected_proxies(&mut items, before, epoch);
         self.store_absent_proxies(&mut items, now);
         self.store_replicas(&mut items, now);
-        self.store_admission(&mut items, classes);
+        self.store_admission(&mut items, now, classes);
         self.store_frozen_tables(&mut items, now, calendar, classes);
+        self.store_awaited_frozen_tables(&mut items, now, calendar, classes);
         self.store_overrides(&mut items, now, calendar);
         items
     }
@@ -98,15 +99,22 @@
                 replicas.entry(id).or_default().ejected = true;
             }
         }
+        // Until there is a roster, what was known of replicas is not in use yet, and not forgotten either.
+        for id in self.restored.ejected.keys() {
+            replicas.entry(id).or_default().ejected = true;
+        }
         for (id, replica) in replicas {
             items.insert(format!("replica/{id}"), Arc::new(StoredItem::Replica(replica)));
         }
     }
 
-    fn store_admission(&self, items: &mut StoredItems, classes: &[String]) {
-        for ((fraction, policy), class) in self.tables.admission().iter().zip(classes) {
-            if *fraction < 1.0 {
-                let item = StoredItem::Admission { fraction: *fraction, retry_policy: (*policy).into() };
+    fn store_admission(&self, items: &mut StoredItems, now: Duration, classes: &[String]) {
+        let restored = (now < self.restored_admission_until).then_some(&self.restored.admission_fractions);
+        for (place, ((fraction, policy), class)) in self.tables.admission().iter().zip(classes).enumerate() {
+            let restored = restored.and_then(|fractions| fractions.get(&place).copied());
+            let fraction = fraction.min(restored.unwrap_or(1.0));
+            if fraction < 1.0 {
+                let item = StoredItem::Admission { fraction, retry_policy: (*policy).into() };
                 items.insert(format!("level/{class}"), Arc::new(item));
             }
         }
@@ -123,7 +131,7 @@
             let item = StoredFrozenTable {
                 version: frozen.version,
                 published_at: (calendar - now.saturating_sub(frozen.published_at).as_secs_f64()).round(),
-                until: (calendar + frozen.until.saturating_sub(now).as_secs_f64()).round(),
+                until: stored_until(frozen.until, now, calendar),
                 reason: frozen.why.clone(),
                 entries: frozen.table.entries.iter().map(entry).collect(),
                 admission_millionths: frozen.table.admission_millionths,
@@ -134,19 +142,47 @@
         }
     }
 
+    /// A rollback of a proxy that has not reconnected yet is not forgotten by a second restart.
+    fn store_awaited_frozen_tables(
+        &self,
+        items: &mut StoredItems,
+        now: Duration,
+        calendar: f64,
+        classes: &[String],
+    ) {
+        for ((name, class), frozen) in &self.awaited_frozen_tables {
+            let until = stored_until(frozen.until, now, calendar);
+            let item = || StoredItem::FrozenTable(StoredFrozenTable { until, ..frozen.stored.clone() });
+            let class = classes.get(*class).map_or("", String::as_str);
+            items.entry(format!("hold/{class}/{name}")).or_insert_with(|| Arc::new(item()));
+        }
+    }
+
     fn store_overrides(&self, items: &mut StoredItems, now: Duration, calendar: f64) {
         for (id, one) in self.overrides.iter() {
             let weight = match one.what {
                 OverrideKind::Exclude => None,
                 OverrideKind::Weight(factor) => Some(factor),
             };
-            let until = (calendar + one.until.saturating_sub(now).as_secs_f64()).round();
+            let until = stored_until(one.until, now, calendar);
             let item = StoredItem::Override { weight, until, reason: one.why.clone() };
             items.insert(format!("override/{id}"), Arc::new(item));
         }
+        // Those that wait for the first roster.
+        for (id, restored) in &self.restored.overrides {
+            let until = stored_until(self.restored_at + restored.remaining, now, calendar);
+            let item =
+                StoredItem::Override { weight: restored.weight, until, reason: restored.reason.clone() };
+            items.entry(format!("override/{id}")).or_insert_with(|| Arc::new(item));
+        }
     }
 }
 
+/// A time of this run as seconds of the calendar.
+fn stored_until(until: Duration, now: Duration, calendar: f64) -> f64 {
+    (calendar + until.saturating_sub(now).as_secs_f64()).round()
+}
+
 fn stored_proxy(proxy: &Proxy, epoch: u64, version: u64, requests_per_second: Vec<f64>) -> StoredProxy {
     let stored_table =
         |table: &Option<VersionedTable>| table.as_ref().map(|versioned| (&*versioned.table).into());
@@ -249,8 +285,9 @@
         }
         for (id, restored) in std::mem::take(&mut self.restored.overrides) {
             let kind = restored.weight.map_or(OverrideKind::Exclude, OverrideKind::Weight);
+            let until = self.restored_at + restored.remaining;
             // A replica that is not listed any more needs no override.
-            let _ = self.override_replica(now, &id, kind, now + restored.remaining, &restored.reason);
+            let _ = self.override_replica(now, &id, kind, until, &restored.reason);
         }
     }
 
--- a/crates/core/src/engine/tests/recovery.rs
+++ b/crates/core/src/engine/tests/recovery.rs
@@ -12,10 +12,17 @@
 
 /// A life that ends, and the next one with what is known of it, so many seconds later.
 fn next_life(before: &Engine, later: f64, names: &[&str]) -> Engine {
+    let mut engine = next_life_without_roster(before, ms(5000), later);
+    engine.update_roster(ms(0), ready(names));
+    engine
+}
+
+/// The life after one that ends at `now`, before it has a roster.
+fn next_life_without_roster(before: &Engine, now: Duration, later: f64) -> Engine {
     let groups = ["one".to_string(), "other".to_string()];
     let names_of =
         StoredItem::Names { governor: "g".into(), zones: vec!["z".into()], groups: groups.to_vec() };
-    let mut known = before.stored_items(ms(5000), &StoredItems::new(), 1000.0, 7, &groups);
+    let mut known = before.stored_items(now, &StoredItems::new(), 1000.0, 7, &groups);
     known.insert(snapshot::NAMES.into(), Arc::new(names_of.clone()));
     known.insert(snapshot::ALIVE.into(), Arc::new(StoredItem::Alive { at: 1000.0 }));
     let known = known
@@ -25,7 +32,6 @@
     assert_eq!(unfit, []);
     let mut engine = Engine::new(EngineSettings::example(2), ms(0));
     engine.restore(ms(0), recalled);
-    engine.update_roster(ms(0), ready(names));
     engine
 }
 
@@ -190,3 +196,36 @@
     assert_eq!(after.frozen_tables().count(), 0);
     assert_eq!(next_life(&before, 11.0, &all).awaited_frozen_tables.len(), 0);
 }
+
+/// Guards against knowledge that is removed from the store by the first write of a life that has no roster yet, or whose
+/// proxies have not come back.
+#[test]
+fn what_is_not_in_use_yet_survives_a_second_restart() {
+    let all = ["a", "b", "c"];
+    let mut before = engine(&all);
+    before.proxy_connected(ms(1), 1, &join("q", &[])).unwrap();
+    run(&mut before, ms(600));
+    let version = before.status(ms(600)).version;
+    before.override_replica(ms(700), &"c".into(), OverrideKind::Exclude, ms(60_000), "its disk").unwrap();
+    before.rollback(ms(1700), &TableScope::All, version, "a mistake", ms(60_000)).unwrap();
+    run(&mut before, ms(1800));
+    let mut first = next_life_without_roster(&before, ms(5000), 1.0);
+    first.restored.ejected.insert("b".into(), 20);
+    first.restored.admission_fractions.insert(1, 0.5);
+    first.restored_admission_until = ms(9000);
+    let second = next_life_without_roster(&first, ms(2000), 1.0);
+    assert_eq!(second.restored.overrides["c"].reason.as_ref(), "its disk");
+    assert_eq!(
+        second.restored.overrides["c"].remaining,
+        Duration::from_millis(51_000),
+        "no longer than was left"
+    );
+    assert!(second.restored.ejected.contains_key("b"), "{:?}", second.restored.ejected);
+    assert_eq!(second.restored.admission_fractions.get(&1), Some(&0.5));
+    assert_eq!(second.awaited_frozen_tables.len(), 2);
+    // A roster that comes late leaves an override no longer than it was to stand.
+    let mut late = next_life_without_roster(&second, ms(1000), 1.0);
+    late.update_roster(ms(60_000), ready(&all));
+    run(&mut late, ms(60_300));
+    assert_eq!(late.overrides().iter().count(), 0);
+}
--- a/crates/daemon/tests/state.rs
+++ b/crates/daemon/tests/state.rs
@@ -194,3 +194,45 @@
     assert_eq!(governor.get("/readyz").unwrap(), "ready\n");
     assert!(governor.get("/metrics").unwrap().contains("wrenthread_state_errors"));
 }
+
+/// Flips a bit in the middle of the newest snapshot.
+fn damage_newest_snapshot(state: &Path) {
+    let snapshot = file_of(state, "snapshot");
+    let mut bytes = std::fs::read(&snapshot).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 4;
+    std::fs::write(&snapshot, bytes).unwrap();
+}
+
+/// Guards against knowledge that is lost where a governor ends between "ready" and its first snapshot.
+#[tokio::test]
+async fn what_was_recalled_outlives_a_governor_that_ends_as_soon_as_it_is_ready() {
+    let mut governor = governor("state-early").await;
+    let state = governor.folder.join("state");
+    let at = format!("127.0.0.1:{}", governor.http);
+    assert_eq!(wrenthread(&["exclude", "w2", "--why", "its disk", "--at", &at]).0, Some(0));
+    let is_stored = || {
+        let (_, shown) = wrenthread(&["state", "show", state.to_str().unwrap(), "--output", "json"]);
+        let shown: serde_json::Value = serde_json::from_str(&shown).ok()?;
+        (!shown["entries"]["override/w2"].is_null()).then_some(())
+    };
+    until("the override is stored", is_stored).await;
+    // A second generation, so that there is one before the newest.
+    end(&mut governor);
+    governor.spawn().await;
+    until("a second snapshot is there", || state.join("snapshot.2").exists().then_some(())).await;
+    for damaged in [false, true] {
+        for signal in ["-KILL", "-TERM", "-KILL", "-KILL"] {
+            end(&mut governor);
+            if damaged {
+                damage_newest_snapshot(&state);
+            }
+            governor.spawn().await;
+            governor.signal(signal);
+            governor.child.wait().unwrap();
+            governor.spawn().await;
+            let overrides = &governor.status()["overrides"];
+            assert_eq!(overrides[0]["why"], "its disk", "{signal}, damaged: {damaged}: {}", governor.log());
+        }
+    }
+}
