Run: signals that come before the event loop wait; tests of the platform's outages

Callers saw, from a run: SIGHUP to 'wrenthread run' while it read its settings ended it (exit 129 with the program before), and SIGTERM ended it by the signal in place of its own exit.

Cause: the handlers stood only as the event loop began, after settings (read in a process of their own, for as long as a script may take), sockets and stored state.

Change: signals are listened for before all else; what comes meanwhile is handled by the event loop.

Measured: the test holds the settings in a pipe until the handlers stand, then sends TERM, HUP TERM and HUP HUP TERM TERM: it passes; with the program before, SIGHUP ended it there. 'wrenthread node' had its handlers first already: the like test passes. Never tried before, now tests, all passed at first: no list at all (ready, and no empty table is sent until there is one), discovery that refuses, that accepts and says nothing, that never comes up.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -2,6 +2,7 @@
 
 mod event_loop;
 mod reload;
+mod signals;
 mod startup;
 mod tasks;
 mod wire;
@@ -20,6 +21,7 @@
 use crate::clock::Clock;
 use crate::host::{Host, HostParts};
 use event_loop::EventLoop;
+use signals::Signals;
 use startup::{Sockets, channels, signing_keys, stored_state};
 use tasks::Tasks;
 
@@ -38,20 +40,17 @@
 /// # Errors
 /// Settings that can't be taken, sockets that can't be had.
 pub fn run(path: &Path, faults: &[String]) -> Result<()> {
-    let settings = load(path)?;
     let recorder = metrics_exporter_prometheus::PrometheusBuilder::new();
     let metrics = recorder.install_recorder().context("metrics")?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context("tokio")?;
     let local = LocalSet::new();
-    local.block_on(&runtime, governor(path.to_path_buf(), settings, metrics, faults))
+    local.block_on(&runtime, governor(path.to_path_buf(), metrics, faults))
 }
 
-async fn governor(
-    settings_path: PathBuf,
-    settings: Settings,
-    metrics: PrometheusHandle,
-    faults: &[String],
-) -> Result<()> {
+async fn governor(settings_path: PathBuf, metrics: PrometheusHandle, faults: &[String]) -> Result<()> {
+    // Before all else: settings may take seconds to read, and a signal that comes meanwhile waits.
+    let signals = Signals::listen()?;
+    let settings = load(&settings_path)?;
     let clock = Clock::start();
     let signing_keys = signing_keys(&settings)?;
     let (epoch, restored, state_writer) = match stored_state(&settings, &clock) {
@@ -90,7 +89,7 @@
         tasks,
         reported_draining: false,
     };
-    event_loop.run(receivers).await
+    event_loop.run(receivers, signals).await
 }
 
 /// The host, by the settings.
--- a/crates/daemon/src/run/event_loop.rs
+++ b/crates/daemon/src/run/event_loop.rs
@@ -7,7 +7,6 @@
 use anyhow::{Context, Result};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tonic_health::ServingStatus;
 use wrenthread_settings::Settings;
@@ -15,6 +14,7 @@
 use wrenthread_xds::service::Front;
 
 use super::reload::accept_settings;
+use super::signals::Signals;
 use super::startup::{Receivers, Senders};
 use super::tasks::{Tasks, reload_settings, watch_roster};
 use super::wire::seconds;
@@ -52,27 +52,29 @@
     /// Runs until a signal to stop.
     ///
     /// # Errors
-    /// Signals that can't be had; a gRPC server that fails.
-    pub async fn run(mut self, mut receivers: Receivers) -> Result<()> {
-        let reason = self.handle_events(&mut receivers).await?;
+    /// A gRPC server that fails.
+    pub async fn run(mut self, mut receivers: Receivers, mut signals: Signals) -> Result<()> {
+        let reason = self.handle_events(&mut receivers, &mut signals).await?;
         tracing::info!(reason, "governor stopping; proxies keep their tables");
         self.stop(receivers).await;
         Ok(())
     }
 
     /// Handles events until one of them ends the governor: why it ends.
-    async fn handle_events(&mut self, receivers: &mut Receivers) -> Result<&'static str> {
+    async fn handle_events(
+        &mut self,
+        receivers: &mut Receivers,
+        signals: &mut Signals,
+    ) -> Result<&'static str> {
         let mut persist = tokio::time::interval(seconds(self.settings.state_interval));
         persist.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut hangup = signal(SignalKind::hangup()).context("signals")?;
-        let mut terminate = signal(SignalKind::terminate()).context("signals")?;
         loop {
             let deadline = self.clock.instant(self.host.next_deadline(self.clock.now()));
             tokio::select! {
                 biased;
-                _ = terminate.recv() => return Ok("asked to stop"),
-                _ = tokio::signal::ctrl_c() => return Ok("interrupted"),
-                _ = hangup.recv() => {
+                _ = signals.terminate.recv() => return Ok("asked to stop"),
+                _ = signals.interrupt.recv() => return Ok("interrupted"),
+                _ = signals.hangup.recv() => {
                     reload_settings(self.settings_path.clone(), self.senders.reloads.clone());
                 }
                 Some(read) = receivers.reloads.recv() => self.settings_read(read),
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -177,3 +177,37 @@
         assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
     }
 }
+
+/// The bit of a signal in the masks that the system states of a process.
+fn signal_bit(signal: u32) -> u64 {
+    1 << (signal - 1)
+}
+
+/// Waits until a process handles SIGHUP and SIGTERM itself.
+pub fn until_signals_are_handled(child: &mut Child) {
+    const SIGHUP: u32 = 1;
+    const SIGTERM: u32 = 15;
+    let wanted = signal_bit(SIGHUP) | signal_bit(SIGTERM);
+    let began = Instant::now();
+    loop {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap();
+        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).unwrap();
+        if u64::from_str_radix(caught.trim(), 16).unwrap() & wanted == wanted {
+            return;
+        }
+        assert!(child.try_wait().unwrap().is_none(), "it ended");
+        assert!(began.elapsed() < Duration::from_secs(10), "signals still have the system's own effect");
+        std::thread::yield_now();
+    }
+}
+
+/// Puts a pipe in a file's place: whoever reads the file waits for [`write_pipe`].
+pub fn make_pipe(path: &Path) {
+    let _ = std::fs::remove_file(path);
+    assert!(Command::new("mkfifo").arg(path).status().unwrap().success());
+}
+
+/// Hands a text to whoever reads the pipe, once.
+pub fn write_pipe(path: &Path, text: &str) {
+    std::fs::write(path, text).unwrap();
+}
--- a/crates/daemon/tests/governor.rs
+++ b/crates/daemon/tests/governor.rs
@@ -320,3 +320,27 @@
     assert!(matches!(end, Err(Error::Fenced(_))), "{end:?}");
     assert!(cache.borrow().updated_tables().is_empty(), "nothing of it took effect");
 }
+
+/// Guards against a governor that a reload signal ends while it reads its settings, and that a stop signal ends without
+/// its own exit code.
+#[tokio::test]
+async fn signals_that_come_while_settings_are_read_wait() {
+    let mut governor = Governor::start("early-signals", 4).await;
+    governor.child.kill().unwrap();
+    governor.child.wait().unwrap();
+    let settings = governor.folder.join("settings.star");
+    let script = std::fs::read_to_string(&settings).unwrap();
+    for signals in [&["-TERM"][..], &["-HUP", "-TERM"], &["-HUP", "-HUP", "-TERM", "-TERM"]] {
+        common::make_pipe(&settings);
+        governor.child =
+            Command::new(env!("CARGO_BIN_EXE_wrenthread")).arg("run").arg(&settings).spawn().unwrap();
+        common::until_signals_are_handled(&mut governor.child);
+        signals.iter().for_each(|signal| governor.signal(signal));
+        assert!(governor.child.try_wait().unwrap().is_none(), "{signals:?}");
+        common::write_pipe(&settings, &script);
+        assert_eq!(governor.child.wait().unwrap().code(), Some(0), "{signals:?}");
+    }
+    std::fs::remove_file(&settings).unwrap();
+    std::fs::write(&settings, script).unwrap();
+    governor.spawn().await;
+}
--- a/crates/daemon/tests/node/main.rs
+++ b/crates/daemon/tests/node/main.rs
@@ -12,6 +12,7 @@
 mod common;
 mod discovery_agent;
 mod governor_process;
+mod outages;
 mod standstill;
 
 use std::process::Command;
--- /dev/null
+++ b/crates/daemon/tests/node/outages.rs
@@ -0,0 +1,112 @@
+//! What is not there yet: the configuration as signals come, any list of replicas, discovery itself.
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::common::{make_pipe, until_signals_are_handled, write_pipe};
+use super::discovery_agent::{Events, event, start_discovery};
+use super::governor_process::{GovernorProcess, Peer, config, spawn_governor};
+use super::replica_names;
+
+const REPLICAS: [(&str, &str); 4] = [("r1", "up"), ("r2", "up"), ("r3", "up"), ("r4", "up")];
+/// More than a watch may be silent for: it has been given up once.
+const GIVEN_UP: Duration = Duration::from_millis(3200);
+
+/// Reads until a message comes that takes a replica out of the table.
+fn wait_for_removal(proxy: &mut Peer, name: &str) {
+    proxy.wait_for(|message| {
+        replica_names(message, "out").contains(&name.to_string())
+            || message["lines"].as_array().is_some_and(|lines| lines.contains(&json!([name, 0.0])))
+    });
+}
+
+fn reload(governor: &GovernorProcess, config: &Value) {
+    std::fs::write(governor.folder.join("config.json"), config.to_string()).unwrap();
+    governor.signal("-HUP");
+}
+
+#[test]
+fn signals_that_come_while_the_configuration_is_read_wait() {
+    let mut governor = GovernorProcess::start("early");
+    let path = governor.folder.join("config.json");
+    let text = std::fs::read_to_string(&path).unwrap();
+    governor.child.kill().unwrap();
+    governor.child.wait().unwrap();
+    for signals in [&["-TERM"][..], &["-HUP", "-TERM"], &["-HUP", "-HUP", "-TERM", "-TERM"]] {
+        make_pipe(&path);
+        let discovery = start_discovery(governor.events.clone());
+        governor.child = spawn_governor(Path::new(&governor.folder), "127.0.0.1:0", discovery);
+        until_signals_are_handled(&mut governor.child);
+        signals.iter().for_each(|signal| governor.signal(signal));
+        assert!(governor.child.try_wait().unwrap().is_none(), "{signals:?}: {}", governor.log());
+        write_pipe(&path, &text);
+        assert_eq!(governor.child.wait().unwrap().code(), Some(0), "{signals:?}: {}", governor.log());
+    }
+}
+
+/// Without a list nobody can be sent a table; a complete one without replicas would take away what a proxy holds.
+#[test]
+fn a_governor_without_any_list_is_ready_and_leaves_proxies_what_they_hold_until_it_has_one() {
+    let refused = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let governor = GovernorProcess::start_with("no-list", |config| {
+        config["discovery"] = json!(refused.to_string());
+        config["known"] = Value::Null;
+    });
+    let mut proxy = governor.connect_proxy(3);
+    proxy.send(&json!({"@type": "PING"}));
+    let pong = proxy.wait_for(|message| message["@type"] == "PONG" || message.get("lines").is_some());
+    assert_eq!(pong["@type"], "PONG", "the first message is no table");
+    let events = Events::default();
+    events.lock().unwrap().push(event(2, true, &REPLICAS));
+    let mut found = config(start_discovery(events));
+    found["known"] = Value::Null;
+    reload(&governor, &found);
+    let first = proxy.wait_for(|message| message.get("lines").is_some() || message.get("whole").is_some());
+    assert_eq!(replica_names(&first, "lines"), ["r1", "r2", "r3", "r4"], "{first}");
+}
+
+/// Serves from the list that it was started with while discovery is not to be had, and follows it as it moves.
+fn serves_and_moves(name: &str, unavailable: &str, outage: Duration) {
+    let mut governor = GovernorProcess::start_with(name, |config| config["discovery"] = json!(unavailable));
+    let mut proxy = governor.connect_proxy(3);
+    let whole = proxy.wait_for(|message| message["whole"] == true);
+    assert_eq!(replica_names(&whole, "lines"), ["r1", "r2", "r3", "r4"]);
+    let until = Instant::now() + outage;
+    while Instant::now() < until {
+        proxy.send(&json!({"@type": "PING"}));
+        proxy.wait_for(|message| message["@type"] == "PONG");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let moved = Events::default();
+    moved.lock().unwrap().push(event(2, false, &[("r4", "draining")]));
+    reload(&governor, &config(start_discovery(moved)));
+    wait_for_removal(&mut proxy, "r4");
+    governor.signal("-TERM");
+    assert_eq!(governor.child.wait().unwrap().code(), Some(0), "{}", governor.log());
+}
+
+#[test]
+fn serves_while_discovery_refuses_connections_and_follows_it_as_it_moves() {
+    let refused = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    serves_and_moves("refused", &refused.to_string(), Duration::from_millis(600));
+}
+
+#[test]
+fn serves_while_discovery_accepts_and_says_nothing_and_follows_it_as_it_moves() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    serves_and_moves("silent", &silent.local_addr().unwrap().to_string(), GIVEN_UP);
+}
+
+/// A full backlog: connections to it never come up.
+#[test]
+fn serves_while_connections_to_discovery_never_come_up_and_follows_it_as_it_moves() {
+    let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    listener.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    listener.listen(0).unwrap();
+    let address = listener.local_addr().unwrap().as_socket().unwrap();
+    let _fills_the_backlog = std::net::TcpStream::connect(address).unwrap();
+    serves_and_moves("unreachable", &address.to_string(), Duration::from_millis(1500));
+}
