A soak of real processes: seeded histories of restarts, signals, outages and crowds, with a check

Cause: restarts and signals in series were tried one by one, never at drawn moments beside pauses and crowds.

Change: tests/soak draws governors, proxies that use their connections until the kill, drains, agents that fall silent, are late or move, SIGTERM with SIGKILL at 0.7 s, HUP, TERM and KILL in series, pauses, one amid a join, and crowds; a check reads sockets, exit codes and logs alone. A second history restarts the daemon with a state folder under a long-poll and a gRPC proxy.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -164,6 +164,14 @@
         get(self.http, path)
     }
 
+    /// Has an operator exclude a replica.
+    pub fn exclude(&self, replica: &str, reason: &str) {
+        let at = format!("127.0.0.1:{}", self.http);
+        let mut program = Command::new(env!("CARGO_BIN_EXE_wrenthread"));
+        program.args(["exclude", replica, "--why", reason, "--at", &at]).stdout(Stdio::null());
+        assert!(program.status().unwrap().success());
+    }
+
     pub fn status(&self) -> Value {
         serde_json::from_str(&self.get("/status").unwrap()).unwrap()
     }
--- a/crates/daemon/tests/governor.rs
+++ b/crates/daemon/tests/governor.rs
@@ -344,3 +344,30 @@
     std::fs::write(&settings, script).unwrap();
     governor.spawn().await;
 }
+
+/// The answer to a ping that came while the governor stood still is read before its timeout is judged.
+#[tokio::test]
+async fn a_governor_that_stood_still_keeps_the_streams_whose_answers_wait_in_its_sockets() {
+    let mut governor = Governor::start("keepalive", 4).await;
+    governor.child.kill().unwrap();
+    governor.child.wait().unwrap();
+    let settings = governor.folder.join("settings.star");
+    let script = std::fs::read_to_string(&settings).unwrap();
+    std::fs::write(&settings, script.replace("listen(", "listen(keepalive = 0.2, keepalive_timeout = 0.3, "))
+        .unwrap();
+    governor.spawn().await;
+    let mut peer = self::peer(&governor, "p", "north").await;
+    peer.ask(Kind::Endpoints, &["match"], "", None).await;
+    let tables = peer.hear().await.unwrap();
+    peer.ask(Kind::Endpoints, &["match"], &tables.nonce, None).await;
+    for pause in [350, 420, 600, 900, 510] {
+        // This thread answers nothing for longer than the interval of pings: one is unanswered as the governor stops.
+        std::thread::sleep(Duration::from_millis(300));
+        governor.signal("-STOP");
+        assert!(peer.quiet(Duration::from_millis(pause)).await, "the stream ended");
+        governor.signal("-CONT");
+        assert!(peer.quiet(Duration::from_millis(100)).await, "the stream ended after a pause of {pause} ms");
+    }
+    governor.list(3, &[]);
+    assert_eq!(lines(&peer.hear().await.unwrap()), [3]);
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/check.rs
@@ -0,0 +1,300 @@
+//! Judges a log by the platform's rules. It knows what went over the sockets, signals, exit codes and logs; nothing of a
+//! governor's memory.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::event_log::{
+    Entry, Event, GovernorIndex, PeerOutcome, ReplicaStatus, Signal, StreamEnd, StreamNumber,
+};
+use super::governor::{KNOWN_LIST_AGE, MEMORY_MEGABYTES};
+use super::play::Outcome;
+use super::table::ProxyTable;
+
+const READY_WITHIN: Duration = Duration::from_secs(10);
+/// No time limit of the rules begins sooner after a governor first answered.
+const RULES_BEGIN_AFTER: Duration = Duration::from_secs(1);
+/// A drain, and a first table, with the slack of a busy machine.
+const DRAIN_WITHIN: Duration = Duration::from_millis(2500);
+const TABLE_WITHIN: Duration = Duration::from_millis(3000);
+/// A paused governor has this much more, to catch up.
+const CATCH_UP: Duration = Duration::from_millis(500);
+/// A connection ends within this time of its governor.
+const END_WITHIN: Duration = Duration::from_millis(500);
+/// Up to so many replicas are in every table; of more, tables hold a part.
+const DEFAULT_TABLE_SIZE: usize = 8;
+
+#[derive(Default)]
+struct GovernorState {
+    started_at: Duration,
+    ready_at: Option<Duration>,
+    signals: Vec<(Duration, Signal)>,
+    told: BTreeMap<String, (ReplicaStatus, Duration)>,
+}
+
+struct StreamState {
+    proxy: u16,
+    governor: GovernorIndex,
+    connected_at: Duration,
+    holds_default_table: bool,
+    has_complete_table: bool,
+}
+
+struct Pause {
+    governor: GovernorIndex,
+    from: Duration,
+    until: Duration,
+}
+
+/// Replays a log, and collects what is wrong with it.
+struct Checker {
+    pauses: Vec<Pause>,
+    governors: BTreeMap<GovernorIndex, GovernorState>,
+    streams: BTreeMap<StreamNumber, StreamState>,
+    tables: BTreeMap<u16, ProxyTable>,
+    default_table: Vec<String>,
+    statuses: BTreeMap<String, ReplicaStatus>,
+    /// When replicas were listed first.
+    listed_at: BTreeMap<String, Duration>,
+    faults: BTreeSet<String>,
+}
+
+/// What is wrong with what happened; nothing if all rules were kept.
+pub fn check(outcome: &Outcome) -> Vec<String> {
+    let mut checker = Checker {
+        pauses: pauses(&outcome.entries),
+        governors: BTreeMap::new(),
+        streams: BTreeMap::new(),
+        tables: BTreeMap::new(),
+        default_table: Vec::new(),
+        statuses: BTreeMap::new(),
+        listed_at: BTreeMap::new(),
+        faults: BTreeSet::new(),
+    };
+    for entry in &outcome.entries {
+        checker.check_limits(entry.at);
+        checker.take(entry);
+    }
+    if let Some(panic) = outcome.governor_logs.lines().find(|line| line.contains("panicked")) {
+        checker.faults.insert(format!("a panic: {panic}"));
+    }
+    checker.faults.into_iter().collect()
+}
+
+fn pauses(entries: &[Entry]) -> Vec<Pause> {
+    let mut pauses = Vec::new();
+    let mut stopped: BTreeMap<GovernorIndex, Duration> = BTreeMap::new();
+    for entry in entries {
+        let Event::Signalled { governor, signal } = entry.event else { continue };
+        match signal {
+            Signal::Stop => drop(stopped.insert(governor, entry.at)),
+            Signal::Continue => {
+                let from = stopped.remove(&governor).unwrap_or(entry.at);
+                pauses.push(Pause { governor, from, until: entry.at + CATCH_UP });
+            }
+            _ => {}
+        }
+    }
+    pauses
+}
+
+impl Checker {
+    /// The time between, less what a governor was paused for.
+    fn active(&self, governor: GovernorIndex, from: Duration, until: Duration) -> Duration {
+        let overlap = |pause: &Pause| pause.until.min(until).saturating_sub(pause.from.max(from));
+        let pauses = self.pauses.iter().filter(|pause| pause.governor == governor);
+        until.saturating_sub(from).saturating_sub(pauses.map(overlap).sum())
+    }
+
+    fn fault(&mut self, text: String) {
+        self.faults.insert(text);
+    }
+
+    fn take(&mut self, entry: &Entry) {
+        let at = entry.at;
+        match &entry.event {
+            Event::Started { governor } => {
+                let state = GovernorState { started_at: at, ..GovernorState::default() };
+                self.governors.insert(*governor, state);
+            }
+            Event::Ready { governor } => self.ready(at, *governor),
+            Event::Signalled { governor, signal } => {
+                self.governors.entry(*governor).or_default().signals.push((at, *signal));
+            }
+            Event::Exited { governor, code } => self.exited(at, *governor, *code),
+            Event::PeakMemory { governor, bytes } => {
+                if *bytes > MEMORY_MEGABYTES << 20 {
+                    self.fault(format!("governor {governor} had {bytes} bytes of memory"));
+                }
+            }
+            Event::Changed { replica, status } => {
+                if self.governors.is_empty() {
+                    self.default_table.push(replica.clone());
+                }
+                self.statuses.insert(replica.clone(), *status);
+                self.listed_at.entry(replica.clone()).or_insert(at);
+            }
+            Event::Told { governor, replica, status } => {
+                let told = &mut self.governors.entry(*governor).or_default().told;
+                let since =
+                    told.get(replica).filter(|(_, since)| *since <= at && *status != ReplicaStatus::Up);
+                let since =
+                    since.filter(|(former, _)| *former != ReplicaStatus::Up).map_or(at, |(_, since)| *since);
+                told.insert(replica.clone(), (*status, since));
+            }
+            Event::Connected { stream, proxy, governor, holds_default_table } => {
+                let default_table = &self.default_table;
+                self.tables.entry(*proxy).or_insert_with(|| ProxyTable::of(default_table));
+                let state = StreamState {
+                    proxy: *proxy,
+                    governor: *governor,
+                    connected_at: at,
+                    holds_default_table: *holds_default_table,
+                    has_complete_table: false,
+                };
+                self.streams.insert(*stream, state);
+            }
+            Event::Received { stream, message } => self.received(at, *stream, message),
+            Event::Ended { stream, end } => self.ended(at, *stream, *end),
+            Event::Crowd { governor, outcome } => {
+                if *outcome == PeerOutcome::LeftOpen {
+                    self.fault(format!("governor {governor} left a peer of a crowd without an end"));
+                }
+            }
+        }
+    }
+
+    fn ready(&mut self, at: Duration, governor: GovernorIndex) {
+        let state = self.governors.entry(governor).or_default();
+        state.ready_at = Some(at);
+        let took = at - state.started_at;
+        if took > READY_WITHIN {
+            self.fault(format!("governor {governor} was ready after {took:?}"));
+        }
+    }
+
+    fn exited(&mut self, at: Duration, governor: GovernorIndex, code: Option<i32>) {
+        let signals = &self.governors.entry(governor).or_default().signals;
+        let had = |wanted: Signal| signals.iter().any(|(_, signal)| *signal == wanted);
+        let fault = match (had(Signal::Terminate), had(Signal::Kill), code) {
+            (true, false, Some(0)) | (false, true, None) => return,
+            (true, true, _) => "did not end within the time between SIGTERM and SIGKILL".to_string(),
+            (false, false, code) => format!("ended without being asked to, with {code:?}"),
+            (.., code) => format!("ended with {code:?}, of {signals:?}"),
+        };
+        self.fault(format!("{at:?}: governor {governor} {fault}"));
+    }
+
+    fn received(&mut self, at: Duration, number: StreamNumber, message: &Value) {
+        let Some(stream) = self.streams.get_mut(&number) else { return };
+        let proxy = stream.proxy;
+        if message["@type"] == "NACK" {
+            self.fault(format!("{at:?}: proxy {proxy} was rejected on stream {number}"));
+            return;
+        }
+        stream.has_complete_table |= message["whole"] == true;
+        let table = self.tables.entry(proxy).or_default();
+        let before: BTreeSet<String> = table.usable().into_iter().cloned().collect();
+        table.apply(message);
+        if message["whole"] == true {
+            self.check_complete_table(at, number);
+        }
+        let table = &self.tables[&proxy];
+        let removed: Vec<String> = before.into_iter().filter(|name| !table.usable().contains(name)).collect();
+        let are_all_in_tables = self.statuses.len() <= DEFAULT_TABLE_SIZE;
+        for name in removed {
+            let is_up = self.statuses.get(&name) == Some(&ReplicaStatus::Up);
+            let is_ejected = self.tables[&proxy].ejected.contains(&name);
+            // A complete table may be of a list that a restarted governor had before the replica was added.
+            let is_change = message["whole"] != true;
+            if is_up && (is_ejected || (are_all_in_tables && is_change)) {
+                self.fault(format!(
+                    "{at:?}: {name} is up, and was taken from proxy {proxy} on stream {number}"
+                ));
+            }
+        }
+    }
+
+    /// A complete table holds all replicas that are up and were listed when its governor's own list was made.
+    fn check_complete_table(&mut self, at: Duration, number: StreamNumber) {
+        let stream = &self.streams[&number];
+        let (proxy, governor) = (stream.proxy, stream.governor);
+        let Some(state) = self.governors.get(&governor) else { return };
+        if self.statuses.len() > DEFAULT_TABLE_SIZE {
+            return;
+        }
+        let was_listed = |name: &String| {
+            let listed_at = self.listed_at.get(name).copied().unwrap_or_default();
+            self.default_table.contains(name) || listed_at + KNOWN_LIST_AGE < state.started_at
+        };
+        let up = self.statuses.iter().filter(|(_, status)| **status == ReplicaStatus::Up);
+        let missing: Vec<String> = up
+            .map(|(name, _)| name.clone())
+            .filter(|name| was_listed(name) && !self.tables[&proxy].weights.contains_key(name))
+            .collect();
+        for name in missing {
+            self.fault(format!(
+                "{at:?}: {name} is up, and not in the first table of proxy {proxy} on stream {number}"
+            ));
+        }
+    }
+
+    fn ended(&mut self, at: Duration, number: StreamNumber, end: StreamEnd) {
+        let Some(stream) = self.streams.remove(&number) else { return };
+        if end == StreamEnd::ByProxy {
+            return;
+        }
+        let state = self.governors.entry(stream.governor).or_default();
+        let is_stop = |signal: &Signal| matches!(signal, Signal::Terminate | Signal::Kill);
+        let was_stopped = state.signals.iter().any(|(_, signal)| is_stop(signal));
+        // Its governor has ended and was started again since.
+        let is_of_former = stream.connected_at < state.started_at;
+        let is_before_start = state.ready_at.is_none_or(|ready| stream.connected_at < ready);
+        if !was_stopped && !is_of_former && !is_before_start {
+            let (proxy, governor) = (stream.proxy, stream.governor);
+            self.fault(format!("{at:?}: stream {number} of proxy {proxy} was ended by governor {governor}"));
+        }
+    }
+
+    /// What is due by now, on the streams that are open.
+    fn check_limits(&mut self, now: Duration) {
+        let mut faults = Vec::new();
+        for (number, stream) in &self.streams {
+            let Some(state) = self.governors.get(&stream.governor) else { continue };
+            let Some(ready_at) = state.ready_at.filter(|ready| *ready <= stream.connected_at + END_WITHIN)
+            else {
+                continue;
+            };
+            let is_stopping =
+                state.signals.iter().any(|(_, signal)| matches!(signal, Signal::Terminate | Signal::Kill));
+            if is_stopping || stream.connected_at < state.started_at {
+                continue;
+            }
+            let began = stream.connected_at.max(ready_at + RULES_BEGIN_AFTER);
+            let joined_for = self.active(stream.governor, began, now);
+            let table = &self.tables[&stream.proxy];
+            let proxy = stream.proxy;
+            if joined_for > TABLE_WITHIN {
+                if !stream.holds_default_table && !stream.has_complete_table {
+                    faults.push(format!("proxy {proxy} got no first table on stream {number}"));
+                }
+                let is_up = |name: &&String| self.statuses.get(*name) == Some(&ReplicaStatus::Up);
+                if !table.usable().iter().any(is_up) {
+                    faults.push(format!("proxy {proxy} had no replica on stream {number}"));
+                }
+            }
+            for (replica, (status, since)) in &state.told {
+                let due_for = self.active(stream.governor, began.max(*since), now);
+                if *status != ReplicaStatus::Up && due_for > DRAIN_WITHIN && table.usable().contains(replica)
+                {
+                    faults.push(format!(
+                        "{replica} is {status:?}, and still in use by proxy {proxy} on stream {number}"
+                    ));
+                }
+            }
+        }
+        self.faults.extend(faults);
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/history.rs
@@ -0,0 +1,96 @@
+//! The history that a seed draws.
+
+use std::time::Duration;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+
+/// What happens next, to the governor by this place where one is concerned.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    DrainReplica,
+    RemoveDrained,
+    AddReplica,
+    /// The governor's agent accepts and reads, and writes nothing.
+    SilenceAgent(usize, Duration),
+    /// Changes reach the governor's agent that much later.
+    DelayAgent(usize, Duration),
+    /// A new configuration names another agent; SIGHUP once or twice.
+    MoveAgent(usize, u32),
+    HangupThenTerminate(usize),
+    TerminateTwice(usize),
+    /// SIGTERM, and SIGKILL at the platform's earliest.
+    TerminateThenKill(usize),
+    Kill(usize),
+    /// SIGKILL just after the replica began to drain, so that the drain is on its way.
+    DrainThenKill(usize),
+    Pause(usize, Duration),
+    /// A proxy connects and has sent half of its first message as the governor is paused.
+    PauseAmidJoin(usize, Duration),
+    ReconnectProxy(u16),
+    Crowd(usize, usize),
+}
+
+/// A history: what there is, and what happens to it, with the time until the next step.
+#[derive(Debug, Clone, PartialEq)]
+pub struct History {
+    pub governors: usize,
+    pub proxies: u16,
+    pub replicas: usize,
+    pub steps: Vec<(Step, Duration)>,
+}
+
+const MAX_GOVERNORS: u64 = 2;
+const STEPS: u64 = 6;
+/// Longer than a peer has to identify itself, and less than any stream may be silent for.
+const PAUSES_MILLIS: [u64; 3] = [300, 1200, 2400];
+
+impl History {
+    /// The history of a seed: the same each time.
+    pub fn draw(seed: u64) -> History {
+        let mut draw = Draw(ChaCha8Rng::seed_from_u64(seed));
+        let governors = 1 + draw.below(MAX_GOVERNORS) as usize;
+        let proxies = 3 + draw.below(8) as u16;
+        let replicas = 4 + draw.below(4) as usize;
+        let count = STEPS + draw.below(5);
+        let steps = (0..count).map(|_| (draw.step(governors, proxies), draw.gap())).collect();
+        History { governors, proxies, replicas, steps }
+    }
+}
+
+struct Draw(ChaCha8Rng);
+
+impl Draw {
+    fn below(&mut self, limit: u64) -> u64 {
+        self.0.next_u64() % limit
+    }
+
+    fn gap(&mut self) -> Duration {
+        Duration::from_millis(20 + self.below(500))
+    }
+
+    fn pause(&mut self) -> Duration {
+        Duration::from_millis(PAUSES_MILLIS[self.below(3) as usize])
+    }
+
+    fn step(&mut self, governors: usize, proxies: u16) -> Step {
+        let governor = self.below(governors as u64) as usize;
+        match self.below(20) {
+            0 | 1 => Step::DrainReplica,
+            2 => Step::RemoveDrained,
+            3 | 4 => Step::AddReplica,
+            5 => Step::SilenceAgent(governor, Duration::from_millis(500 + self.below(3500))),
+            6 => Step::DelayAgent(governor, Duration::from_millis(200 + self.below(1500))),
+            7 | 8 => Step::MoveAgent(governor, 1 + self.below(2) as u32),
+            9 => Step::HangupThenTerminate(governor),
+            10 => Step::TerminateTwice(governor),
+            11 | 12 => Step::TerminateThenKill(governor),
+            13 => Step::Kill(governor),
+            14 | 15 => Step::DrainThenKill(governor),
+            16 => Step::Pause(governor, self.pause()),
+            17 => Step::PauseAmidJoin(governor, self.pause()),
+            18 => Step::ReconnectProxy(self.below(u64::from(proxies)) as u16),
+            _ => Step::Crowd(governor, 50 + self.below(250) as usize),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/main.rs
@@ -0,0 +1,97 @@
+//! A soak of real processes: histories that a seed draws, judged by what went over the sockets.
+//!
+//! `SOAK_SEEDS=1-50 cargo test -p wrenthread-daemon --test soak -- --nocapture` plays other seeds than CI does, and
+//! prints what they came to; `WRENTHREAD_SOAK_PROGRAM` names another program than the one built beside the test.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::too_many_lines,
+    reason = "a test fails by panicking, and reads top-down"
+)]
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod check;
+mod discovery;
+mod event_log;
+mod governor;
+mod history;
+mod play;
+mod proxy;
+mod stored_state;
+mod summary;
+mod table;
+
+use std::path::PathBuf;
+use std::sync::Mutex;
+
+use history::History;
+use summary::Summary;
+
+/// Names other seeds, as `FIRST-LAST`.
+const SEEDS_VARIABLE: &str = "SOAK_SEEDS";
+/// The seeds that CI plays.
+const FIXED_SEEDS: std::ops::RangeInclusive<u64> = 1..=16;
+/// Histories that are played beside one another.
+const LANES: usize = 4;
+
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var(SEEDS_VARIABLE) else { return FIXED_SEEDS.collect() };
+    let (first, last) = text.split_once('-').expect("FIRST-LAST");
+    (first.parse().expect("a number")..=last.parse().expect("a number")).collect()
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("wrenthread-soak-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+/// Plays a seed. Gives what it came to, or all that is needed to understand its failure.
+fn soak(seed: u64) -> Result<Summary, String> {
+    let history = History::draw(seed);
+    let folder = folder(&seed.to_string());
+    let outcome = play::play(&history, &folder);
+    let _ = std::fs::remove_dir_all(&folder);
+    let faults = check::check(&outcome);
+    if faults.is_empty() {
+        return Ok(Summary::of(&outcome.entries));
+    }
+    let entries: String = outcome.entries.iter().map(|entry| format!("{entry}\n")).collect();
+    Err(format!(
+        "seed {seed}: {faults:#?}\n{history:#?}\n--- events\n{entries}{}\nseed {seed}: {faults:#?}",
+        outcome.governor_logs
+    ))
+}
+
+#[test]
+fn the_same_seed_draws_the_same_history() {
+    assert_eq!(History::draw(5), History::draw(5));
+    assert_ne!(History::draw(5), History::draw(6));
+}
+
+#[test]
+fn histories_of_restarts_signals_outages_and_crowds_keep_the_rules() {
+    let seeds = Mutex::new(seeds());
+    let results = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..LANES {
+            scope.spawn(|| {
+                loop {
+                    let Some(seed) = seeds.lock().unwrap().pop() else { return };
+                    let result = soak(seed);
+                    results.lock().unwrap().push(result);
+                }
+            });
+        }
+    });
+    let results = results.into_inner().unwrap();
+    let failures: Vec<&String> = results.iter().filter_map(|result| result.as_ref().err()).collect();
+    failures.iter().for_each(|failure| eprintln!("{failure}"));
+    let summaries = results.iter().filter_map(|result| result.as_ref().ok());
+    println!("{}", Summary::total(summaries));
+    assert!(failures.is_empty(), "{} of {} seeds failed", failures.len(), results.len());
+}
--- /dev/null
+++ b/crates/daemon/tests/soak/table.rs
@@ -0,0 +1,44 @@
+//! What a proxy holds, by the messages it was sent, as the platform's page says.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde_json::Value;
+
+/// A proxy's table and the replicas that it is to send nothing to.
+#[derive(Debug, Clone, Default)]
+pub struct ProxyTable {
+    pub weights: BTreeMap<String, f64>,
+    pub ejected: BTreeSet<String>,
+}
+
+impl ProxyTable {
+    /// A default table of these replicas.
+    pub fn of(replicas: &[String]) -> ProxyTable {
+        let weights = replicas.iter().map(|name| (name.clone(), 1.0)).collect();
+        ProxyTable { weights, ejected: BTreeSet::new() }
+    }
+
+    pub fn apply(&mut self, message: &Value) {
+        let names = |field: &str| -> Vec<String> {
+            let row = message[field].as_array().cloned().unwrap_or_default();
+            row.iter().filter_map(|name| Some(name.as_str()?.to_string())).collect()
+        };
+        if message["whole"] == true {
+            self.weights.clear();
+        }
+        for line in message["lines"].as_array().into_iter().flatten() {
+            let (Some(name), Some(weight)) = (line[0].as_str(), line[1].as_f64()) else { continue };
+            self.weights.insert(name.to_string(), weight);
+        }
+        self.weights.retain(|_, weight| *weight > 0.0);
+        self.ejected.extend(names("out"));
+        for name in names("back") {
+            self.ejected.remove(&name);
+        }
+    }
+
+    /// The replicas that it may pick.
+    pub fn usable(&self) -> BTreeSet<&String> {
+        self.weights.keys().filter(|name| !self.ejected.contains(*name)).collect()
+    }
+}
