--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -655,8 +655,14 @@
         15_100 + (place % 17_000) as u16
     };
     let mut ports = std::iter::repeat_with(port).take(1000);
-    let free = |port: &u16| std::net::TcpListener::bind(("127.0.0.1", *port)).is_ok();
-    ports.find(free).context("no free port on loopback")
+    ports.find(|port| is_free(*port)).context("no free port on loopback")
+}
+
+/// Whether the port is free. Looking does not listen there: whoever waits for a governor at this port would take the look
+/// for it.
+fn is_free(port: u16) -> bool {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    tokio::net::TcpSocket::new_v4().is_ok_and(|socket| socket.bind(address).is_ok())
 }
 
 impl Governor {
