--- a/crates/daemon/src/platform/service.rs
+++ b/crates/daemon/src/platform/service.rs
@@ -10,7 +10,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 use wrenthread_discovery::{EventSender, WatchEvent, watch_endpoints};
-use wrenthread_platform_governor::{Action, ConnectionId, DisconnectReason, PlatformGovernor};
+use wrenthread_platform_governor::{Action, ConnectionId, DisconnectReason, PlatformGovernor, WatcherId};
 use wrenthread_platform_protocol::decode::Decoder;
 
 use super::config::{Config, Variables};
@@ -140,8 +140,9 @@
 
     pub(super) fn handle_watch_event(&mut self, event: WatchEvent) {
         let clock = self.clock;
+        let watcher = WatcherId(event.watcher);
         let known_version =
-            self.governor.watch_event(clock.now(), event.watcher, &event.bytes, |unix| clock.at(unix));
+            self.governor.watch_event(clock.now(), watcher, &event.bytes, |unix| clock.at(unix));
         // The watcher may be gone; its event counts all the same.
         let _ = event.known_version.send(known_version);
     }
@@ -210,8 +211,8 @@
         }
     }
 
-    fn start_watcher(&mut self, watcher: u64, from_version: Option<u64>) {
-        let sender = EventSender { watcher, events: self.watch_event_sender.clone() };
+    fn start_watcher(&mut self, watcher: WatcherId, from_version: Option<u64>) {
+        let sender = EventSender { watcher: watcher.0, events: self.watch_event_sender.clone() };
         let task = spawn_local(watch_endpoints(self.discovery.to_string(), from_version, sender));
         if let Some(former) = self.watcher.replace(task) {
             spawn_local(async move {
--- a/crates/platform-governor/src/governor.rs
+++ b/crates/platform-governor/src/governor.rs
@@ -13,7 +13,7 @@
 use crate::disconnect::DisconnectReason;
 use crate::endpoint_list::EndpointList;
 use crate::silence::{StreamActivity, silent_proxies};
-use crate::watch::Watcher;
+use crate::watch::{Watcher, WatcherId};
 
 /// How often streams are checked for silence, and replicas that are gone forgotten.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
@@ -45,8 +45,8 @@
     },
     /// Start a watcher of discovery. The earlier one may go on for a while.
     Watch {
-        /// The watcher's number.
-        watcher: u64,
+        /// The watcher.
+        watcher: WatcherId,
         /// The version to watch from; none to fetch a snapshot first.
         from_version: Option<u64>,
     },
--- a/crates/platform-governor/src/lib.rs
+++ b/crates/platform-governor/src/lib.rs
@@ -23,3 +23,4 @@
 pub use discard::DiscardReason;
 pub use disconnect::DisconnectReason;
 pub use governor::{Action, ConnectionId, PlatformGovernor};
+pub use watch::WatcherId;
--- a/crates/platform-governor/src/watch.rs
+++ b/crates/platform-governor/src/watch.rs
@@ -11,10 +11,14 @@
 /// its numbering has started over.
 const MAX_STALE: Duration = Duration::from_secs(20);
 
+/// The number of a watcher of discovery, in the order of starting.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WatcherId(pub u64);
+
 /// The newest watcher of discovery.
 #[derive(Debug, Default)]
 pub(crate) struct Watcher {
-    number: u64,
+    id: WatcherId,
     /// It is to fetch a snapshot, and none has come.
     requests_snapshot: bool,
     /// Since when it has given nothing but older versions.
@@ -51,9 +55,9 @@
     /// Starts a watcher from the version that is known: at the start, and where discovery's address has moved.
     pub fn start_watch(&mut self) {
         let from_version = self.endpoints.version();
-        let number = self.watcher.number + 1;
-        self.watcher = Watcher { number, requests_snapshot: from_version.is_none(), stale_since: None };
-        self.actions.push_back(Action::Watch { watcher: number, from_version });
+        let id = WatcherId(self.watcher.id.0 + 1);
+        self.watcher = Watcher { id, requests_snapshot: from_version.is_none(), stale_since: None };
+        self.actions.push_back(Action::Watch { watcher: id, from_version });
     }
 
     /// Takes in one event of a watcher. Gives the version from which the watch may go on; none if a snapshot is to be
@@ -61,7 +65,7 @@
     pub fn watch_event(
         &mut self,
         now: Duration,
-        watcher: u64,
+        watcher: WatcherId,
         bytes: &[u8],
         to_host_time: impl Fn(f64) -> Option<Duration>,
     ) -> Option<u64> {
@@ -71,7 +75,7 @@
             Err(error) => tracing::warn!(%error, "invalid watch event, fetching a snapshot"),
         }
         let version = self.endpoints.version();
-        if watcher == self.watcher.number {
+        if watcher == self.watcher.id {
             self.watcher.requests_snapshot = version.is_none();
             self.watcher.stale_since = if self.endpoints.last_event_was_stale() {
                 Some(self.watcher.stale_since.unwrap_or(now))
--- a/crates/platform-governor/tests/driven/mod.rs
+++ b/crates/platform-governor/tests/driven/mod.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 use wrenthread::types::{ProxyConnection, ProxyId};
 use wrenthread_deployment_config::{DeploymentConfig, FieldError, Fields, read};
-use wrenthread_platform_governor::{Action, ConnectionId, PlatformGovernor};
+use wrenthread_platform_governor::{Action, ConnectionId, PlatformGovernor, WatcherId};
 use wrenthread_platform_protocol::decode::Message;
 
 /// Later than any age that is subtracted from it.
@@ -78,7 +78,7 @@
     pub fn list(&mut self, is_snapshot: bool, rows: &[Value]) {
         self.list_version += 1;
         let event = json!({"index": self.list_version, "snapshot": is_snapshot, "endpoints": rows});
-        self.governor.watch_event(self.now, 1, event.to_string().as_bytes(), |_| None);
+        self.governor.watch_event(self.now, WatcherId(1), event.to_string().as_bytes(), |_| None);
     }
 
     pub fn connect(&mut self, proxy: ProxyId, requests_per_second: f64, holds_default_table: bool) {
