--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -323,6 +323,7 @@
                 for name in classes:
                     self.level[name] = part["level"]
             if "ticket" in part:
+                self.world.record.write("applied", proxy=self.number, nonce=part["ticket"])
                 self.send({"@type": "ACK", "node": self.number, "nonce": part["ticket"],
                            "latency": round((now() - entered) * 1000, 1)})
 
@@ -372,6 +373,8 @@
             good = self.world.chance.random() >= server.error_rate
             await asyncio.sleep(self.world.service_time() * server.slow if good else 0.01)
         self.world.met(self.zone, replica, good, now() - started)
+        self.world.record.write("answer" if good else "failed", proxy=self.number, cls=name, by=replica,
+                                ms=round((now() - started) * 1000))
         if good:
             self.failures[replica] = 0
         else:
