Drains wait for one token of the limit on messages, not for seconds once a burst used it up

Cause: 18 flushes within 10 s are shared by all purposes and were counted over the last 10 s; urgent ones followed each other so closely that a burst used all of them within 5 s. Then nothing left until the first was 10 s old. Evidence: the governor's log at that moment, remaining_flushes=0, unsent_ejections=4, queued=633 of limit=3600; no message from 9.1 to 14.3 s in the record. The channel is empty, so it isn't its estimate.

Change: a token bucket of a quarter of the limit, refilled evenly; the limit is kept in every interval, and a drain waits for one token at most. Ordinary flushes leave the last token to urgent ones and stay due while they wait.

Tests: drain_series.rs failed before (limit 30: a drain left after 3.25 s, allowed 1.447 s), passes now; flush_limiter.rs. In publishing.rs `delays_an_urgent_flush_longer_the_more_of_the_limit_is_used` asked for the growing wait that is the fault: it is replaced by `delays_an_urgent_flush_until_a_token_is_refilled`, which holds the same two moments and the wait's length; the two tests that filled the old list of flushes empty the bucket instead. `Holdings` moved from join_storm.rs to be shared.

--- a/crates/platform-governor/tests/driven/mod.rs
+++ b/crates/platform-governor/tests/driven/mod.rs
@@ -1,6 +1,8 @@
 //! Runs a governor on simulated time, and records everything that it sends.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod holdings;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
--- a/src/governor.rs
+++ b/src/governor.rs
@@ -21,6 +21,7 @@
 use admission_control::Admission;
 use arithmetic::ratio;
 use critical_set::CriticalSet;
+use flush_limiter::FlushLimiter;
 use health::FleetHealth;
 use parameters::{Parameters, TICK_INTERVAL};
 use proxy_state::{DefaultTableSample, ProxyState};
@@ -37,6 +38,7 @@
 mod ejection;
 mod ejection_updates;
 mod fleet;
+mod flush_limiter;
 mod health;
 mod load_model;
 mod outlier_detection;
@@ -86,6 +88,7 @@
     reports: ReportTiming,
     admission: Admission,
     send_queue: SendQueue,
+    flush_limiter: FlushLimiter,
     /// The largest total weight of ready replicas seen so far.
     nominal_weight: f64,
     roster_updated_at: Duration,
@@ -321,15 +324,12 @@
         }
     }
 
-    fn publish_trigger(&mut self, now: Duration, ticked: bool) -> PublishTrigger {
-        if !ticked {
-            return PublishTrigger::Event;
+    fn publish_trigger(&self, now: Duration, ticked: bool) -> PublishTrigger {
+        match ticked {
+            false => PublishTrigger::Event,
+            true if now < self.next_flush_at => PublishTrigger::Tick,
+            true => PublishTrigger::FlushDue,
         }
-        if now < self.next_flush_at {
-            return PublishTrigger::Tick;
-        }
-        self.next_flush_at = now + self.parameters.flush_interval;
-        PublishTrigger::FlushDue
     }
 }
 
@@ -376,12 +376,10 @@
     }
 
     fn channel_estimate(&self, now: Duration) -> ChannelEstimate {
-        let limit = self.parameters.flush_limit;
-        let recent_flushes = self.send_queue.recent_flushes.iter().filter(|at| **at + limit.interval > now);
         ChannelEstimate {
             queued_entries: self.send_queue.entries,
             max_queued_entries: self.parameters.max_queued_entries,
-            remaining_flushes: limit.flushes.saturating_sub(recent_flushes.count()),
+            remaining_flushes: self.flush_limiter.tokens(now, &self.parameters.flush_limit) as usize,
             sent: self.send_queue.sent,
         }
     }
--- a/src/governor/parameters.rs
+++ b/src/governor/parameters.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::arithmetic::ratio;
+use super::flush_limiter::FlushLimit;
 use super::tables::{MAX_CLASSES, RouteScope};
 use crate::types::{AdmissionControl, ClassSet, LoadField, Settings};
 
@@ -13,9 +14,6 @@
 const TICKS_PER_FLUSH: u32 = 2;
 /// Ordinary flushes use the message limit divided by this; the rest is left to urgent flushes.
 const FLUSH_SPACING: f64 = 1.5;
-/// Messages of the limit that flushes do not use, one of them for a connecting proxy. If the limit is too low
-/// for that, one flush is still allowed.
-const RESERVED_MESSAGES: usize = 2;
 /// Fraction of the channel's rate at which the queue is assumed to drain without acknowledgements.
 const ASSURED_RATE_FRACTION: f64 = 0.2;
 /// Fraction of the channel's queue that the governor uses.
@@ -59,16 +57,6 @@
     pub(super) growth_per_second: f64,
 }
 
-/// Limit on the number of flushes within a sliding interval.
-#[derive(Clone, Copy, Default)]
-pub(super) struct FlushLimit {
-    /// At least 1, so that draining replicas can be ejected.
-    pub(super) flushes: usize,
-    pub(super) interval: Duration,
-    /// The limit leaves no message for a connecting proxy, whose first table must wait for a flush.
-    pub(super) first_tables_need_flush: bool,
-}
-
 /// Indices of the values in a load report that the governor uses.
 #[derive(Clone, Copy, Default)]
 pub(super) struct LoadPositions {
@@ -132,7 +120,7 @@
             default_table_size: settings.default_table_size.max(1),
             settling_time: settings.max_transit_delay + SETTLING_REPORTS * settings.report_interval,
             flush_interval: flush_interval(settings),
-            flush_limit: flush_limit(settings),
+            flush_limit: FlushLimit::new(settings.message_limit),
             assured_entries_per_second: ASSURED_RATE_FRACTION * settings.entries_per_second.max(1.0),
             // Each message carries the admission fractions of all classes.
             message_overhead_entries: settings.message_overhead_entries + settings.classes.len() as f64,
@@ -188,18 +176,6 @@
     }
 }
 
-fn flush_limit(settings: &Settings) -> FlushLimit {
-    let Some(limit) = settings.message_limit else {
-        let flushes = usize::MAX - RESERVED_MESSAGES;
-        return FlushLimit { flushes, interval: Duration::ZERO, first_tables_need_flush: false };
-    };
-    FlushLimit {
-        flushes: limit.messages.saturating_sub(RESERVED_MESSAGES).max(1),
-        interval: limit.interval,
-        first_tables_need_flush: limit.messages <= 1,
-    }
-}
-
 fn load_position(settings: &Settings, wanted: LoadField) -> Option<usize> {
     settings.load_fields.iter().position(|field| *field == wanted)
 }
--- a/src/governor/publishing.rs
+++ b/src/governor/publishing.rs
@@ -5,6 +5,7 @@
 
 use super::Governor;
 use super::ejection_updates::EjectionChange;
+use super::flush_limiter::Urgency;
 use super::table_updates::Recipients;
 use crate::types::Decision;
 
@@ -29,6 +30,10 @@
         let first_tables_due = trigger != PublishTrigger::Event && unsynchronised;
         let first_tables_need_flush = self.parameters.flush_limit.first_tables_need_flush;
         let flush = self.should_flush(now, trigger, first_tables_due && first_tables_need_flush);
+        // A flush that the limit holds back stays due.
+        if trigger == PublishTrigger::FlushDue && (flush || self.proxies.is_empty()) {
+            self.next_flush_at = now + self.parameters.flush_interval;
+        }
         if flush {
             // A table costs less than the ejections of several replicas, and makes them unnecessary.
             if unsynchronised || self.tables_replace_ejections() {
@@ -45,7 +50,7 @@
         self.send_queue.record_batch(now, totals_before);
         if self.pending.len() > decisions_before {
             if flush {
-                self.send_queue.recent_flushes.push_back(now);
+                self.flush_limiter.record_flush(now, &self.parameters.flush_limit);
             }
             // First tables are acknowledged, too: they can fill the channel for seconds.
             let number = self.ticks % u64::from(u16::MAX);
@@ -53,18 +58,14 @@
         }
     }
 
-    fn should_flush(
-        &mut self,
-        now: Duration,
-        trigger: PublishTrigger,
-        needed_for_first_tables: bool,
-    ) -> bool {
-        let limit = self.parameters.flush_limit;
-        self.send_queue.forget_flushes(now, limit);
-        let urgent = self.replicas.values().any(|replica| replica.is_unavailable() && !replica.ejection_sent);
-        let flushed_recently = self.send_queue.flushed_recently(now, limit);
-        let due =
-            trigger == PublishTrigger::FlushDue || needed_for_first_tables || urgent && !flushed_recently;
-        due && self.send_queue.recent_flushes.len() < limit.flushes && !self.proxies.is_empty()
+    fn should_flush(&self, now: Duration, trigger: PublishTrigger, needed_for_first_tables: bool) -> bool {
+        let urgency = if needed_for_first_tables || self.unsent_ejections().next().is_some() {
+            Urgency::Urgent
+        } else {
+            Urgency::Ordinary
+        };
+        let due = trigger == PublishTrigger::FlushDue || urgency == Urgency::Urgent;
+        let allowed = self.flush_limiter.allows(now, &self.parameters.flush_limit, urgency);
+        due && allowed && !self.proxies.is_empty()
     }
 }
--- a/src/governor/send_queue.rs
+++ b/src/governor/send_queue.rs
@@ -1,10 +1,10 @@
-//! Estimates how full the channel to the proxies is, and records recent flushes.
+//! Estimates how full the channel to the proxies is.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::arithmetic::ratio;
-use super::parameters::{FlushLimit, Parameters};
+use super::parameters::Parameters;
 use crate::types::SentEntries;
 
 /// What entries are sent for.
@@ -43,7 +43,6 @@
     pub(super) batches: VecDeque<SentBatch>,
     /// When [`SendQueue::drain`] was last called.
     pub(super) drained_at: Duration,
-    pub(super) recent_flushes: VecDeque<Duration>,
     /// Entries sent since the start, for operators.
     pub(super) sent: SentEntries,
 }
@@ -99,18 +98,6 @@
         }
     }
 
-    pub(super) fn forget_flushes(&mut self, now: Duration, limit: FlushLimit) {
-        self.recent_flushes.retain(|at| *at + limit.interval > now);
-    }
-
-    /// Whether an urgent flush must wait because of the previous one. The required gap grows with the used
-    /// part of the limit.
-    pub(super) fn flushed_recently(&self, now: Duration, limit: FlushLimit) -> bool {
-        let used = self.recent_flushes.len() as f64;
-        let gap = limit.interval.mul_f64(used / (limit.flushes as f64).powi(2));
-        self.recent_flushes.back().is_some_and(|last| now < *last + gap)
-    }
-
     /// Whether entries fit into the given fraction of the queue.
     pub(super) fn fits(&self, entries: f64, queue_fraction: f64, parameters: &Parameters) -> bool {
         self.entries + entries <= queue_fraction * parameters.max_queued_entries
--- a/src/governor/tests/fixtures.rs
+++ b/src/governor/tests/fixtures.rs
@@ -180,6 +180,14 @@
     governor.default_tables(SECOND)[&default_of_zone(0, AnyZone)].clone()
 }
 
+/// Flushes until the limit allows no more.
+pub(super) fn use_all_tokens(governor: &mut Governor, now: Duration) {
+    let limit = governor.parameters.flush_limit;
+    for _ in 0..limit.max_tokens {
+        governor.flush_limiter.record_flush(now, &limit);
+    }
+}
+
 pub(super) fn roster_entry(name: &str, phase: Phase) -> ReplicaEntry {
     ReplicaEntry { id: id(name), phase, zone: 0, weight: 1.0, started_at: None }
 }
