--- a/src/governor.rs
+++ b/src/governor.rs
@@ -379,7 +379,7 @@
         ChannelEstimate {
             queued_entries: self.send_queue.entries,
             max_queued_entries: self.parameters.max_queued_entries,
-            remaining_flushes: self.flush_limiter.tokens(now, &self.parameters.flush_limit) as usize,
+            remaining_flushes: self.flush_limiter.remaining(now, &self.parameters.flush_limit),
             sent: self.send_queue.sent,
         }
     }
--- a/src/governor/publishing.rs
+++ b/src/governor/publishing.rs
@@ -65,7 +65,7 @@
             Urgency::Ordinary
         };
         let due = trigger == PublishTrigger::FlushDue || urgency == Urgency::Urgent;
-        let allowed = self.flush_limiter.allows(now, &self.parameters.flush_limit, urgency);
+        let allowed = self.flush_limiter.allowed_at(&self.parameters.flush_limit, urgency) <= now;
         due && allowed && !self.proxies.is_empty()
     }
 }
--- a/src/governor/tests/fixtures.rs
+++ b/src/governor/tests/fixtures.rs
@@ -181,9 +181,9 @@
 }
 
 /// Flushes until the limit allows no more.
-pub(super) fn use_all_tokens(governor: &mut Governor, now: Duration) {
+pub(super) fn use_all_flushes(governor: &mut Governor, now: Duration) {
     let limit = governor.parameters.flush_limit;
-    for _ in 0..limit.max_tokens {
+    while governor.flush_limiter.remaining(now, &limit) > 0 {
         governor.flush_limiter.record_flush(now, &limit);
     }
 }
--- a/src/governor/tests/flush_limiter.rs
+++ b/src/governor/tests/flush_limiter.rs
@@ -18,7 +18,7 @@
     let mut flushes = Vec::new();
     let mut now = quiet_until;
     while now < quiet_until + 5 * INTERVAL {
-        while limiter.allows(now, limit, Urgency::Urgent) {
+        while limiter.allowed_at(limit, Urgency::Urgent) <= now {
             limiter.record_flush(now, limit);
             flushes.push(now);
         }
@@ -56,5 +56,6 @@
     let unlimited = FlushLimit::new(None);
     let mut limiter = FlushLimiter::default();
     (0..100).for_each(|_| limiter.record_flush(SECOND, &unlimited));
-    assert!(limiter.allows(SECOND, &unlimited, Urgency::Ordinary));
+    assert_eq!(limiter.allowed_at(&unlimited, Urgency::Ordinary), Duration::ZERO);
+    assert_eq!(limiter.remaining(SECOND, &unlimited), usize::MAX);
 }
--- a/src/governor/tests/publishing.rs
+++ b/src/governor/tests/publishing.rs
@@ -3,6 +3,10 @@
 use super::fixtures::*;
 use super::*;
 
+/// The time after which another flush is allowed, by the limit of [`settings`]: ten messages within 10 s. Two
+/// flushes of eight are allowed at once.
+const REFILL_INTERVAL: Duration = Duration::from_millis(1429);
+
 #[test]
 fn sends_ejections_before_changed_entries() {
     let mut governor = governor();
@@ -52,7 +56,7 @@
     let mut governor = governor();
     add_proxy(&mut governor, 1, 0, &[("a", 1.0)]);
     add_replica(&mut governor, "a", draining_replica(0));
-    use_all_tokens(&mut governor, SECOND);
+    use_all_flushes(&mut governor, SECOND);
     governor.publish(2 * SECOND, PublishTrigger::FlushDue);
     assert!(governor.pending.is_empty());
 }
@@ -159,10 +163,10 @@
     let mut governor = governor();
     add_proxy(&mut governor, 1, 0, &[("a", 1.0)]);
     add_replica(&mut governor, "a", draining_replica(0));
-    use_all_tokens(&mut governor, SECOND);
+    use_all_flushes(&mut governor, SECOND);
     governor.publish(SECOND + SECOND / 2, PublishTrigger::Event);
     assert!(governor.pending.is_empty());
-    governor.publish(SECOND + governor.parameters.flush_limit.refill_interval, PublishTrigger::Event);
+    governor.publish(SECOND + REFILL_INTERVAL, PublishTrigger::Event);
     assert_eq!(decisions(&governor)[0], &Decision::SetEjected { replica: id("a"), ejected: true });
 }
 
@@ -186,9 +190,8 @@
     let mut governor = governor();
     add_proxy(&mut governor, 1, 0, &[]);
     add_replica(&mut governor, "a", warm_replica(0));
-    use_all_tokens(&mut governor, SECOND);
-    let refill_interval = governor.parameters.flush_limit.refill_interval;
-    for (at, is_sent) in [(SECOND, false), (SECOND + 2 * refill_interval, true)] {
+    use_all_flushes(&mut governor, SECOND);
+    for (at, is_sent) in [(SECOND, false), (SECOND + 2 * REFILL_INTERVAL, true)] {
         governor.tick();
         let decisions: Vec<Decision> = std::iter::from_fn(|| governor.next_decision(at)).collect();
         let updates_table = |decision: &Decision| matches!(decision, Decision::UpdateTable { .. });
@@ -260,9 +263,10 @@
     governor.publish(SECOND, PublishTrigger::Tick);
     assert!(matches!(decisions(&governor).last(), Some(Decision::RequestAcknowledgement(_))));
     let limit = governor.parameters.flush_limit;
+    let untouched = FlushLimiter::default();
     assert_eq!(
-        governor.flush_limiter.tokens(SECOND, &limit),
-        limit.max_tokens,
+        governor.flush_limiter.remaining(SECOND, &limit),
+        untouched.remaining(SECOND, &limit),
         "first tables are not a flush"
     );
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 #![warn(missing_docs)]
 
 pub mod governor;
+pub mod token_bucket;
 pub mod types;
