gRPC and long-poll: a series of drains no longer uses up a proxy's messages

Found on the limiter that both fronts share, by a test; not tried on a running program.

Cause: the limiter counted the messages of the last interval and kept one for urgent updates; a series of them used up all. Evidence: each_of_a_series_of_drains_is_sent_within_the_grace failed before (30 messages within 10 s, a drain every 233 ms: one waited 3.923 s, of 2.3 s with the way) and passes now.

Change: a token bucket for each proxy, refilled evenly; within any interval the limit holds (new test over 4 to 59 messages, flushes of 1 to 4).

--- a/crates/core/src/send_limiter.rs
+++ b/crates/core/src/send_limiter.rs
@@ -5,9 +5,10 @@
 //! then the others in the order of their waiting time. A proxy that does not read its stream does not delay
 //! others.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use wrenthread::token_bucket::{TokenBucket, TokenRate};
 use wrenthread::types::{MessageLimit, ProxyId};
 
 /// The burst size, as time at the entry rate: after a pause this much may be sent at once, so that a flush is
@@ -16,9 +17,14 @@
 /// Entries that are unacknowledged for longer do not count as queued: the proxy does not read its stream.
 const STALLED_AFTER: Duration = Duration::from_secs(5);
 
-/// The maximum number of messages in a flush, one per resource type; the message limit reserves capacity for
-/// them.
+/// The maximum number of messages in a flush, one per resource type. An update is sent when the message limit
+/// allows all of them.
 const FLUSH_MESSAGES: usize = 4;
+/// Messages that ordinary updates leave to urgent ones.
+const URGENT_MESSAGES: usize = 1;
+/// The part of the message limit that may be used at once is the limit divided by this, or a flush and
+/// [`URGENT_MESSAGES`] if that is more.
+const MESSAGE_BURST_DIVISOR: usize = 4;
 /// The fraction of the queue up to which joins are admitted, counting all that waits to be sent; the rest is
 /// reserved for urgent updates.
 const ORDINARY_FRACTION: f64 = 0.8;
@@ -63,8 +69,8 @@
 struct ProxyQueue {
     pending: Option<PendingUpdate>,
     in_flight: Option<InFlight>,
-    /// When the messages of the last interval were sent.
-    written: VecDeque<Duration>,
+    /// The messages that the limit allows.
+    messages: TokenBucket,
 }
 
 /// The turn of a proxy. The derived order is the order of sending.
@@ -86,6 +92,8 @@
 #[derive(Debug)]
 pub struct SendLimiter {
     limits: ChannelLimits,
+    /// The rate of messages to one proxy, if they are limited.
+    message_rate: Option<TokenRate>,
     /// The number of entries that may be sent now; negative after an urgent update.
     tokens: f64,
     refilled_at: Duration,
@@ -101,6 +109,7 @@
     pub fn new(limits: ChannelLimits, now: Duration) -> Self {
         let tokens = limits.entries_per_second * BURST.as_secs_f64();
         SendLimiter {
+            message_rate: limits.message_limit.map(message_rate),
             limits,
             tokens,
             refilled_at: now,
@@ -159,13 +168,8 @@
             None => InFlight { entries, since: now },
             Some(before) => InFlight { entries: before.entries + entries, ..before },
         });
-        if let Some(limit) = self.limits.message_limit {
-            queue.written.extend(std::iter::repeat_n(now, messages));
-            while queue.written.len() > limit.messages
-                || queue.written.front().is_some_and(|at| *at + limit.interval <= now)
-            {
-                queue.written.pop_front();
-            }
+        if let Some(rate) = &self.message_rate {
+            queue.messages.take(now, u32::try_from(messages).unwrap_or(u32::MAX), rate);
         }
         self.tokens -= self.limits.message_overhead_entries * messages.max(1) as f64 + entries as f64;
     }
@@ -201,8 +205,8 @@
     pub fn forget(&mut self, proxy: ProxyId) {
         self.clear_pending(proxy);
         let Some(queue) = self.proxies.remove(&proxy) else { return };
-        if !queue.written.is_empty() {
-            self.proxies.insert(proxy, ProxyQueue { written: queue.written, ..ProxyQueue::default() });
+        if queue.messages != TokenBucket::default() {
+            self.proxies.insert(proxy, ProxyQueue { messages: queue.messages, ..ProxyQueue::default() });
         }
     }
 
@@ -280,7 +284,7 @@
         }
     }
 
-    /// When a proxy may be sent an update, apart from tokens. An ordinary update waits for the
+    /// When a proxy may be sent an update, apart from the rate of entries. An ordinary update waits for the
     /// acknowledgement of the previous one, so that a slow proxy is sent fewer and newer states. An urgent
     /// one waits only for the message limit, of which one message is reserved for it.
     fn ready_at(&self, queue: &ProxyQueue, urgent: bool, now: Duration) -> Duration {
@@ -288,13 +292,17 @@
             Some(sent) if !urgent => sent.since + STALLED_AFTER,
             _ => now,
         };
-        let Some(limit) = self.limits.message_limit else { return acknowledged_at };
-        let reserved = FLUSH_MESSAGES + usize::from(!urgent);
-        let allowed = (limit.messages + 1).saturating_sub(reserved).max(1);
-        let blocking = queue.written.len().checked_sub(allowed).and_then(|at| queue.written.get(at));
-        blocking.map_or(acknowledged_at, |at| acknowledged_at.max(*at + limit.interval))
+        let Some(rate) = &self.message_rate else { return acknowledged_at };
+        let required = FLUSH_MESSAGES + if urgent { 0 } else { URGENT_MESSAGES };
+        let allowed_at = queue.messages.available_at(required as u32, rate);
+        acknowledged_at.max(allowed_at)
     }
 }
 
+fn message_rate(limit: MessageLimit) -> TokenRate {
+    let burst = (limit.messages / MESSAGE_BURST_DIVISOR).max(FLUSH_MESSAGES + URGENT_MESSAGES);
+    TokenRate::new(limit.messages, limit.interval, burst)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/send_limiter/tests.rs
+++ b/crates/core/src/send_limiter/tests.rs
@@ -119,3 +119,69 @@
     assert_eq!(limiter.next_proxy(ms(30)), None);
     assert_eq!(limiter.next_proxy(ms(1000)), Some(1));
 }
+
+/// Requests an urgent update every `step`, sends each as soon as the limiter allows it, and returns the longest wait.
+fn longest_wait_of_urgent_updates(
+    limit: MessageLimit,
+    step: Duration,
+    messages_per_flush: usize,
+) -> Duration {
+    let mut limiter = limiter(10_000.0, Some((limit.messages, limit.interval)));
+    let start = Duration::from_secs(100);
+    let mut longest = Duration::ZERO;
+    let mut requested_at = None;
+    let mut next_request = start;
+    let mut now = start;
+    while now < start + 3 * limit.interval {
+        if now >= next_request {
+            limiter.request(now, 1, 1, true);
+            requested_at = requested_at.or(Some(now));
+            next_request += step;
+        }
+        while let Some(proxy) = limiter.next_proxy(now) {
+            longest = longest.max(now - requested_at.take().expect("an update was requested"));
+            limiter.sent(now, proxy, 1, messages_per_flush);
+        }
+        let due = limiter.next_deadline(now).unwrap_or(next_request);
+        assert!(due > now, "an update that may be sent was not");
+        now = due.min(next_request);
+    }
+    longest
+}
+
+/// Guards against a series of drains that uses up a proxy's limit on messages, so that later drains wait for seconds.
+#[test]
+fn each_of_a_series_of_drains_is_sent_within_the_grace() {
+    // Limits on messages within 10 s, the grace of drains with the protocol's slack, and the longest transit.
+    for (messages, grace, transit) in
+        [(30, ms(2300), ms(853)), (12, ms(2300), ms(600)), (20, ms(3300), ms(450))]
+    {
+        let limit = MessageLimit { messages, interval: Duration::from_secs(10) };
+        let longest = longest_wait_of_urgent_updates(limit, ms(233), 1);
+        assert!(longest + transit <= grace, "{messages} messages: a drain waited for {longest:?}");
+    }
+}
+
+#[test]
+fn never_exceeds_the_limit_on_messages_within_an_interval() {
+    for messages in FLUSH_MESSAGES..60 {
+        for flush in 1..=FLUSH_MESSAGES {
+            let mut limiter = limiter(1e6, Some((messages, ms(10_000))));
+            let mut sent = Vec::new();
+            for now in (0..40_000).step_by(50).map(ms) {
+                limiter.request(now, 1, 1, true);
+                while let Some(proxy) = limiter.next_proxy(now) {
+                    limiter.sent(now, proxy, 1, flush);
+                    limiter.request(now, 1, 1, true);
+                    sent.extend(std::iter::repeat_n(now, flush));
+                }
+            }
+            for window in sent.windows(messages + 1) {
+                assert!(
+                    window[messages] - window[0] >= ms(10_000),
+                    "{messages} in flushes of {flush}: {window:?}"
+                );
+            }
+        }
+    }
+}
