--- a/src/governor.rs
+++ b/src/governor.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 
 use crate::types::{
-    ChannelEstimate, Decision, DemandStatistics, Phase, ProxyConnection, ProxyId, ReplicaEntry, ReplicaId,
-    ReplicaStatistics, RosterScope, Settings, StateEstimate,
+    Decision, DemandStatistics, Phase, ProxyConnection, ProxyId, ReplicaEntry, ReplicaId, ReplicaStatistics,
+    RosterScope, Settings,
 };
 
 use admission_control::Admission;
@@ -40,6 +40,7 @@
 mod fleet;
 mod flush_limiter;
 mod health;
+mod inspection;
 mod load_model;
 mod outlier_detection;
 mod parameters;
@@ -69,12 +70,6 @@
 /// Factor by which a failed health check raises the estimate of requests in flight.
 const FAILED_HEALTH_CHECK_GROWTH: f64 = 1.3;
 
-// Operators' tools match these texts, so they must not change.
-const REASON_NOT_READY: &str = "drains or is gone";
-const REASON_WITHHELD: &str = "too cold for tables that can't be read";
-const REASON_EJECTED: &str = "withdrawn: does not answer, or drops far more than the fleet";
-const REASON_PROBATION: &str = "on trial after a withdrawal";
-
 /// The state of one governor, and its decisions that the host has not fetched yet.
 #[derive(Default)]
 pub struct Governor {
@@ -332,72 +327,3 @@
         }
     }
 }
-
-/// Inspection methods for operators.
-impl Governor {
-    /// Whether the governor still has state for a replica; it drops gone replicas that are in no table.
-    pub fn tracks(&self, id: &ReplicaId) -> bool {
-        self.replicas.contains_key(id)
-    }
-
-    /// Returns the governor's current estimate of the fleet's state.
-    pub fn state_estimate(&self, now: Duration) -> StateEstimate {
-        let ready = self.replicas.values().filter(|replica| replica.ready);
-        let ready_replicas = ready.clone().count();
-        let ejected_replicas = ready.filter(|replica| replica.is_unavailable()).count();
-        StateEstimate {
-            offered_per_second: self.proxies.values().flat_map(|proxy| &proxy.request_rates).sum(),
-            answered_per_second: self.success_rate(),
-            admission_fraction: self.admission.fraction,
-            available_replicas: ready_replicas - ejected_replicas,
-            ejected_replicas,
-            proxies: self.proxies.len(),
-            unsynchronised_proxies: self.proxies.values().filter(|proxy| proxy.unsynchronised).count(),
-            longest_unsynchronised: self.longest_unsynchronised(now),
-            unsent_ejections: self.unsent_ejections().count(),
-            oldest_unsent_drain: self.oldest_unsent_drain(now),
-            channel: self.channel_estimate(now),
-        }
-    }
-
-    fn longest_unsynchronised(&self, now: Duration) -> Duration {
-        let waiting = self.proxies.values().filter(|proxy| proxy.unsynchronised);
-        waiting.map(|proxy| now.saturating_sub(proxy.connected_at)).max().unwrap_or_default()
-    }
-
-    /// The replicas that proxies must stop sending to, and were not told so yet.
-    fn unsent_ejections(&self) -> impl Iterator<Item = &ReplicaState> {
-        self.replicas.values().filter(|replica| replica.is_unavailable() && !replica.ejection_sent)
-    }
-
-    fn oldest_unsent_drain(&self, now: Duration) -> Duration {
-        let listed_at = self.unsent_ejections().filter_map(|replica| replica.not_ready_since);
-        listed_at.map(|at| now.saturating_sub(at)).max().unwrap_or_default()
-    }
-
-    fn channel_estimate(&self, now: Duration) -> ChannelEstimate {
-        ChannelEstimate {
-            queued_entries: self.send_queue.entries,
-            max_queued_entries: self.parameters.max_queued_entries,
-            remaining_flushes: self.flush_limiter.remaining(now, &self.parameters.flush_limit),
-            sent: self.send_queue.sent,
-        }
-    }
-
-    /// Whether a proxy is in the critical set and thus has solved tables.
-    pub fn is_critical(&self, proxy: ProxyId) -> bool {
-        self.critical_set.contains(proxy)
-    }
-
-    /// Returns the reason why a replica is sent no requests or only a few, if that is so.
-    pub fn ejection_reason(&self, id: &ReplicaId) -> Option<&'static str> {
-        let replica = self.replicas.get(id)?;
-        match replica.health {
-            _ if !replica.ready => Some(REASON_NOT_READY),
-            _ if replica.withheld => Some(REASON_WITHHELD),
-            HealthState::Ejected { .. } => Some(REASON_EJECTED),
-            HealthState::Probation { .. } => Some(REASON_PROBATION),
-            HealthState::Healthy => None,
-        }
-    }
-}
--- a/src/governor/ejection_updates.rs
+++ b/src/governor/ejection_updates.rs
@@ -43,6 +43,11 @@
 }
 
 impl Governor {
+    /// The replicas that proxies must stop sending to, and were not told so yet.
+    pub(super) fn unsent_ejections(&self) -> impl Iterator<Item = &ReplicaState> {
+        self.replicas.values().filter(|replica| replica.is_unavailable() && !replica.ejection_sent)
+    }
+
     /// Sends as many changes as fit into the send queue. The others are sent later.
     pub(super) fn send_ejections(&mut self, change: EjectionChange) {
         let ejected = change == EjectionChange::Eject;
