--- a/crates/daemon/src/platform/service.rs
+++ b/crates/daemon/src/platform/service.rs
@@ -238,6 +238,8 @@
             longest_unsynchronised_ms = estimate.longest_unsynchronised.as_millis() as u64,
             unsent_ejections = estimate.unsent_ejections,
             oldest_unsent_drain_ms = estimate.oldest_unsent_drain.as_millis() as u64,
+            unsent_readmissions = estimate.unsent_readmissions,
+            proxies_without_replicas = estimate.proxies_without_replicas,
             "state estimate"
         );
         tracing::info!(
--- a/src/governor/ejection_updates.rs
+++ b/src/governor/ejection_updates.rs
@@ -48,6 +48,11 @@
         self.replicas.values().filter(|replica| replica.is_unavailable() && !replica.ejection_sent)
     }
 
+    /// The available replicas that proxies were told to avoid, and not yet to use again.
+    pub(super) fn unsent_readmissions(&self) -> impl Iterator<Item = &ReplicaState> {
+        self.replicas.values().filter(|replica| !replica.is_unavailable() && replica.ejection_sent)
+    }
+
     /// Sends as many changes as fit into the send queue. The others are sent later.
     pub(super) fn send_ejections(&mut self, change: EjectionChange) {
         let ejected = change == EjectionChange::Eject;
--- a/src/governor/inspection.rs
+++ b/src/governor/inspection.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use super::Governor;
+use super::proxy_state::ProxyState;
 use super::replica_state::HealthState;
+use super::tables::{RouteScope, TableKey};
 use crate::types::{ChannelEstimate, ProxyId, ReplicaId, StateEstimate};
 
 // Operators' tools match these texts, so they must not change.
@@ -35,6 +37,8 @@
             longest_unsynchronised: self.longest_unsynchronised(now),
             unsent_ejections: self.unsent_ejections().count(),
             oldest_unsent_drain: self.oldest_unsent_drain(now),
+            unsent_readmissions: self.unsent_readmissions().count(),
+            proxies_without_replicas: self.proxies_without_replicas(),
             channel: self.channel_estimate(now),
         }
     }
@@ -49,6 +53,20 @@
         listed_at.map(|at| now.saturating_sub(at)).max().unwrap_or_default()
     }
 
+    fn proxies_without_replicas(&self) -> usize {
+        let has_dedicated_table = |(_, proxy): &(&ProxyId, &ProxyState)| proxy.has_dedicated_tables();
+        let proxies = self.proxies.iter().filter(has_dedicated_table);
+        proxies.filter(|(id, _)| self.lacks_replicas(**id)).count()
+    }
+
+    /// Whether the proxy has no replica left that it may use for the classes of some scope.
+    fn lacks_replicas(&self, proxy: ProxyId) -> bool {
+        RouteScope::ALL.iter().any(|scope| {
+            let is_used = self.parameters.classes.in_scope(*scope) != 0;
+            is_used && self.dedicated_weights(TableKey::new(proxy, *scope)).is_empty()
+        })
+    }
+
     fn channel_estimate(&self, now: Duration) -> ChannelEstimate {
         ChannelEstimate {
             queued_entries: self.send_queue.entries,
--- a/src/governor/proxy_state.rs
+++ b/src/governor/proxy_state.rs
@@ -50,6 +50,11 @@
     pub(super) fn follows_default_table(&self) -> bool {
         self.default_table.is_some()
     }
+
+    /// Whether this governor has sent it all the tables that it uses.
+    pub(super) fn has_dedicated_tables(&self) -> bool {
+        !self.unsynchronised && !self.follows_default_table()
+    }
 }
 
 impl Governor {
--- a/src/types/decisions.rs
+++ b/src/types/decisions.rs
@@ -79,6 +79,10 @@
     pub unsent_ejections: usize,
     /// How long ago the first of those that drain or are gone was listed as such.
     pub oldest_unsent_drain: Duration,
+    /// Number of available replicas that proxies were told to avoid, and not yet to use again.
+    pub unsent_readmissions: usize,
+    /// Number of proxies with dedicated tables of which no entry is left that they may use.
+    pub proxies_without_replicas: usize,
     /// The channel to the proxies.
     pub channel: ChannelEstimate,
 }
