Proxies without a replica get their tables before ejections fill the channel

Cause: ejections may fill the channel to 1.1 of what is used, tables to 0.8. While a replica drains each second the estimate stays between, no table leaves, and each drain takes another entry from proxies with tables of their own.

Change: in a flush, proxies without a replica get their tables first, as those whose tables are not known do, within the part of urgent tables.

--- a/crates/platform-governor/tests/driven/holdings.rs
+++ b/crates/platform-governor/tests/driven/holdings.rs
@@ -14,6 +14,16 @@
 }
 
 impl Holdings {
+    /// The holdings of a proxy with a known table.
+    pub fn with_table(replicas: impl Iterator<Item = String>) -> Self {
+        Holdings { has_whole_table: true, replicas: replicas.collect(), ejected: BTreeSet::new() }
+    }
+
+    /// The replicas of its table that it may send to.
+    pub fn usable_replicas(&self) -> impl Iterator<Item = &String> {
+        self.replicas.difference(&self.ejected)
+    }
+
     /// Whether the proxy may send to a replica.
     pub fn may_use(&self, replica: &str) -> bool {
         !self.ejected.contains(replica) && (!self.has_whole_table || self.replicas.contains(replica))
--- a/crates/platform-governor/tests/driven/mod.rs
+++ b/crates/platform-governor/tests/driven/mod.rs
@@ -1,6 +1,7 @@
 //! Runs a governor on simulated time, and records everything that it sends.
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub mod channel;
 pub mod holdings;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -68,7 +69,13 @@
 
 /// A row of discovery's list.
 pub fn replica(name: &str, status: &str) -> Value {
-    json!({"name": name, "zone": ZONE, "status": status, "weight": 1.0})
+    replica_of_zone(name, status, ZONE, None)
+}
+
+/// A row of discovery's list, of a replica that may have started lately.
+pub fn replica_of_zone(name: &str, status: &str, zone: &str, started_at: Option<Duration>) -> Value {
+    let since_ms = started_at.map_or(0, |at| at.as_millis() as u64);
+    json!({"name": name, "zone": zone, "status": status, "weight": 1.0, "since_ms": since_ms})
 }
 
 impl DrivenGovernor {
@@ -88,14 +95,26 @@
     pub fn send_list(&mut self, is_snapshot: bool, rows: &[Value]) {
         self.list_version += 1;
         let event = json!({"index": self.list_version, "snapshot": is_snapshot, "endpoints": rows});
-        self.governor.watch_event(self.now, WatcherId(1), event.to_string().as_bytes(), |_| None);
+        self.governor.watch_event(self.now, WatcherId(1), event.to_string().as_bytes(), |seconds| {
+            Some(Duration::from_secs_f64(seconds))
+        });
     }
 
     pub fn connect(&mut self, proxy: ProxyId, requests_per_second: f64, holds_default_table: bool) {
+        self.connect_in_zone(proxy, 0, requests_per_second, holds_default_table);
+    }
+
+    pub fn connect_in_zone(
+        &mut self,
+        proxy: ProxyId,
+        zone: usize,
+        requests_per_second: f64,
+        holds_default_table: bool,
+    ) {
         self.connections += 1;
         let connection = ConnectionId(self.connections);
         self.proxies.insert(connection, proxy);
-        let connected = ProxyConnection { proxy, zone: 0, requests_per_second, holds_default_table };
+        let connected = ProxyConnection { proxy, zone, requests_per_second, holds_default_table };
         self.governor.proxy_connected(self.now, connection, connected);
     }
 
--- a/crates/platform-governor/tests/join_storm.rs
+++ b/crates/platform-governor/tests/join_storm.rs
@@ -4,11 +4,12 @@
 
 mod driven;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use driven::channel::{Channel, ChannelRate};
 use driven::holdings::Holdings;
-use driven::{DrivenGovernor, START, STEP, SentMessage, read_config, replica};
+use driven::{DrivenGovernor, START, STEP, read_config, replica};
 use serde_json::{Value, json};
 use wrenthread::types::ProxyId;
 
@@ -45,26 +46,6 @@
     })
 }
 
-/// A message in the channel.
-struct Queued {
-    sent_index: usize,
-    arrives_at: Duration,
-}
-
-fn entries(message: &SentMessage) -> f64 {
-    let list = |part: &Value, field: &str| part[field].as_array().map_or(0, Vec::len);
-    let flag = |part: &Value, field: &str| usize::from(!part[field].is_null());
-    let of_part = |part: &Value| {
-        list(part, "lines")
-            + list(part, "out")
-            + list(part, "back")
-            + flag(part, "level")
-            + flag(part, "ticket")
-            + flag(part, "whole")
-    };
-    MESSAGE_OVERHEAD + message.parts.iter().map(of_part).sum::<usize>() as f64
-}
-
 /// How the channel and the proxies behave.
 #[derive(Clone, Copy)]
 struct Conditions {
@@ -74,8 +55,12 @@
 }
 
 impl Conditions {
-    fn entries_per_second(self) -> f64 {
-        ENTRIES_PER_SECOND / f64::from(self.slowness)
+    fn channel_rate(self) -> ChannelRate {
+        ChannelRate {
+            entries_per_second: ENTRIES_PER_SECOND / f64::from(self.slowness),
+            message_overhead: MESSAGE_OVERHEAD,
+            transit_delay: TRANSIT_DELAY,
+        }
     }
 
     fn time_limit(self) -> Duration {
@@ -86,13 +71,10 @@
 struct Storm {
     driven: DrivenGovernor,
     conditions: Conditions,
-    channel: VecDeque<Queued>,
-    channel_free_at: Duration,
-    seen: usize,
+    channel: Channel,
     holdings: BTreeMap<ProxyId, Holdings>,
     /// Replicas that the governor was told drain.
     drains: BTreeSet<String>,
-    max_queued: f64,
     /// By time: the proxies that must not use a replica from then on.
     deadlines: BTreeMap<Duration, Vec<(ProxyId, String)>>,
     late: Vec<String>,
@@ -106,12 +88,9 @@
         let mut storm = Storm {
             driven,
             conditions,
-            channel: VecDeque::new(),
-            channel_free_at: START,
-            seen: 0,
+            channel: Channel::new(conditions.channel_rate(), START),
             holdings: BTreeMap::new(),
             drains: BTreeSet::new(),
-            max_queued: 0.0,
             deadlines: BTreeMap::new(),
             late: Vec::new(),
             next_replica: 0,
@@ -154,30 +133,16 @@
         while self.driven.now < START + end {
             self.driven.now += 2 * STEP;
             self.driven.advance();
-            self.enqueue();
+            self.channel.enqueue(self.driven.now, &self.driven.sent);
             self.deliver();
             self.check_drains();
         }
     }
 
-    fn enqueue(&mut self) {
-        let now = self.driven.now;
-        for (index, message) in self.driven.sent.iter().enumerate().skip(self.seen) {
-            let duration = Duration::from_secs_f64(entries(message) / self.conditions.entries_per_second());
-            self.channel_free_at = self.channel_free_at.max(now) + duration;
-            let arrives_at = self.channel_free_at + TRANSIT_DELAY;
-            self.channel.push_back(Queued { sent_index: index, arrives_at });
-        }
-        self.seen = self.driven.sent.len();
-        let queued =
-            self.channel_free_at.saturating_sub(now).as_secs_f64() * self.conditions.entries_per_second();
-        self.max_queued = self.max_queued.max(queued);
-    }
-
     fn deliver(&mut self) {
-        while let Some(queued) = self.channel.pop_front_if(|queued| queued.arrives_at <= self.driven.now) {
-            let message = &self.driven.sent[queued.sent_index];
-            let (proxy, latency) = (message.proxy, queued.arrives_at - message.at);
+        while let Some((index, arrived_at)) = self.channel.next_arrival(self.driven.now) {
+            let message = &self.driven.sent[index];
+            let (proxy, latency) = (message.proxy, arrived_at - message.at);
             self.holdings.get_mut(&proxy).unwrap().apply(message);
             let nonce = message.nonce();
             if let Some(nonce) = nonce.filter(|_| self.conditions.acknowledged) {
@@ -231,7 +196,8 @@
     let storm = run_storm(conditions, drains);
     let late = &storm.late;
     assert!(late.is_empty(), "{} late, the first: {:?}", late.len(), late.first());
-    assert!(storm.max_queued <= MAX_QUEUED_ENTRIES, "{} entries waited", storm.max_queued);
+    let max_queued = storm.channel.max_queued();
+    assert!(max_queued <= MAX_QUEUED_ENTRIES, "{max_queued} entries waited");
 }
 
 /// Guards against a storm of joining proxies whose first tables are put off behind the ejections of draining replicas.
--- a/src/governor/inspection.rs
+++ b/src/governor/inspection.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use super::Governor;
-use super::proxy_state::ProxyState;
 use super::replica_state::HealthState;
-use super::tables::{RouteScope, TableKey};
 use crate::types::{ChannelEstimate, ProxyId, ReplicaId, StateEstimate};
 
 // Operators' tools match these texts, so they must not change.
@@ -54,17 +52,7 @@
     }
 
     fn proxies_without_replicas(&self) -> usize {
-        let has_dedicated_table = |(_, proxy): &(&ProxyId, &ProxyState)| proxy.has_dedicated_tables();
-        let proxies = self.proxies.iter().filter(has_dedicated_table);
-        proxies.filter(|(id, _)| self.lacks_replicas(**id)).count()
-    }
-
-    /// Whether the proxy has no replica left that it may use for the classes of some scope.
-    fn lacks_replicas(&self, proxy: ProxyId) -> bool {
-        RouteScope::ALL.iter().any(|scope| {
-            let is_used = self.parameters.classes.in_scope(*scope) != 0;
-            is_used && self.dedicated_weights(TableKey::new(proxy, *scope)).is_empty()
-        })
+        self.proxies.iter().filter(|(id, proxy)| self.lacks_replicas(**id, proxy)).count()
     }
 
     fn channel_estimate(&self, now: Duration) -> ChannelEstimate {
--- a/src/governor/load_model.rs
+++ b/src/governor/load_model.rs
@@ -122,19 +122,12 @@
     /// The weights that a route uses. A default table is assumed to contain all candidates, as each proxy's
     /// default table is a random sample of them.
     fn routed_weights(&self, route: Route) -> Weights {
-        match route {
-            Route::DefaultTable(sample) => self.weigh_replicas(|replica| {
-                let routed = replica.is_candidate(sample) && !replica.ejection_sent;
-                if routed { replica.weight } else { 0.0 }
-            }),
-            Route::DedicatedTable(key) => self.dedicated_weights(key),
-        }
-    }
-
-    /// The weights that a proxy with a dedicated table uses: those of the replicas that it was not told to
-    /// avoid.
-    pub(super) fn dedicated_weights(&self, key: TableKey) -> Weights {
-        let mut weights = self.sent_tables.get(&key).cloned().unwrap_or_default();
+        let mut weights = match route {
+            Route::DefaultTable(sample) => {
+                self.weigh_replicas(|replica| if replica.is_candidate(sample) { replica.weight } else { 0.0 })
+            }
+            Route::DedicatedTable(key) => self.sent_tables.get(&key).cloned().unwrap_or_default(),
+        };
         weights.retain(|id, _| self.replicas.get(id).is_some_and(|replica| !replica.ejection_sent));
         weights
     }
--- a/src/governor/publishing.rs
+++ b/src/governor/publishing.rs
@@ -35,9 +35,10 @@
             self.next_flush_at = now + self.parameters.flush_interval;
         }
         if flush {
-            // A table costs less than the ejections of several replicas, and makes them unnecessary.
-            if unsynchronised || self.tables_replace_ejections() {
-                self.send_tables(now, Recipients::Unsynchronised);
+            // A table costs less than the ejections of several replicas, and makes them unnecessary. Proxies
+            // without a replica must not wait for room that the ejections of a release leave.
+            if self.has_unserved_proxies() || self.tables_replace_ejections() {
+                self.send_tables(now, Recipients::Unserved);
             }
             self.send_ejections();
             let readmitted = self.plan_readmissions(now);
--- a/src/governor/table_updates.rs
+++ b/src/governor/table_updates.rs
@@ -31,7 +31,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Recipients {
     All,
+    /// Proxies whose tables are not known.
     Unsynchronised,
+    /// Proxies whose tables are not known, or have no replica left that they may use.
+    Unserved,
 }
 
 /// Whether a proxy already uses its dedicated tables.
@@ -44,6 +47,8 @@
 /// The order of updates, as the channel may not have room for all at once.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Priority {
+    /// The proxy's table has no replica left, so it rejects all requests.
+    WithoutReplicas,
     Unsynchronised,
     /// The proxy's table may contain few replicas, or none.
     Urgent,
@@ -53,7 +58,7 @@
 impl Priority {
     fn queue_fraction(self) -> f64 {
         match self {
-            Priority::Unsynchronised | Priority::Urgent => URGENT_QUEUE_FRACTION,
+            Priority::WithoutReplicas | Priority::Unsynchronised | Priority::Urgent => URGENT_QUEUE_FRACTION,
             Priority::Ordinary => ORDINARY_QUEUE_FRACTION,
         }
     }
@@ -152,7 +157,10 @@
         if proxy.unsynchronised || proxy.follows_default_table() && criteria.tables_replace_ejections {
             return update(Priority::Unsynchronised, Assignment::New);
         }
-        if recipients == Recipients::Unsynchronised {
+        if recipients != Recipients::Unsynchronised && self.lacks_replicas(id, proxy) {
+            return update(Priority::WithoutReplicas, Assignment::Existing);
+        }
+        if recipients != Recipients::All {
             return None;
         }
         let Some(sample) = proxy.default_table else {
@@ -175,6 +183,26 @@
         }
     }
 
+    /// Whether a proxy with dedicated tables has no replica left that it may use for the classes of some scope.
+    pub(super) fn lacks_replicas(&self, id: ProxyId, proxy: &ProxyState) -> bool {
+        let has_no_replica = |scope: &RouteScope| {
+            let is_used = self.parameters.classes.in_scope(*scope) != 0;
+            is_used && !self.has_usable_entry(TableKey::new(id, *scope))
+        };
+        proxy.has_dedicated_tables() && RouteScope::ALL.iter().any(has_no_replica)
+    }
+
+    fn has_usable_entry(&self, key: TableKey) -> bool {
+        let may_be_used =
+            |id: &ReplicaId| self.replicas.get(id).is_some_and(|replica| !replica.ejection_sent);
+        self.sent_tables.get(&key).is_some_and(|table| table.keys().any(may_be_used))
+    }
+
+    /// Whether a proxy's tables can't wait for the next ordinary update.
+    pub(super) fn has_unserved_proxies(&self) -> bool {
+        self.proxies.iter().any(|(id, proxy)| proxy.unsynchronised || self.lacks_replicas(*id, proxy))
+    }
+
     fn has_few_replicas(&self, proxy: ProxyId, model: &LoadModel) -> bool {
         let few_replicas = |scope: &RouteScope| {
             let used = self.parameters.classes.in_scope(*scope) != 0;
--- a/src/governor/tests/publishing.rs
+++ b/src/governor/tests/publishing.rs
@@ -174,13 +174,14 @@
 #[test]
 fn leaves_a_token_for_a_drain_when_an_ordinary_flush_is_due() {
     let mut governor = governor();
-    add_proxy(&mut governor, 1, 0, &[]);
+    add_proxy(&mut governor, 1, 0, &[("b", 1.0)]);
     add_replica(&mut governor, "a", warm_replica(0));
+    add_replica(&mut governor, "b", warm_replica(0));
     let limit = governor.parameters.flush_limit;
     governor.flush_limiter.record_flush(SECOND, &limit);
     governor.publish(SECOND, PublishTrigger::FlushDue);
     assert!(governor.pending.is_empty(), "the last token is left to urgent flushes");
-    add_replica(&mut governor, "b", draining_replica(0));
+    replica_mut(&mut governor, "b").ready = false;
     governor.publish(SECOND, PublishTrigger::Event);
     assert_eq!(decisions(&governor)[0], &Decision::SetEjected { replica: id("b"), ejected: true });
 }
@@ -299,3 +300,21 @@
     governor.send_ejections();
     assert_eq!(decisions(&governor).len(), 1, "nothing more fits into the empty channel");
 }
+
+/// Guards against proxies without a replica that wait for room which the ejections of a release leave.
+#[test]
+fn a_proxy_without_a_replica_is_sent_its_table_before_ejections() {
+    let mut governor = governor();
+    ["a", "b"].iter().for_each(|name| add_replica(&mut governor, name, warm_replica(0)));
+    add_replica(&mut governor, "c", draining_replica(0));
+    add_replica(&mut governor, "d", ReplicaState { ejection_sent: true, ..draining_replica(0) });
+    (0..40).for_each(|proxy| add_proxy(&mut governor, proxy, 0, &[("a", 1.0), ("b", 1.0), ("c", 1.0)]));
+    add_proxy(&mut governor, 40, 0, &[("d", 1.0)]);
+    // The ejection of `c` costs 328 entries of the 480 that are left to ejections, and 240 are left to urgent tables.
+    governor.send_queue.entries = 400.0;
+    governor.send_queue.drained_at = SECOND;
+    governor.publish(SECOND, PublishTrigger::Event);
+    let sent = decisions(&governor);
+    assert!(matches!(sent[0], Decision::UpdateTable { table: 80, .. }), "{sent:?}");
+    assert!(sent.contains(&&Decision::SetEjected { replica: id("c"), ejected: true }), "{sent:?}");
+}
