Proxies on default tables that have lost all their replicas get new ones before ejections, too

Cause: a default table whose candidates have all drained counts as urgent, and urgent tables wait behind the ejections of a deploy. Evidence: the record of such a proxy: `out` for its zone's eight replicas until 34.4 s, its first table at 42.6 s; the log: proxies_without_replicas 0 meanwhile, as it did not count them.

Change: a sample of which no candidate may be used, while other replicas may, puts its proxies among those that are served first.

Tests: a_proxy_whose_default_table_is_exhausted_is_sent_another_before_ejections failed before (the ejection went, the table did not).

--- a/src/governor/inspection.rs
+++ b/src/governor/inspection.rs
@@ -36,7 +36,7 @@
             unsent_ejections: self.unsent_ejections().count(),
             oldest_unsent_drain: self.oldest_unsent_drain(now),
             unsent_readmissions: self.unsent_readmissions().count(),
-            proxies_without_replicas: self.proxies_without_replicas(),
+            proxies_without_replicas: self.proxies_without_replicas().len(),
             channel: self.channel_estimate(now),
         }
     }
@@ -51,10 +51,6 @@
         listed_at.map(|at| now.saturating_sub(at)).max().unwrap_or_default()
     }
 
-    fn proxies_without_replicas(&self) -> usize {
-        self.proxies.iter().filter(|(id, proxy)| self.lacks_replicas(**id, proxy)).count()
-    }
-
     fn channel_estimate(&self, now: Duration) -> ChannelEstimate {
         ChannelEstimate {
             queued_entries: self.send_queue.entries,
--- a/src/governor/publishing.rs
+++ b/src/governor/publishing.rs
@@ -37,7 +37,8 @@
         if flush {
             // A table costs less than the ejections of several replicas, and makes them unnecessary. Proxies
             // without a replica must not wait for room that the ejections of a release leave.
-            if self.has_unserved_proxies() || self.tables_replace_ejections() {
+            let unserved = unsynchronised || !self.proxies_without_replicas().is_empty();
+            if unserved || self.tables_replace_ejections() {
                 self.send_tables(now, Recipients::Unserved);
             }
             self.send_ejections();
--- a/src/governor/table_updates.rs
+++ b/src/governor/table_updates.rs
@@ -9,6 +9,7 @@
 use super::ejection_updates::EJECT_QUEUE_FRACTION;
 use super::load_model::LoadModel;
 use super::proxy_state::{DefaultTableSample, ProxyState};
+use super::replica_state::ReplicaState;
 use super::send_queue::Purpose;
 use super::tables::{MAX_TABLE_ENTRIES, RouteScope, TableKey, Weights, weight_fraction};
 use super::water_filling::SmallDefault;
@@ -82,6 +83,7 @@
 
 /// Criteria for which proxies need a dedicated table.
 struct AssignmentCriteria {
+    without_replicas: BTreeSet<ProxyId>,
     critical: BTreeSet<ProxyId>,
     /// Demand above which the entries of a default table create hot spots.
     busy_demand: f64,
@@ -115,6 +117,7 @@
     /// The proxies to update, by priority and then by demand, the busiest first.
     fn pending_updates(&self, sources: &TableSources, recipients: Recipients) -> Vec<PendingUpdate> {
         let mut criteria = AssignmentCriteria {
+            without_replicas: self.proxies_without_replicas(),
             critical: self.critical_set.proxies(),
             busy_demand: self.busy_demand(&sources.model),
             staleness: BTreeMap::new(),
@@ -157,8 +160,10 @@
         if proxy.unsynchronised || proxy.follows_default_table() && criteria.tables_replace_ejections {
             return update(Priority::Unsynchronised, Assignment::New);
         }
-        if recipients != Recipients::Unsynchronised && self.lacks_replicas(id, proxy) {
-            return update(Priority::WithoutReplicas, Assignment::Existing);
+        if recipients != Recipients::Unsynchronised && criteria.without_replicas.contains(&id) {
+            let assignment =
+                if proxy.follows_default_table() { Assignment::New } else { Assignment::Existing };
+            return update(Priority::WithoutReplicas, assignment);
         }
         if recipients != Recipients::All {
             return None;
@@ -183,13 +188,32 @@
         }
     }
 
-    /// Whether a proxy with dedicated tables has no replica left that it may use for the classes of some scope.
-    pub(super) fn lacks_replicas(&self, id: ProxyId, proxy: &ProxyState) -> bool {
-        let has_no_replica = |scope: &RouteScope| {
+    /// The connected proxies that have no replica left which they may use, as far as their tables are known.
+    pub(super) fn proxies_without_replicas(&self) -> BTreeSet<ProxyId> {
+        let mut exhausted: BTreeMap<DefaultTableSample, bool> = BTreeMap::new();
+        let mut lacks_replicas = |id: ProxyId, proxy: &ProxyState| match proxy.default_table {
+            Some(sample) => *exhausted.entry(sample).or_insert_with(|| self.is_exhausted(sample)),
+            None => !proxy.unsynchronised && self.dedicated_tables_lack_replicas(id),
+        };
+        let proxies = self.proxies.iter().filter(|(id, proxy)| lacks_replicas(**id, proxy));
+        proxies.map(|(id, _)| *id).collect()
+    }
+
+    /// Whether the default tables of a sample contain only replicas that proxies must not use, while there are
+    /// others.
+    fn is_exhausted(&self, sample: DefaultTableSample) -> bool {
+        let is_candidate = |replica: &&ReplicaState| replica.is_candidate(sample);
+        let mut candidates = self.replicas.values().filter(is_candidate).peekable();
+        candidates.peek().is_some()
+            && !candidates.any(ReplicaState::is_routable)
+            && self.replicas.values().any(ReplicaState::is_routable)
+    }
+
+    fn dedicated_tables_lack_replicas(&self, id: ProxyId) -> bool {
+        RouteScope::ALL.iter().any(|scope| {
             let is_used = self.parameters.classes.in_scope(*scope) != 0;
             is_used && !self.has_usable_entry(TableKey::new(id, *scope))
-        };
-        proxy.has_dedicated_tables() && RouteScope::ALL.iter().any(has_no_replica)
+        })
     }
 
     fn has_usable_entry(&self, key: TableKey) -> bool {
@@ -198,11 +222,6 @@
         self.sent_tables.get(&key).is_some_and(|table| table.keys().any(may_be_used))
     }
 
-    /// Whether a proxy's tables can't wait for the next ordinary update.
-    pub(super) fn has_unserved_proxies(&self) -> bool {
-        self.proxies.iter().any(|(id, proxy)| proxy.unsynchronised || self.lacks_replicas(*id, proxy))
-    }
-
     fn has_few_replicas(&self, proxy: ProxyId, model: &LoadModel) -> bool {
         let few_replicas = |scope: &RouteScope| {
             let used = self.parameters.classes.in_scope(*scope) != 0;
--- a/src/governor/tests/publishing.rs
+++ b/src/governor/tests/publishing.rs
@@ -318,3 +318,25 @@
     assert!(matches!(sent[0], Decision::UpdateTable { table: 80, .. }), "{sent:?}");
     assert!(sent.contains(&&Decision::SetEjected { replica: id("c"), ejected: true }), "{sent:?}");
 }
+
+/// Guards against proxies on default tables that wait likewise once their zone's replicas have drained.
+#[test]
+fn a_proxy_whose_default_table_is_exhausted_is_sent_another_before_ejections() {
+    let mut governor = governor();
+    ["a", "b", "c"].iter().for_each(|name| add_replica(&mut governor, name, warm_replica(0)));
+    ["d", "e", "f"].iter().for_each(|name| add_replica(&mut governor, name, warm_replica(1)));
+    governor.proxy_connected(SECOND, with_default_table(40, 1.0));
+    let in_zone_1 = |proxy| ProxyConnection { zone: 1, ..with_default_table(proxy, 1.0) };
+    (0..40).for_each(|proxy| governor.proxy_connected(SECOND, in_zone_1(proxy)));
+    for name in ["a", "b", "c"] {
+        add_replica(&mut governor, name, ReplicaState { ejection_sent: true, ..draining_replica(0) });
+    }
+    replica_mut(&mut governor, "d").ready = false;
+    // As above, with 41 proxies whose tables are not known.
+    governor.send_queue.entries = 400.0;
+    governor.send_queue.drained_at = SECOND;
+    governor.publish(SECOND, PublishTrigger::Event);
+    let sent = decisions(&governor);
+    assert!(matches!(sent[0], Decision::UpdateTable { table: 80, .. }), "{sent:?}");
+    assert!(sent.contains(&&Decision::SetEjected { replica: id("d"), ejected: true }), "{sent:?}");
+}
--- a/src/types/decisions.rs
+++ b/src/types/decisions.rs
@@ -81,7 +81,7 @@
     pub oldest_unsent_drain: Duration,
     /// Number of available replicas that proxies were told to avoid, and not yet to use again.
     pub unsent_readmissions: usize,
-    /// Number of proxies with dedicated tables of which no entry is left that they may use.
+    /// Number of proxies that have no replica left which they may use, as far as their tables are known.
     pub proxies_without_replicas: usize,
     /// The channel to the proxies.
     pub channel: ChannelEstimate,
