An acknowledgement's number tells which batch has left the channel

Cause: the governor was told only how long an acknowledged message took, and took it to have been sent earlier by the longest way (1.2 s), so that up to 1.2 s of what had left counted as queued. The overhead of messages counted once for each flush, tried alone, made it worse.

Change: Governor::record_acknowledgement takes the number; it names the batch. Numbers count batches and not ticks. The platform's governor, the engine of the gRPC and long-poll fronts and the adapter pass it.

Tests: drains_are_kept_during_rolling_deploys with a deploy zone by zone failed before (4.45 s, allowed 4.3 s). Three tests in publishing.rs held the time less the longest way; they hold the numbers now, the exact batch instead of one 1.2 s older. fleet/tests.rs compares whole requests. Engine::version_acknowledged needs no time any more.

--- a/crates/adapter/src/events.rs
+++ b/crates/adapter/src/events.rs
@@ -84,8 +84,8 @@
     },
     /// The timer fired.
     Tick,
-    /// A message was acknowledged this long after it was sent.
-    Acknowledged(Duration),
+    /// The message with this number was acknowledged.
+    Acknowledged(u16),
     /// An event that the decision module does not use: governors exchange no messages, and key slices are not
     /// supported.
     Ignored,
@@ -172,7 +172,7 @@
         "demand" => GovernorEvent::DemandObserved(demand_statistics(&fields)?),
         "health_result" => health_check(&fields, names)?,
         "deadline_hit" => GovernorEvent::Tick,
-        "acked" => GovernorEvent::Acknowledged(fields.micros("took_us")?),
+        "acked" => GovernorEvent::Acknowledged(fields.integer("version")?),
         "message" | "custody" | "on_record" | "key_load" => GovernorEvent::Ignored,
         unknown => return Err(MessageError::UnknownEvent { name: unknown.into() }),
     })
--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -97,7 +97,7 @@
                 governor.record_health_check(now, &replica, response_time, &load);
             }
             GovernorEvent::Tick => governor.tick(),
-            GovernorEvent::Acknowledged(elapsed) => governor.record_acknowledgement(elapsed),
+            GovernorEvent::Acknowledged(number) => governor.record_acknowledgement(number),
             GovernorEvent::Ignored => {}
         }
         self.active_governors.insert(id);
--- a/crates/core/benches/guard.rs
+++ b/crates/core/benches/guard.rs
@@ -39,7 +39,7 @@
             engine.tables_sent(now, number, 12, 1);
             let proxy = engine.proxy(number).map(|proxy| (proxy.stream, proxy.newest_version()));
             if let Some((stream, newest)) = proxy {
-                engine.version_acknowledged(now, stream, newest);
+                engine.version_acknowledged(stream, newest);
             }
         }
     }
--- a/crates/core/benches/restart.rs
+++ b/crates/core/benches/restart.rs
@@ -126,7 +126,7 @@
                 }
             }
             self.engine.tables_sent(ms(now), id, entries, usize::from(entries > 0));
-            self.engine.version_acknowledged(ms(now), proxy as u64, version);
+            self.engine.version_acknowledged(proxy as u64, version);
         }
     }
 
--- a/crates/core/src/engine/decisions.rs
+++ b/crates/core/src/engine/decisions.rs
@@ -29,7 +29,7 @@
 struct Flush {
     proxies: BTreeSet<ProxyId>,
     everyone: bool,
-    acknowledgement_requested: bool,
+    requested_acknowledgement: Option<u16>,
     replica_ejected_or_restored: bool,
     summaries: Vec<DecisionSummary>,
     updated_tables: Vec<UpdatedTable>,
@@ -73,7 +73,7 @@
             false => flush.proxies.into_iter().collect(),
         };
         let options = RefreshOptions {
-            acknowledgement_requested_at: flush.acknowledgement_requested.then_some(now),
+            requested_acknowledgement: flush.requested_acknowledgement,
             shift_limit: match shift_expected || flush.replica_ejected_or_restored {
                 true => ShiftLimit::Unlimited,
                 false => ShiftLimit::Limited,
@@ -104,8 +104,8 @@
                 self.next_tick = now + after.clamp(MIN_TICK, MAX_TICK);
                 None
             }
-            Decision::RequestAcknowledgement(_) => {
-                flush.acknowledgement_requested = true;
+            Decision::RequestAcknowledgement(number) => {
+                flush.requested_acknowledgement = Some(number);
                 None
             }
             Decision::CheckHealth(replica) => {
--- a/crates/core/src/engine/inputs.rs
+++ b/crates/core/src/engine/inputs.rs
@@ -80,10 +80,10 @@
     }
 
     /// The proxy on a stream acknowledged all versions up to this one.
-    pub fn version_acknowledged(&mut self, now: Duration, stream: StreamId, version: u64) {
+    pub fn version_acknowledged(&mut self, stream: StreamId, version: u64) {
         let Some(id) = self.fleet.id_on_stream(stream) else { return };
-        for requested_at in self.fleet.acknowledge(stream, version) {
-            self.governor.record_acknowledgement(now.saturating_sub(requested_at));
+        for request in self.fleet.acknowledge(stream, version) {
+            self.governor.record_acknowledgement(request.number);
             self.causes.insert(Cause::Acknowledged);
         }
         if self.fleet.get(id).is_some_and(|proxy| proxy.acknowledged_version >= proxy.sent_version) {
--- a/crates/core/src/engine/publishing.rs
+++ b/crates/core/src/engine/publishing.rs
@@ -7,7 +7,7 @@
 
 use wrenthread::types::{Phase, ProxyId, ReplicaId, RetryPolicy};
 
-use crate::fleet::Proxy;
+use crate::fleet::{AcknowledgementRequest, Proxy};
 use crate::frozen_tables::{self, ReleaseReason};
 use crate::guard::{ProposedTable, ShiftLimit};
 use crate::history::HistoryEntry;
@@ -19,8 +19,8 @@
 /// Options of a refresh.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RefreshOptions {
-    /// When the module requested an acknowledgement of what is published, if it did.
-    pub(super) acknowledgement_requested_at: Option<Duration>,
+    /// The number with which the module requested an acknowledgement of what is published, if it did.
+    pub(super) requested_acknowledgement: Option<u16>,
     pub(super) shift_limit: ShiftLimit,
     pub(super) recheck: Recheck,
 }
@@ -28,7 +28,7 @@
 impl Default for RefreshOptions {
     fn default() -> Self {
         RefreshOptions {
-            acknowledgement_requested_at: None,
+            requested_acknowledgement: None,
             shift_limit: ShiftLimit::Unlimited,
             recheck: Recheck::ChangedTables,
         }
@@ -89,8 +89,8 @@
             }
             if change.entries > 0 {
                 updated.push(*id);
-                if let Some(at) = options.acknowledgement_requested_at {
-                    proxy.request_acknowledgement(version, at);
+                if let Some(number) = options.requested_acknowledgement {
+                    proxy.request_acknowledgement(AcknowledgementRequest { version, number, at: now });
                 }
                 self.send_limiter.request(now, *id, change.entries, change.urgent);
             }
--- a/crates/core/src/engine/tests/connecting.rs
+++ b/crates/core/src/engine/tests/connecting.rs
@@ -63,11 +63,7 @@
     for tick in 0..2000 {
         let now = ms(1000 + tick * 20);
         for number in run(&mut engine, now).0 {
-            engine.version_acknowledged(
-                now,
-                u64::from(number),
-                engine.proxy(number).unwrap().newest_version(),
-            );
+            engine.version_acknowledged(u64::from(number), engine.proxy(number).unwrap().newest_version());
             done.insert(number);
         }
         let status = engine.status(now);
--- a/crates/core/src/engine/tests/faulty_module.rs
+++ b/crates/core/src/engine/tests/faulty_module.rs
@@ -77,7 +77,7 @@
                 engine.tables_sent(at(now), proxy, 8, 1);
                 let (stream, newest) =
                     engine.proxy(proxy).map(|proxy| (proxy.stream, proxy.newest_version())).unwrap();
-                engine.version_acknowledged(at(now), stream, newest);
+                engine.version_acknowledged(stream, newest);
             }
         }
         let mut record =
--- a/crates/core/src/engine/tests/publishing.rs
+++ b/crates/core/src/engine/tests/publishing.rs
@@ -16,7 +16,7 @@
     engine.proxy_connected(ms(1), 1, &join("p", &["a", "b", "c", "d"])).unwrap();
     engine.proxy_connected(ms(1), 2, &join("q", &[])).unwrap();
     run(&mut engine, ms(600));
-    engine.version_acknowledged(ms(610), 2, engine.proxy(1).unwrap().newest_version());
+    engine.version_acknowledged(2, engine.proxy(1).unwrap().newest_version());
     let mut roster = ready(&["a", "b", "c", "d"]);
     roster[0].phase = Phase::Draining;
     engine.update_roster(ms(700), roster);
@@ -67,7 +67,7 @@
     run(&mut engine, ms(600));
     let version = engine.proxy(0).unwrap().newest_version();
     engine.version_rejected(1, version, "no such locality");
-    engine.version_acknowledged(ms(700), 2, version);
+    engine.version_acknowledged(2, version);
     let (flushed, events) = run(&mut engine, ms(3000));
     assert!(flushed.is_empty());
     assert!(
@@ -76,7 +76,7 @@
     assert_eq!(engine.proxy(0).unwrap().acknowledged_version, 0);
     engine.update_roster(ms(3100), ready(&["a", "b"]));
     assert_eq!(run(&mut engine, ms(4000)).0, [0, 1]);
-    engine.version_acknowledged(ms(4100), 1, engine.proxy(0).unwrap().newest_version());
+    engine.version_acknowledged(1, engine.proxy(0).unwrap().newest_version());
     assert_eq!(engine.proxy(0).unwrap().rejected, None);
 }
 
@@ -85,18 +85,18 @@
     let mut engine = engine(&["a", "b", "c"]);
     engine.proxy_connected(ms(1), 1, &join("p", &[])).unwrap();
     run(&mut engine, ms(600));
-    engine.version_acknowledged(ms(650), 1, engine.proxy(0).unwrap().newest_version());
+    engine.version_acknowledged(1, engine.proxy(0).unwrap().newest_version());
     engine.update_roster(ms(700), ready(&["a", "b"]));
     run(&mut engine, ms(1600));
     let version = engine.proxy(0).unwrap().newest_version();
-    engine.version_acknowledged(ms(1700), 1, version - 1);
+    engine.version_acknowledged(1, version - 1);
     assert!(
         !engine.causes.contains(&Cause::Acknowledged),
         "an acknowledgement of an older version answers no later request"
     );
-    engine.version_acknowledged(ms(1800), 1, version);
+    engine.version_acknowledged(1, version);
     assert!(engine.causes.remove(&Cause::Acknowledged));
-    engine.version_acknowledged(ms(1900), 1, version);
+    engine.version_acknowledged(1, version);
     assert!(!engine.causes.contains(&Cause::Acknowledged));
 }
 
--- a/crates/core/src/engine/tests/rollback.rs
+++ b/crates/core/src/engine/tests/rollback.rs
@@ -16,13 +16,13 @@
     engine.proxy_connected(ms(1), 1, &join("p", &[])).unwrap();
     run(&mut engine, ms(600));
     let newest = engine.proxy(0).unwrap().newest_version();
-    engine.version_acknowledged(ms(650), 1, newest);
+    engine.version_acknowledged(1, newest);
     (engine, newest)
 }
 
 fn run_and_acknowledge(engine: &mut Engine, now: Duration) -> Vec<EngineEvent> {
     let (_, events) = run(engine, now);
-    engine.version_acknowledged(now, 1, engine.proxy(0).unwrap().newest_version());
+    engine.version_acknowledged(1, engine.proxy(0).unwrap().newest_version());
     events
 }
 
--- a/crates/core/src/engine/tests/scheduling.rs
+++ b/crates/core/src/engine/tests/scheduling.rs
@@ -28,7 +28,7 @@
                     engine.tables_sent(ms(tick * 250), number, 2, 1);
                     let proxy = engine.proxy(number).unwrap();
                     let (stream, newest) = (proxy.stream, proxy.newest_version());
-                    engine.version_acknowledged(ms(tick * 250), stream, newest);
+                    engine.version_acknowledged(stream, newest);
                 }
                 actions.push(action);
             }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -124,7 +124,18 @@
     pub acknowledged_version: u64,
     /// The last version that the proxy rejected and its reason, until it accepts that version or a later one.
     pub rejected: Option<(u64, String)>,
-    outstanding_acknowledgements: VecDeque<(u64, Duration)>,
+    outstanding_acknowledgements: VecDeque<AcknowledgementRequest>,
+}
+
+/// The module's request for an acknowledgement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AcknowledgementRequest {
+    /// The version to be acknowledged.
+    pub version: u64,
+    /// The module's number for the request.
+    pub number: u16,
+    /// When the version was published.
+    pub at: Duration,
 }
 
 impl Proxy {
@@ -149,28 +160,29 @@
         self.holds_default_table || self.tables.iter().any(Option::is_some)
     }
 
-    /// Records that the module requested an acknowledgement of this version, published at `now`.
-    pub fn request_acknowledgement(&mut self, version: u64, now: Duration) {
+    /// Records that the module requested an acknowledgement.
+    pub fn request_acknowledgement(&mut self, request: AcknowledgementRequest) {
         if self.outstanding_acknowledgements.len() == MAX_OUTSTANDING_ACKNOWLEDGEMENTS {
             self.outstanding_acknowledgements.pop_front();
         }
-        self.outstanding_acknowledgements.push_back((version, now));
+        self.outstanding_acknowledgements.push_back(request);
     }
 
     /// How long the oldest requested acknowledgement has been outstanding.
     pub fn acknowledgement_delay(&self, now: Duration) -> Duration {
-        self.outstanding_acknowledgements.front().map_or(Duration::ZERO, |(_, at)| now.saturating_sub(*at))
+        let oldest = self.outstanding_acknowledgements.front();
+        oldest.map_or(Duration::ZERO, |request| now.saturating_sub(request.at))
     }
 
-    /// Records an acknowledgement. Returns the times of the requests that it answers; an acknowledgement
-    /// older than an earlier one answers none.
-    fn acknowledge(&mut self, version: u64) -> Vec<Duration> {
+    /// Records an acknowledgement. Returns the requests that it answers; an acknowledgement older than an
+    /// earlier one answers none.
+    fn acknowledge(&mut self, version: u64) -> Vec<AcknowledgementRequest> {
         self.acknowledged_version = self.acknowledged_version.max(version);
         let mut answered = Vec::new();
-        while let Some((_, at)) =
-            self.outstanding_acknowledgements.pop_front_if(|(requested, _)| *requested <= version)
+        while let Some(request) =
+            self.outstanding_acknowledgements.pop_front_if(|request| request.version <= version)
         {
-            answered.push(at);
+            answered.push(request);
         }
         answered
     }
@@ -337,9 +349,9 @@
         Some(id)
     }
 
-    /// A proxy acknowledged all versions up to this one. Returns the times of the acknowledgement requests
-    /// that this answers.
-    pub fn acknowledge(&mut self, stream: StreamId, version: u64) -> Vec<Duration> {
+    /// A proxy acknowledged all versions up to this one. Returns the acknowledgement requests that this
+    /// answers.
+    pub fn acknowledge(&mut self, stream: StreamId, version: u64) -> Vec<AcknowledgementRequest> {
         let Some(proxy) = self.proxy_on_stream_mut(stream) else { return Vec::new() };
         if proxy.rejected.as_ref().is_some_and(|(rejected, _)| *rejected <= version) {
             proxy.rejected = None;
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -64,8 +64,13 @@
     let mut fleet = Fleet::new(9);
     connect(&mut fleet, 1, 1, "a").unwrap();
     let proxy = fleet.get_mut(0).unwrap();
-    (3..6).for_each(|version| proxy.request_acknowledgement(version, Duration::from_secs(version)));
-    assert_eq!(fleet.acknowledge(1, 4), [Duration::from_secs(3), Duration::from_secs(4)]);
+    let request = |version: u64| AcknowledgementRequest {
+        version,
+        number: version as u16 + 100,
+        at: Duration::from_secs(version),
+    };
+    (3..6).for_each(|version| proxy.request_acknowledgement(request(version)));
+    assert_eq!(fleet.acknowledge(1, 4), [request(3), request(4)]);
     assert_eq!(fleet.acknowledge(1, 2), []);
     assert_eq!(fleet.get(0).unwrap().acknowledged_version, 4);
     assert_eq!(fleet.acknowledge(7, 5), [], "no such stream");
--- a/crates/daemon/benches/scale.rs
+++ b/crates/daemon/benches/scale.rs
@@ -203,7 +203,7 @@
                 engine.tables_sent(now, number, 12, 1);
                 let proxy = engine.proxy(number).unwrap();
                 let (stream, newest) = (proxy.stream, proxy.newest_version());
-                engine.version_acknowledged(now, stream, newest);
+                engine.version_acknowledged(stream, newest);
             }
         }
     };
--- a/crates/daemon/src/host/grpc.rs
+++ b/crates/daemon/src/host/grpc.rs
@@ -81,7 +81,7 @@
 
     fn ads_message(&mut self, now: Duration, stream: StreamId, message: RequestEffect) {
         match message {
-            RequestEffect::Acked(version) => self.engine.version_acknowledged(now, stream, version),
+            RequestEffect::Acked(version) => self.engine.version_acknowledged(stream, version),
             RequestEffect::Nacked(version, reason) => {
                 ::metrics::counter!(metrics::VERSIONS_REJECTED).increment(1);
                 self.engine.version_rejected(stream, version, &reason);
@@ -165,7 +165,7 @@
         }
         self.engine.tables_sent(now, proxy_id, flushed.entries, messages);
         if let Some(version) = flushed.acked {
-            self.engine.version_acknowledged(now, stream, version);
+            self.engine.version_acknowledged(stream, version);
         }
         if settled {
             self.engine.clear_in_flight(stream);
--- a/crates/daemon/src/host/long_poll.rs
+++ b/crates/daemon/src/host/long_poll.rs
@@ -93,7 +93,7 @@
             self.reply(superseded, PollOutcome::Superseded);
         }
         if let Some(version) = accepted.acknowledged_version {
-            self.engine.version_acknowledged(now, session, version);
+            self.engine.version_acknowledged(session, version);
             self.engine.clear_in_flight(session);
         }
         let newest = self.engine.history().newest(proxy_id).map(|newest| newest.version);
@@ -175,7 +175,7 @@
             None if self.sessions.has_pending_poll(session) => {
                 self.engine.tables_sent(now, proxy_id, 0, 0);
                 let newest = self.engine.history().newest(proxy_id).map_or(0, |newest| newest.version);
-                self.engine.version_acknowledged(now, session, newest);
+                self.engine.version_acknowledged(session, newest);
             }
             // No poll is pending: the update is sent with the answer to the next poll.
             None => self.engine.stream_full(proxy_id),
--- a/crates/durable-store/tests/restarts.rs
+++ b/crates/durable-store/tests/restarts.rs
@@ -117,7 +117,7 @@
             let (stream, newest) = (proxy.stream, proxy.newest_version());
             applied[stream as usize] = Some((self.epoch, newest));
             self.engine.tables_sent(ms(now), number, 6, 1);
-            self.engine.version_acknowledged(ms(now), stream, newest);
+            self.engine.version_acknowledged(stream, newest);
         }
         let mut cold_rate = 0.0;
         for (_, proxy) in self.engine.fleet().iter() {
--- a/crates/platform-governor/src/governor.rs
+++ b/crates/platform-governor/src/governor.rs
@@ -142,7 +142,7 @@
             Message::DemandStatistics(statistics) => self.governor.record_demand(now, statistics),
             Message::Acknowledged { nonce, latency, .. } => {
                 if self.outbox.acknowledge(now, proxy, nonce, latency) {
-                    self.governor.record_acknowledgement(latency);
+                    self.governor.record_acknowledgement(nonce);
                 } else {
                     self.discard(DiscardReason::UnexpectedAcknowledgement);
                 }
--- a/crates/platform-governor/tests/rolling_deploy.rs
+++ b/crates/platform-governor/tests/rolling_deploy.rs
@@ -290,6 +290,8 @@
 #[test]
 fn drains_are_kept_during_rolling_deploys() {
     let scale = Scale { proxies: 660, entries_per_second: 11_000.0 };
-    let longest = run_deploys(scale, DeployOrder::AcrossZones).longest_drain;
-    assert!(longest <= DRAIN_LIMIT, "proxies could send to a draining replica for {longest:?}");
+    for order in [DeployOrder::AcrossZones, DeployOrder::ZoneByZone] {
+        let longest = run_deploys(scale, order).longest_drain;
+        assert!(longest <= DRAIN_LIMIT, "proxies could send to a draining replica for {longest:?}");
+    }
 }
--- a/crates/xds/src/session/tests.rs
+++ b/crates/xds/src/session/tests.rs
@@ -76,7 +76,7 @@
             }
         }
         let newest = self.engine.proxy(0).unwrap().newest_version();
-        self.engine.version_acknowledged(self.now, 1, newest);
+        self.engine.version_acknowledged(1, newest);
     }
 
     fn roster(&mut self, names: &[&str]) {
--- a/src/governor.rs
+++ b/src/governor.rs
@@ -265,9 +265,10 @@
         }
     }
 
-    /// Records that a message was acknowledged, and how long after it was sent.
-    pub fn record_acknowledgement(&mut self, elapsed: Duration) {
-        self.send_queue.acknowledge(elapsed, self.parameters.max_transit_delay);
+    /// Records that a proxy acknowledged the message with the number of a
+    /// [`Decision::RequestAcknowledgement`].
+    pub fn record_acknowledgement(&mut self, number: u16) {
+        self.send_queue.acknowledge(number);
     }
 
     /// The time that [`Decision::ScheduleTick`] asked for has passed.
--- a/src/governor/parameters.rs
+++ b/src/governor/parameters.rs
@@ -92,7 +92,6 @@
     /// Cost of a message in the send queue in addition to its table entries, in entries.
     pub(super) message_overhead_entries: f64,
     pub(super) max_queued_entries: f64,
-    pub(super) max_transit_delay: Duration,
     /// `None` if the governor may not send health checks.
     pub(super) health_check_interval: Option<Duration>,
     pub(super) load_positions: LoadPositions,
@@ -125,7 +124,6 @@
             // Each message carries the admission fractions of all classes.
             message_overhead_entries: settings.message_overhead_entries + settings.classes.len() as f64,
             max_queued_entries: USED_QUEUE_FRACTION * settings.max_queued_entries,
-            max_transit_delay: settings.max_transit_delay,
             health_check_interval: settings.health_check_cost.map(|_| HEALTH_CHECK_INTERVAL),
             load_positions: LoadPositions {
                 in_flight: load_position(settings, LoadField::InFlight),
--- a/src/governor/publishing.rs
+++ b/src/governor/publishing.rs
@@ -54,14 +54,13 @@
                 self.send_tables(now, Recipients::Unsynchronised);
             }
         }
-        self.send_queue.record_batch(now, totals_before);
         if self.pending.len() > decisions_before {
             if flush {
                 self.flush_limiter.record_flush(now, &self.parameters.flush_limit);
             }
             // First tables are acknowledged, too: they can fill the channel for seconds.
-            let number = self.ticks % u64::from(u16::MAX);
-            self.pending.push_back(Decision::RequestAcknowledgement(number as u16));
+            let number = self.send_queue.record_batch(totals_before);
+            self.pending.push_back(Decision::RequestAcknowledgement(number));
         }
     }
 
--- a/src/governor/send_queue.rs
+++ b/src/governor/send_queue.rs
@@ -17,10 +17,11 @@
     Admission,
 }
 
-/// Entries that were sent together, and when.
+/// Entries that were sent together.
 #[derive(Clone, Copy)]
 pub(super) struct SentBatch {
-    pub(super) at: Duration,
+    /// The number that its messages are acknowledged with.
+    pub(super) number: u16,
     pub(super) entries: f64,
     /// The mean size of its messages, in entries, at least; 0 if it is not known.
     pub(super) entries_per_message: f64,
@@ -41,6 +42,7 @@
     /// Messages sent since the start, at most. A proxy's part of a flush counts once for each purpose.
     pub(super) messages: f64,
     pub(super) batches: VecDeque<SentBatch>,
+    pub(super) next_number: u16,
     /// When [`SendQueue::drain`] was last called.
     pub(super) drained_at: Duration,
     /// Entries sent since the start, for operators.
@@ -72,14 +74,14 @@
         }
     }
 
-    /// Records that a message was acknowledged, and how long after it was sent. The channel preserves order,
-    /// so entries that were sent earlier have left the queue, and the message itself has. A large batch takes
-    /// seconds to transmit, and nothing may be sent in that time that could be acknowledged after it.
-    pub(super) fn acknowledge(&mut self, elapsed: Duration, max_transit_delay: Duration) {
-        let sent_at = self.drained_at.saturating_sub(elapsed + max_transit_delay);
-        self.batches.retain(|batch| batch.at >= sent_at);
-        if let Some(oldest) = self.batches.front_mut() {
-            oldest.entries = (oldest.entries - oldest.entries_per_message).max(0.0);
+    /// Records that a message of a batch was acknowledged. The channel preserves order, so earlier batches have
+    /// left the queue, and the message itself has. Its batch may take seconds to transmit, and nothing may be
+    /// sent in that time that could be acknowledged after it.
+    pub(super) fn acknowledge(&mut self, number: u16) {
+        let Some(index) = self.batches.iter().position(|batch| batch.number == number) else { return };
+        self.batches.drain(..index);
+        if let Some(batch) = self.batches.front_mut() {
+            batch.entries = (batch.entries - batch.entries_per_message).max(0.0);
         }
         self.entries = self.entries.min(self.batches.iter().map(|batch| batch.entries).sum());
     }
@@ -89,13 +91,14 @@
         QueueTotals { entries: self.entries, messages: self.messages }
     }
 
-    /// Records the entries that were sent since the queue had these totals.
-    pub(super) fn record_batch(&mut self, now: Duration, before: QueueTotals) {
-        let entries = self.entries - before.entries;
-        if entries > 0.0 {
-            let entries_per_message = ratio(entries, self.messages - before.messages);
-            self.batches.push_back(SentBatch { at: now, entries, entries_per_message });
-        }
+    /// Records the entries that were sent since the queue had these totals as a batch, and returns its number.
+    pub(super) fn record_batch(&mut self, before: QueueTotals) -> u16 {
+        let entries = (self.entries - before.entries).max(0.0);
+        let entries_per_message = ratio(entries, self.messages - before.messages);
+        let number = self.next_number;
+        self.next_number = number.wrapping_add(1);
+        self.batches.push_back(SentBatch { number, entries, entries_per_message });
+        number
     }
 
     /// Whether entries fit into the given fraction of the queue.
--- a/src/governor/tests/publishing.rs
+++ b/src/governor/tests/publishing.rs
@@ -140,7 +140,7 @@
 
 #[test]
 fn drains_the_queue_by_acknowledgements_and_by_time() {
-    let batch = |at| SentBatch { at: at * SECOND, entries: 100.0, entries_per_message: 0.0 };
+    let batch = |number| SentBatch { number, entries: 100.0, entries_per_message: 0.0 };
     let channel = || {
         let mut governor = governor();
         governor.send_queue.batches = (1..=4).map(batch).collect();
@@ -149,13 +149,12 @@
         governor
     };
     let mut quick = channel();
-    quick.record_acknowledgement(SECOND);
-    assert_eq!(
-        quick.send_queue.entries, 100.0,
-        "the acknowledged message was sent at 3.5 s at the earliest, due to the acknowledgement's transit"
-    );
+    quick.record_acknowledgement(4);
+    assert_eq!(quick.send_queue.entries, 100.0, "other messages of the same batch may still be queued");
+    quick.record_acknowledgement(3);
+    assert_eq!(quick.send_queue.entries, 100.0, "an older message tells nothing new");
     let mut slow = channel();
-    slow.record_acknowledgement(4 * SECOND);
+    slow.record_acknowledgement(1);
     assert_eq!(slow.send_queue.entries, 400.0);
     // Without acknowledgements the queue drains over time, at the assured rate.
     slow.publish(6 * SECOND, PublishTrigger::Event);
@@ -218,19 +217,18 @@
 #[test]
 fn drains_the_queue_slowly_until_it_is_acknowledged() {
     let mut governor = governor();
-    governor.send_queue.batches =
-        [SentBatch { at: Duration::ZERO, entries: 900.0, entries_per_message: 0.0 }].into();
+    let batch = |number, entries| SentBatch { number, entries, entries_per_message: 0.0 };
+    governor.send_queue.batches = [batch(7, 900.0), batch(8, 0.0)].into();
     governor.send_queue.entries = 900.0;
     governor.publish(SECOND / 2, PublishTrigger::Event);
     assert_eq!(governor.send_queue.entries, 900.0 - 0.2 * 500.0);
-    governor.record_acknowledgement(SECOND / 2);
+    governor.record_acknowledgement(7);
     assert_eq!(
         governor.send_queue.entries,
         900.0 - 0.2 * 500.0,
         "other messages of the same batch may still be queued"
     );
-    governor.publish(3 * SECOND / 2, PublishTrigger::Event);
-    governor.record_acknowledgement(SECOND / 2);
+    governor.record_acknowledgement(8);
     assert_eq!(governor.send_queue.entries, 0.0, "the batch was sent earlier than the message");
 }
 
@@ -282,13 +280,13 @@
 #[test]
 fn each_acknowledgement_takes_a_message_out_of_the_oldest_batch() {
     let mut governor = governor();
-    let batch = SentBatch { at: SECOND, entries: 900.0, entries_per_message: 9.0 };
+    let batch = SentBatch { number: 7, entries: 900.0, entries_per_message: 9.0 };
     governor.send_queue.batches = [batch].into();
     governor.send_queue.entries = 900.0;
     governor.send_queue.drained_at = 2 * SECOND;
-    (0..60).for_each(|_| governor.record_acknowledgement(SECOND));
+    (0..60).for_each(|_| governor.record_acknowledgement(7));
     assert_eq!(governor.send_queue.entries, 900.0 - 60.0 * 9.0);
-    (0..60).for_each(|_| governor.record_acknowledgement(SECOND));
+    (0..60).for_each(|_| governor.record_acknowledgement(7));
     assert_eq!(governor.send_queue.entries, 0.0);
 }
 
