--- a/src/governor/fleet.rs
+++ b/src/governor/fleet.rs
@@ -5,6 +5,7 @@
 use super::Governor;
 use super::replica_state::ReplicaState;
 use super::tables::Weights;
+use crate::types::ReplicaId;
 
 impl Governor {
     pub(super) fn sum_replicas(&self, value: impl Fn(&ReplicaState) -> f64) -> f64 {
@@ -35,6 +36,12 @@
         zones
     }
 
+    /// The replicas that satisfy a condition.
+    pub(super) fn replica_ids(&self, condition: impl Fn(&ReplicaState) -> bool) -> Vec<ReplicaId> {
+        let replicas = self.replicas.iter().filter(|(_, replica)| condition(replica));
+        replicas.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns a table of all replicas with a positive weight.
     pub(super) fn weigh_replicas(&self, weight: impl Fn(&ReplicaState) -> f64) -> Weights {
         let weights = self.replicas.iter().filter_map(|(id, replica)| {
--- a/src/governor/replica_state.rs
+++ b/src/governor/replica_state.rs
@@ -116,6 +116,16 @@
         !self.ready || self.withheld || matches!(self.health, HealthState::Ejected { .. })
     }
 
+    /// Whether proxies must be told to avoid the replica.
+    pub(super) fn awaits_ejection(&self) -> bool {
+        self.is_unavailable() && !self.ejection_sent
+    }
+
+    /// Whether proxies must be told that they may use the replica again.
+    pub(super) fn awaits_readmission(&self) -> bool {
+        !self.is_unavailable() && self.ejection_sent
+    }
+
     /// Whether proxies avoid the replica whatever their tables contain, also after the current flush.
     pub(super) fn stays_ejected(&self) -> bool {
         self.ejection_sent && !self.readmission_due
