--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -32,23 +32,23 @@
     """The case could not be played; its exit code is 2."""
 
 
-def settings(agents, **changes):
+def settings(agents, classes=CLASSES, **changes):
     """The settings object, in the form and with the figures of the wire page's example."""
     extra = {
         "agents": agents, "bootstrap": 12, "by_zone": True, "channel_rate": 12900.0,
-        "class_own_zone": [False] * len(CLASSES), "cycle_us": 500000, "ejects": 3, "first_wait": 1.0, "hold_us": 300000,
+        "class_own_zone": [False] * len(classes), "cycle_us": 500000, "ejects": 3, "first_wait": 1.0, "hold_us": 300000,
         "in_flight_max_us": 5020000, "lb_method": "wheel", "level_kind": "ratio", "messages_over_us": 10000000,
         "most_waiting": 25800.0, "move_price": 0.01, "one_owner": False, "order_price": 0.02, "per_message": 10.0,
         "reports_per_s": 600.0, "retry_default": 0, "shards": 0, "smallest_conn_table": 124.0, "transit_us": 341000,
         "unserved_max_us": 5200000, "update_cap": 30, "warm_keys": False, "worst_transit_us": 852500,
-        "write_lease_us": 2500000, "writers": [False, False, True],
+        "write_lease_us": 2500000, "writers": [effect == "fragile" for *_, effect in classes],
     }
     extra.update(changes.pop("extra", {}))
     result = {
         "categories": [
             {"deadline_us": int(deadline * 1e6), "effect": effect, "group": "all", "key_ttl_us": 5000000, "late_worth": 0.1,
              "name": name, "objective_us": int(objective * 1e6), "worth": worth}
-            for name, _, objective, deadline, worth, effect in CLASSES],
+            for name, _, objective, deadline, worth, effect in classes],
         "extra": extra, "family": "control", "kinds": ["two-core", "one-core"],
         "limits": {"conn_idle_us": 15000000, "connect_timeout_us": 250000, "cpu_us_per_s": 508701, "max_streams": 32,
                    "may_tell": False, "probes": False},
@@ -314,14 +314,14 @@
         self.chance = random.Random(1000 + number)
         self.cold = True
         self.out = set()
-        self.levels = {name: (1.0, 0) for name, *_ in CLASSES}
+        self.levels = {name: (1.0, 0) for name, *_ in self.world.classes}
         listed = [entry for entry in world.discovery.entries.values()]
         own = [entry for entry in listed if entry["zone"] == zone]
         pool = own if len(own) >= 3 else listed
         drawn = self.chance.sample(pool, min(len(pool), world.settings["extra"]["bootstrap"]))
         lines = {entry["name"]: entry["weight"] for entry in drawn}
         table = Table(lines)  # the standing one, of all classes
-        self.tables = {name: table for name, *_ in CLASSES}
+        self.tables = {name: table for name, *_ in self.world.classes}
         self.joined_at = None
         self.stream = None
         self.governor = None  # of the present stream
@@ -338,7 +338,7 @@
         while True:
             # Its own zone's governor first, another one if need be.
             governors = self.world.governors
-            home = ZONES.index(self.zone) % len(governors)
+            home = self.world.settings["zones"].index(self.zone) % len(governors)
             for governor in governors[home:] + governors[:home]:
                 if self.reachable:
                     try:
@@ -353,7 +353,7 @@
         self.governor, self.stream = governor, writer
         self.send({"@type": "SUBSCRIBE", "node": self.number, "locality": self.zone, "w": self.rate, "cold": self.cold})
         self.joined_at = self.record.now()
-        self.record("joined", proxy=self.number, governor=governor.name, cold=self.cold, lines=sorted(self.tables[CLASSES[0][0]].lines), out=sorted(self.out))
+        self.record("joined", proxy=self.number, governor=governor.name, cold=self.cold, lines=sorted(self.tables[self.world.classes[0][0]].lines), out=sorted(self.out))
         queue = asyncio.Queue()
         applying = asyncio.ensure_future(self.apply_messages(queue, writer))
         parts = []
@@ -403,7 +403,7 @@
                     self.send({"@type": "ACK", "node": self.number, "nonce": ticket, "latency": latency}, writer)
 
     def apply(self, part):
-        names = part.get("classes") or [name for name, *_ in CLASSES]
+        names = part.get("classes") or [name for name, *_ in self.world.classes]
         whole = Table({})
         for name in names:
             table = self.tables[name]
@@ -445,7 +445,7 @@
         while True:
             await asyncio.sleep(max(0.0, due - self.record.now()))
             due += self.chance.uniform(0.9, 1.1) / self.rate
-            name = self.chance.choices([name for name, *_ in CLASSES], [share for _, share, *_ in CLASSES])[0]
+            name = self.chance.choices([name for name, *_ in self.world.classes], [share for _, share, *_ in self.world.classes])[0]
             asyncio.ensure_future(self.request(name))
 
     async def request(self, name):
@@ -474,7 +474,7 @@
     async def attempt(self, replica, name):
         number = self.world.next_request()
         self.record("sent", proxy=self.number, replica=replica, request=number, route=name, joined=self.joined_at is not None)
-        deadline = next(deadline for other, _, _, deadline, *_ in CLASSES if other == name)
+        deadline = next(deadline for other, _, _, deadline, *_ in self.world.classes if other == name)
         started = self.record.now()
         try:
             result = await asyncio.wait_for(self.exchange(replica, number, name), deadline)
@@ -542,8 +542,8 @@
 
 
 class World:
-    def __init__(self, record, configuration, folder):
-        self.record, self.settings, self.folder = record, configuration, folder
+    def __init__(self, record, configuration, folder, classes=CLASSES):
+        self.record, self.settings, self.folder, self.classes = record, configuration, folder, classes
         self.discovery = Discovery(record)
         self.replicas = {}
         self.proxies = []
