--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -229,6 +229,7 @@
         self.record, self.discovery, self.configuration, self.name = record, discovery, configuration, name
         self.folder = Path(folder or tempfile.mkdtemp(prefix="review-"))
         self.process = None
+        self.known = None  # the list as this governor last had it
         self.logs = 0
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
@@ -241,7 +242,7 @@
     def write_config(self):
         """Writes the configuration, with the list as this governor last had it."""
         config = {"name": self.name, "listen": self.listen, "discovery": self.discovery.address, "seed": "%016x" % random.getrandbits(64),
-                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.discovery.list(),
+                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.known or self.discovery.list(),
                   "settings": self.configuration}
         path = self.folder / "config.json"
         path.with_suffix(".new").write_text(json.dumps(config))
@@ -253,7 +254,8 @@
         if not (ROOT / "target/release/wrenthread").exists():
             raise CannotRun("the build of the deploy file has not been run")
         path = self.write_config()
-        self.record("known", index=self.discovery.index, replicas=sorted(self.discovery.entries))
+        known = self.known or self.discovery.list()
+        self.record("known", index=known["index"], replicas=sorted(entry["name"] for entry in known["endpoints"]))
         self.logs += 1
         log = open(self.folder / f"log-{self.logs}", "wb")
         environment = dict(os.environ, RELAY_NAME=self.name, RELAY_LISTEN=self.listen, RELAY_DISCOVERY=self.discovery.address,
@@ -282,6 +284,7 @@
     async def stop(self, number):
         if self.process and self.process.returncode is None:
             self.record("signal", governor=self.name, signal=signal.Signals(number).name)
+            self.known = self.discovery.list()  # the agent writes each change at once
             self.process.send_signal(number)
             await self.process.wait()
 
