Review stand-ins end their governor on SIGTERM, too

Checked by hand: a script that was sent SIGTERM after 6 s exited with 2 and left no process and no folder.

--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -662,10 +662,14 @@
     record = Record(Path(folder) / "record.txt")
     temporary = tempfile.mkdtemp(prefix="review-")
     code = 2
+
+    async def run():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case(record, trouble, temporary), limit)
+
     try:
-        held = asyncio.run(asyncio.wait_for(case(record, trouble, temporary), limit))
-        code = 0 if held else 1
-    except Exception as error:  # also a fault of a stand-in: only the check may say that the rule was broken
+        code = 0 if asyncio.run(run()) else 1
+    except (Exception, asyncio.CancelledError) as error:  # also a fault of a stand-in: only the check may say that the rule was broken
         record.note(f"the case could not run: {error!r}")
     finally:
         for log in sorted(Path(temporary).glob("**/log-*")):
