Default tables that may be older than the governor are replaced by new ones

Four proxies reached no governor while replicas drained, and the governor was restarted meanwhile.

Cause: a proxy that says it holds its default table alone was taken to hold a sample of the replicas listed now. A restarted governor knows nothing of those that were gone before.

Change: hosts tell what they know of a proxy's tables (HeldTables). A default table that the host has not checked is unverified if the proxy connects between 3 s (by then the proxies of the previous process are back) and two minutes (from then on the governor remembers all gone replicas that it ever will) after the first roster. It is replaced once, by a default table of the replicas listed now, one for all classes, after urgent tables and within the room of ordinary ones. Its contents are known from then on: its ejections are sent and counted only where it contains the replica. The engine of `run` checks default tables by name and says so.

Unit tests for the window, the one table, its place in the order and its cost.

--- a/crates/adapter/src/events.rs
+++ b/crates/adapter/src/events.rs
@@ -7,8 +7,8 @@
 
 use serde_json::Value;
 use wrenthread::types::{
-    DemandStatistics, Phase, ProxyConnection, ProxyId, ReplicaEntry, ReplicaId, ReplicaStatistics,
-    RosterScope, Settings,
+    DemandStatistics, HeldTables, Phase, ProxyConnection, ProxyId, ReplicaEntry, ReplicaId,
+    ReplicaStatistics, RosterScope, Settings,
 };
 use wrenthread_deployment_config::Fields;
 
@@ -193,7 +193,7 @@
         proxy: fields.integer("forwarder")?,
         zone: fields.integer("hall")?,
         requests_per_second: fields.number_or("weight", 0.0),
-        holds_default_table: fields.is_true("set"),
+        held_tables: if fields.is_true("set") { HeldTables::UncheckedDefault } else { HeldTables::Unknown },
     })
 }
 
--- a/crates/core/src/engine/joining.rs
+++ b/crates/core/src/engine/joining.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use wrenthread::types::{Phase, ProxyConnection, ProxyId, ReplicaId};
+use wrenthread::types::{HeldTables, Phase, ProxyConnection, ProxyId, ReplicaId};
 
 use crate::fleet::{JoinError, JoinOutcome, JoinRequest, StreamId};
 use crate::frozen_tables::{FrozenTable, ReleaseReason};
@@ -130,11 +130,13 @@
             }
             self.join_queue.pop_front();
             let Some(proxy) = self.fleet.get(join.proxy) else { continue };
+            let held_tables =
+                if proxy.holds_default_table { HeldTables::CheckedDefault } else { HeldTables::Unknown };
             let connection = ProxyConnection {
                 proxy: join.proxy,
                 zone: proxy.zone,
                 requests_per_second: join.requests_per_second,
-                holds_default_table: proxy.holds_default_table,
+                held_tables,
             };
             self.governor.proxy_connected(now, connection);
             self.reserved_entries += self.join_cost_entries;
--- a/crates/daemon/src/platform/service.rs
+++ b/crates/daemon/src/platform/service.rs
@@ -236,6 +236,7 @@
             proxies = estimate.proxies,
             unsynchronised_proxies = estimate.unsynchronised_proxies,
             longest_unsynchronised_ms = estimate.longest_unsynchronised.as_millis() as u64,
+            unverified_proxies = estimate.unverified_proxies,
             unsent_ejections = estimate.unsent_ejections,
             oldest_unsent_drain_ms = estimate.oldest_unsent_drain.as_millis() as u64,
             unsent_readmissions = estimate.unsent_readmissions,
--- a/crates/platform-governor/tests/driven/mod.rs
+++ b/crates/platform-governor/tests/driven/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use wrenthread::types::{ProxyConnection, ProxyId};
+use wrenthread::types::{HeldTables, ProxyConnection, ProxyId};
 use wrenthread_deployment_config::{DeploymentConfig, FieldError, Fields, read};
 use wrenthread_platform_governor::{Action, ConnectionId, PlatformGovernor, WatcherId};
 use wrenthread_platform_protocol::decode::Message;
@@ -114,7 +114,9 @@
         self.connections += 1;
         let connection = ConnectionId(self.connections);
         self.proxies.insert(connection, proxy);
-        let connected = ProxyConnection { proxy, zone, requests_per_second, holds_default_table };
+        let held_tables =
+            if holds_default_table { HeldTables::UncheckedDefault } else { HeldTables::Unknown };
+        let connected = ProxyConnection { proxy, zone, requests_per_second, held_tables };
         self.governor.proxy_connected(self.now, connection, connected);
     }
 
--- a/crates/platform-governor/tests/settings_edges.rs
+++ b/crates/platform-governor/tests/settings_edges.rs
@@ -7,6 +7,7 @@
 use driven::{DrivenGovernor, STEP, ZONE, read_config, replica};
 use proptest::prelude::*;
 use serde_json::{Map, Value, json};
+use wrenthread::types::HeldTables;
 use wrenthread_platform_protocol::decode::{Decoder, Message};
 
 /// The largest count that is accepted.
@@ -135,7 +136,8 @@
         let message = json!({"@type": "SUBSCRIBE", "node": proxy, "locality": ZONE,
             "w": self.traffic.requests_per_second, "cold": holds_default_table});
         if let Some(Message::ProxyConnected(connection)) = self.decode(driven, &message) {
-            driven.connect(connection.proxy, connection.requests_per_second, connection.holds_default_table);
+            let on_default = connection.held_tables == HeldTables::UncheckedDefault;
+            driven.connect(connection.proxy, connection.requests_per_second, on_default);
         }
     }
 
--- a/crates/platform-protocol/src/decode.rs
+++ b/crates/platform-protocol/src/decode.rs
@@ -12,7 +12,9 @@
 
 use serde_json::Value;
 use thiserror::Error;
-use wrenthread::types::{DemandStatistics, ProxyConnection, ProxyId, ReplicaId, ReplicaStatistics};
+use wrenthread::types::{
+    DemandStatistics, HeldTables, ProxyConnection, ProxyId, ReplicaId, ReplicaStatistics,
+};
 use wrenthread_deployment_config::DeploymentConfig;
 
 use fields::{MAX_INTERVAL_MILLIS, MAX_REQUESTS_PER_SECOND, MessageFields, max_count};
@@ -119,7 +121,7 @@
             proxy: self.proxy(fields)?,
             zone: self.zone(fields)?,
             requests_per_second: fields.number(wire::REQUESTS_PER_SECOND, MAX_REQUESTS_PER_SECOND)?,
-            holds_default_table: fields.flag(wire::HOLDS_DEFAULT_TABLE)?,
+            held_tables: held_tables(fields.flag(wire::HOLDS_DEFAULT_TABLE)?),
         })
     }
 
@@ -208,3 +210,8 @@
 fn index_by_name(names: &[String]) -> BTreeMap<String, usize> {
     names.iter().cloned().enumerate().map(|(index, name)| (name, index)).collect()
 }
+
+/// What a proxy states of the tables that it holds. A default table's replicas are not part of the message.
+fn held_tables(is_on_default_table: bool) -> HeldTables {
+    if is_on_default_table { HeldTables::UncheckedDefault } else { HeldTables::Unknown }
+}
--- a/src/governor.rs
+++ b/src/governor.rs
@@ -14,17 +14,16 @@
 use std::time::Duration;
 
 use crate::types::{
-    Decision, DemandStatistics, Phase, ProxyConnection, ProxyId, ReplicaEntry, ReplicaId, ReplicaStatistics,
-    RosterScope, Settings,
+    Decision, DemandStatistics, Phase, ProxyId, ReplicaEntry, ReplicaId, ReplicaStatistics, RosterScope,
+    Settings,
 };
 
 use admission_control::Admission;
-use arithmetic::ratio;
 use critical_set::CriticalSet;
 use flush_limiter::FlushLimiter;
 use health::FleetHealth;
 use parameters::{Parameters, TICK_INTERVAL};
-use proxy_state::{DefaultTableSample, ProxyState};
+use proxy_state::ProxyState;
 use publishing::PublishTrigger;
 use replica_state::{HealthState, QueueSample, ReplicaState};
 use report_timing::ReportTiming;
@@ -33,6 +32,7 @@
 
 mod admission_control;
 mod arithmetic;
+mod connections;
 mod critical_set;
 mod default_tables;
 mod ejection;
@@ -65,9 +65,6 @@
 const ADMISSION_TICKS: u64 = 4;
 /// Ticks between updates of the critical set: two seconds.
 const SOLVER_TICKS: u64 = 8;
-/// Minimum number of ready replicas in a proxy's zone for its default table to be sampled from that zone
-/// only; with fewer, it is sampled from all zones.
-const MIN_SAMPLED_REPLICAS: usize = 3;
 /// Number of health checks over which requests in flight are averaged.
 const HEALTH_CHECK_AVERAGING: f64 = 3.0;
 /// Factor by which a failed health check raises the estimate of requests in flight.
@@ -90,6 +87,8 @@
     /// The largest total weight of ready replicas seen so far.
     nominal_weight: f64,
     roster_updated_at: Duration,
+    /// When the first roster arrived. What was gone before is not known.
+    first_roster_at: Option<Duration>,
     /// Time of the latest proxy connection, by zone.
     last_connections: BTreeMap<usize, Duration>,
     health_checks_due: BTreeSet<DueHealthCheck>,
@@ -132,6 +131,7 @@
         }
         let ready_weight = self.sum_replicas(|replica| if replica.ready { replica.weight } else { 0.0 });
         self.roster_updated_at = now;
+        self.first_roster_at = self.first_roster_at.or(Some(now));
         self.nominal_weight = ready_weight.max(self.nominal_weight);
         self.update_withheld(now);
     }
@@ -181,39 +181,6 @@
         }
     }
 
-    /// Records that a proxy has opened its stream.
-    pub fn proxy_connected(&mut self, now: Duration, connection: ProxyConnection) {
-        let ProxyConnection { proxy, zone, requests_per_second, holds_default_table } = connection;
-        self.proxy_disconnected(proxy);
-        let sample = DefaultTableSample { roster_at: self.roster_updated_at, zone };
-        let class_count = self.admission.classes.len();
-        let class_rate = ratio(requests_per_second, class_count as f64);
-        let state = ProxyState {
-            zone,
-            request_rates: vec![class_rate; class_count],
-            connected_at: now,
-            last_reports: vec![now; class_count],
-            default_table: holds_default_table.then_some(sample),
-            unsynchronised: !holds_default_table || !self.default_table_is_valid(zone, now),
-        };
-        self.proxies.insert(proxy, state);
-        self.last_connections.insert(zone, now);
-    }
-
-    /// Whether a newly sampled default table is certain to contain only ready replicas of the zone, at full
-    /// weight.
-    fn default_table_is_valid(&self, zone: usize, now: Duration) -> bool {
-        let mut in_zone = self.replicas.values().filter(|replica| replica.zone == zone);
-        let ready = in_zone.clone().filter(|replica| replica.ready).count();
-        ready >= MIN_SAMPLED_REPLICAS && in_zone.all(|replica| self.usable_fraction(replica, now) >= 1.0)
-    }
-
-    /// Records that a proxy's stream has closed.
-    pub fn proxy_disconnected(&mut self, proxy: ProxyId) {
-        self.proxies.remove(&proxy);
-        self.critical_set.remove(proxy);
-    }
-
     /// Records statistics about a replica from the proxies of one zone.
     pub fn record_replica_statistics(&mut self, now: Duration, report: ReplicaStatistics) {
         self.reports.last_by_zone.insert(report.zone, now);
--- a/src/governor/default_tables.rs
+++ b/src/governor/default_tables.rs
@@ -244,7 +244,8 @@
         let sampled = self.sum_replicas(|replica| if_candidate(replica.weight, replica));
         let in_zone =
             self.sum_replicas(|replica| if replica.zone == sample.zone { routable(replica) } else { 0.0 });
-        let tables = self.proxies.values().filter(|proxy| proxy.default_table == Some(sample)).count() as f64;
+        let tables =
+            self.proxies.values().filter(|proxy| proxy.default_sample() == Some(sample)).count() as f64;
         let entries = self.parameters.default_table_size as i32;
         let expected_unavailable = tables * (1.0 - ratio(remaining, sampled)).powi(entries);
         if expected_unavailable > MAX_EXPECTED_UNAVAILABLE_TABLES {
--- a/src/governor/gone_replicas.rs
+++ b/src/governor/gone_replicas.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Governor;
-use super::proxy_state::DefaultTableSample;
+use super::proxy_state::{DefaultTableSample, ProxyState};
 use super::readmissions::READMIT_QUEUE_FRACTION;
 use super::replica_state::ReplicaState;
 use super::send_queue::Purpose;
@@ -12,7 +12,7 @@
 use crate::types::{Decision, ReplicaId};
 
 /// How long the state of gone replicas is kept: a proxy may connect with a default table of this age.
-const GONE_REPLICA_RETENTION: Duration = Duration::from_secs(120);
+pub(super) const GONE_REPLICA_RETENTION: Duration = Duration::from_secs(120);
 
 impl Governor {
     /// Drops the state of gone replicas, which would otherwise accumulate as new replicas get new names. A
@@ -32,7 +32,7 @@
         let tables = self.sent_tables.values().chain(self.critical_set.tables.values());
         let in_tables: BTreeSet<&ReplicaId> = tables.flat_map(BTreeMap::keys).collect();
         let samples: BTreeSet<DefaultTableSample> =
-            self.proxies.values().filter_map(|proxy| proxy.default_table).collect();
+            self.proxies.values().filter_map(ProxyState::default_sample).collect();
         let sampled = |zone: usize, gone: Duration| {
             samples
                 .iter()
--- a/src/governor/inspection.rs
+++ b/src/governor/inspection.rs
@@ -33,6 +33,7 @@
             proxies: self.proxies.len(),
             unsynchronised_proxies: self.proxies.values().filter(|proxy| proxy.unsynchronised).count(),
             longest_unsynchronised: self.longest_unsynchronised(now),
+            unverified_proxies: self.proxies.values().filter(|proxy| proxy.is_unverified()).count(),
             unsent_ejections: self.unsent_ejections().count(),
             oldest_unsent_drain: self.oldest_unsent_drain(now),
             unsent_readmissions: self.unsent_readmissions().count(),
--- a/src/governor/load_model.rs
+++ b/src/governor/load_model.rs
@@ -59,7 +59,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Route {
     DefaultTable(DefaultTableSample),
-    DedicatedTable(TableKey),
+    SentTable(TableKey),
 }
 
 /// The replica with the highest utilisation.
@@ -126,7 +126,7 @@
             Route::DefaultTable(sample) => {
                 self.weigh_replicas(|replica| if replica.is_candidate(sample) { replica.weight } else { 0.0 })
             }
-            Route::DedicatedTable(key) => self.sent_tables.get(&key).cloned().unwrap_or_default(),
+            Route::SentTable(key) => self.sent_tables.get(&key).cloned().unwrap_or_default(),
         };
         weights.retain(|id, _| self.replicas.get(id).is_some_and(|replica| !replica.ejection_sent));
         weights
@@ -145,9 +145,9 @@
 }
 
 fn route(proxy: &ProxyState, key: TableKey) -> Route {
-    match proxy.default_table {
+    match proxy.default_sample().filter(|_| !proxy.has_sent_tables()) {
         Some(sample) => Route::DefaultTable(sample),
-        None => Route::DedicatedTable(key),
+        None => Route::SentTable(key),
     }
 }
 
--- a/src/governor/proxy_state.rs
+++ b/src/governor/proxy_state.rs
@@ -20,6 +20,25 @@
     pub(super) zone: usize,
 }
 
+/// What is known of the replicas in a default table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DefaultTableContents {
+    /// Replicas of its sample; which ones is not known.
+    Sampled,
+    /// As [`DefaultTableContents::Sampled`], and possibly replicas that were gone before this governor's first
+    /// roster. Proxies can't be told to avoid those, as their names are not known.
+    Unverified,
+    /// This governor sent it, so it is in [`Governor::sent_tables`].
+    Sent,
+}
+
+/// A default table that a proxy follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct DefaultTable {
+    pub(super) sample: DefaultTableSample,
+    pub(super) contents: DefaultTableContents,
+}
+
 /// The state of one connected proxy.
 pub(super) struct ProxyState {
     pub(super) zone: usize,
@@ -29,7 +48,7 @@
     /// Time of the last statistics, by class. An interval without requests has no statistics.
     pub(super) last_reports: Vec<Duration>,
     /// The default table that it follows; `None` once it follows dedicated tables.
-    pub(super) default_table: Option<DefaultTableSample>,
+    pub(super) default_table: Option<DefaultTable>,
     /// The tables that it holds are not known, so it must be sent new ones.
     pub(super) unsynchronised: bool,
 }
@@ -47,13 +66,20 @@
         *rate += (report.requests as f64 / interval - *rate) * (1.0 - (-interval / averaging_seconds).exp());
     }
 
-    pub(super) fn follows_default_table(&self) -> bool {
-        self.default_table.is_some()
+    /// The replicas that its default table was sampled from, if it follows one.
+    pub(super) fn default_sample(&self) -> Option<DefaultTableSample> {
+        self.default_table.map(|table| table.sample)
     }
 
     /// Whether this governor has sent it all the tables that it uses.
-    pub(super) fn has_dedicated_tables(&self) -> bool {
-        !self.unsynchronised && !self.follows_default_table()
+    pub(super) fn has_sent_tables(&self) -> bool {
+        let sent = |table: DefaultTable| table.contents == DefaultTableContents::Sent;
+        !self.unsynchronised && self.default_table.is_none_or(sent)
+    }
+
+    /// Whether its default table may contain replicas that this governor has never known.
+    pub(super) fn is_unverified(&self) -> bool {
+        self.default_table.is_some_and(|table| table.contents == DefaultTableContents::Unverified)
     }
 }
 
--- a/src/governor/slow_start.rs
+++ b/src/governor/slow_start.rs
@@ -8,7 +8,7 @@
 
 use super::Governor;
 use super::arithmetic::{get_or_default, ratio};
-use super::proxy_state::DefaultTableSample;
+use super::proxy_state::{DefaultTableSample, ProxyState};
 use super::replica_state::{HealthState, ReplicaState};
 use super::tables::MAX_TABLE_ENTRIES;
 
@@ -64,7 +64,7 @@
     /// reduced weight, so a replica that they may contain is withheld until it can take its usual load.
     pub(super) fn update_withheld(&mut self, now: Duration) {
         let samples: BTreeSet<DefaultTableSample> =
-            self.proxies.values().filter_map(|proxy| proxy.default_table).collect();
+            self.proxies.values().filter_map(ProxyState::default_sample).collect();
         let partial: Vec<DefaultTableSample> =
             samples.into_iter().filter(|sample| self.is_partial_sample(*sample)).collect();
         for replica in self.replicas.values_mut() {
--- a/src/governor/table_updates.rs
+++ b/src/governor/table_updates.rs
@@ -8,7 +8,7 @@
 use super::default_tables::{DefaultTables, Staleness, ZoneScope};
 use super::ejection_updates::EJECT_QUEUE_FRACTION;
 use super::load_model::LoadModel;
-use super::proxy_state::{DefaultTableSample, ProxyState};
+use super::proxy_state::{DefaultTable, DefaultTableContents, DefaultTableSample, ProxyState};
 use super::replica_state::ReplicaState;
 use super::send_queue::Purpose;
 use super::tables::{MAX_TABLE_ENTRIES, RouteScope, TableKey, Weights, weight_fraction};
@@ -38,11 +38,15 @@
     Unserved,
 }
 
-/// Whether a proxy already uses its dedicated tables.
+/// Whether a proxy already uses the tables that it is sent, and what it follows from then on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Assignment {
+    /// It uses them, and follows its dedicated tables.
     Existing,
+    /// It must be assigned them, and follows its dedicated tables.
     New,
+    /// It must be assigned them, and goes on following its zone's default table.
+    NewDefault,
 }
 
 /// The order of updates, as the channel may not have room for all at once.
@@ -53,6 +57,8 @@
     Unsynchronised,
     /// The proxy's table may contain few replicas, or none.
     Urgent,
+    /// The proxy's default table may contain replicas that this governor never knew.
+    Unverified,
     Ordinary,
 }
 
@@ -60,7 +66,7 @@
     fn queue_fraction(self) -> f64 {
         match self {
             Priority::WithoutReplicas | Priority::Unsynchronised | Priority::Urgent => URGENT_QUEUE_FRACTION,
-            Priority::Ordinary => ORDINARY_QUEUE_FRACTION,
+            Priority::Unverified | Priority::Ordinary => ORDINARY_QUEUE_FRACTION,
         }
     }
 }
@@ -157,18 +163,17 @@
     ) -> Option<PendingUpdate> {
         let demand = self.total_admitted_demand(proxy);
         let update = |priority, assignment| Some(PendingUpdate { priority, demand, proxy: id, assignment });
-        if proxy.unsynchronised || proxy.follows_default_table() && criteria.tables_replace_ejections {
+        if proxy.unsynchronised || !proxy.has_sent_tables() && criteria.tables_replace_ejections {
             return update(Priority::Unsynchronised, Assignment::New);
         }
+        let assignment = if proxy.has_sent_tables() { Assignment::Existing } else { Assignment::New };
         if recipients != Recipients::Unsynchronised && criteria.without_replicas.contains(&id) {
-            let assignment =
-                if proxy.follows_default_table() { Assignment::New } else { Assignment::Existing };
             return update(Priority::WithoutReplicas, assignment);
         }
         if recipients != Recipients::All {
             return None;
         }
-        let Some(sample) = proxy.default_table else {
+        let Some(sample) = proxy.default_sample() else {
             let few_replicas = self.has_few_replicas(id, &sources.model);
             return update(
                 if few_replicas { Priority::Urgent } else { Priority::Ordinary },
@@ -178,22 +183,25 @@
         let default = &sources.defaults[&ZoneScope { zone: proxy.zone, scope: RouteScope::AnyZone }];
         let staleness = *criteria.staleness.entry(sample).or_insert_with(|| self.staleness(sample, default));
         let busy = demand > criteria.busy_demand && self.is_partial_sample(sample);
-        match staleness {
-            Staleness::Urgent => update(Priority::Urgent, Assignment::New),
-            Staleness::Stale => update(Priority::Ordinary, Assignment::New),
-            Staleness::Current if busy || criteria.critical.contains(&id) => {
-                update(Priority::Ordinary, Assignment::New)
-            }
-            Staleness::Current => None,
+        let is_current = staleness == Staleness::Current && !busy && !criteria.critical.contains(&id);
+        if staleness == Staleness::Urgent {
+            update(Priority::Urgent, assignment)
+        } else if proxy.is_unverified() {
+            update(Priority::Unverified, if is_current { Assignment::NewDefault } else { assignment })
+        } else if is_current {
+            None
+        } else {
+            update(Priority::Ordinary, assignment)
         }
     }
 
     /// The connected proxies that have no replica left which they may use, as far as their tables are known.
     pub(super) fn proxies_without_replicas(&self) -> BTreeSet<ProxyId> {
         let mut exhausted: BTreeMap<DefaultTableSample, bool> = BTreeMap::new();
-        let mut lacks_replicas = |id: ProxyId, proxy: &ProxyState| match proxy.default_table {
+        let mut lacks_replicas = |id: ProxyId, proxy: &ProxyState| match proxy.default_sample() {
+            _ if proxy.has_sent_tables() => self.sent_tables_lack_replicas(id),
             Some(sample) => *exhausted.entry(sample).or_insert_with(|| self.is_exhausted(sample)),
-            None => !proxy.unsynchronised && self.dedicated_tables_lack_replicas(id),
+            None => false,
         };
         let proxies = self.proxies.iter().filter(|(id, proxy)| lacks_replicas(**id, proxy));
         proxies.map(|(id, _)| *id).collect()
@@ -209,7 +217,7 @@
             && self.replicas.values().any(ReplicaState::is_routable)
     }
 
-    fn dedicated_tables_lack_replicas(&self, id: ProxyId) -> bool {
+    fn sent_tables_lack_replicas(&self, id: ProxyId) -> bool {
         RouteScope::ALL.iter().any(|scope| {
             let is_used = self.parameters.classes.in_scope(*scope) != 0;
             is_used && !self.has_usable_entry(TableKey::new(id, *scope))
@@ -231,28 +239,46 @@
     }
 
     fn send_proxy_tables(&mut self, update: &PendingUpdate, sources: &mut TableSources, now: Duration) {
+        let new_default = (update.assignment == Assignment::NewDefault)
+            .then(|| self.new_default_table(update.proxy, sources, now));
         let mut cost = 0;
         for scope in RouteScope::ALL {
             if self.parameters.classes.in_scope(scope) != 0 {
                 let key = TableKey::new(update.proxy, scope);
-                let wanted = self.wanted_weights(key, sources, now);
+                let wanted = match &new_default {
+                    Some(weights) => weights.clone(),
+                    None => self.wanted_weights(key, sources, now),
+                };
                 cost += self.update_table(key, wanted, update.assignment);
             }
         }
         if cost > 0 {
-            let is_first = update.priority == Priority::Unsynchronised;
+            let is_first = matches!(update.priority, Priority::Unsynchronised | Priority::Unverified);
             let purpose = if is_first { Purpose::FirstTable } else { Purpose::Table };
             let entries = cost as f64 + (self.parameters.message_overhead_entries + 1.0);
             self.send_queue.add(entries, 1.0, purpose);
         }
-        if update.assignment == Assignment::New
-            && let Some(proxy) = self.proxies.get_mut(&update.proxy)
-        {
+        let roster_at = self.roster_updated_at;
+        if let Some(proxy) = self.proxies.get_mut(&update.proxy) {
+            let sample = DefaultTableSample { roster_at, zone: proxy.zone };
             proxy.unsynchronised = false;
-            proxy.default_table = None;
+            proxy.default_table = match update.assignment {
+                Assignment::Existing | Assignment::New => None,
+                Assignment::NewDefault => Some(DefaultTable { sample, contents: DefaultTableContents::Sent }),
+            };
         }
     }
 
+    /// A default table as a proxy samples it: one for all classes, of replicas in its zone. A table for each scope
+    /// would need up to twice as many connections.
+    fn new_default_table(&self, proxy: ProxyId, sources: &mut TableSources, now: Duration) -> Weights {
+        let zone_bound = self.parameters.has_zone_bound_classes();
+        let scope = if zone_bound { RouteScope::OwnZone } else { RouteScope::AnyZone };
+        let zone = self.proxies[&proxy].zone;
+        let default = &sources.defaults[&ZoneScope { zone, scope: RouteScope::OwnZone }];
+        self.desired_table(TableKey::new(proxy, scope), default, &mut sources.model, now)
+    }
+
     /// The entries that a table should have. In a zone without a warm replica, only as many tables as its
     /// capacity allows get entries; the other proxies have empty tables until a replica is warm.
     fn wanted_weights(&self, key: TableKey, sources: &mut TableSources, now: Duration) -> Weights {
@@ -319,7 +345,7 @@
         }
         match assignment {
             Assignment::Existing => change_count,
-            Assignment::New => {
+            Assignment::New | Assignment::NewDefault => {
                 let classes = self.parameters.classes.in_scope(key.scope);
                 self.pending.push_back(Decision::AssignTable { proxy: key.proxy, table, classes });
                 first_table_cost(table_size)
--- a/src/governor/tests.rs
+++ b/src/governor/tests.rs
@@ -8,6 +8,7 @@
 use super::flush_limiter::{FlushLimit, Urgency};
 use super::load_model::{Flow, FlowGroup, LoadModel, ReplicaCapacity, ReplicaRate, ReplicaShare};
 use super::outlier_detection::Outlier;
+use super::proxy_state::{DefaultTableContents, DefaultTableSample};
 use super::replica_state::ZoneObservation;
 use super::send_queue::SentBatch;
 use super::table_updates::{Assignment, Recipients};
@@ -16,7 +17,8 @@
 use super::water_filling::{Bin, water_fill};
 use super::*;
 use crate::types::{
-    AdmissionControl, Idempotency, LoadField, MessageLimit, RetryPolicy, TableEntry, TableId, TrafficClass,
+    AdmissionControl, HeldTables, Idempotency, LoadField, MessageLimit, ProxyConnection, RetryPolicy,
+    TableEntry, TableId, TrafficClass,
 };
 
 mod admission_control;
--- a/src/governor/tests/fixtures.rs
+++ b/src/governor/tests/fixtures.rs
@@ -6,12 +6,12 @@
 
 /// A proxy of zone 0 that has its default table and no other.
 pub(super) fn with_default_table(proxy: ProxyId, requests_per_second: f64) -> ProxyConnection {
-    ProxyConnection { proxy, zone: 0, requests_per_second, holds_default_table: true }
+    ProxyConnection { proxy, zone: 0, requests_per_second, held_tables: HeldTables::CheckedDefault }
 }
 
 /// A proxy of zone 0 whose tables are not known.
 pub(super) fn with_unknown_tables(proxy: ProxyId, requests_per_second: f64) -> ProxyConnection {
-    ProxyConnection { holds_default_table: false, ..with_default_table(proxy, requests_per_second) }
+    ProxyConnection { held_tables: HeldTables::Unknown, ..with_default_table(proxy, requests_per_second) }
 }
 
 pub(super) fn entry(replica: ReplicaId, weight: f64) -> TableEntry {
--- a/src/governor/tests/publishing.rs
+++ b/src/governor/tests/publishing.rs
@@ -255,7 +255,7 @@
         governor
     };
     let follows_default =
-        |governor: &Governor| governor.proxies.values().all(ProxyState::follows_default_table);
+        |governor: &Governor| governor.proxies.values().all(|proxy| proxy.default_table.is_some());
     // Ten proxies, each 18 ejections and the overhead of a message: 250 entries.
     assert!(follows_default(&busy(18, 300.0)), "the ejections fit");
     assert!(!follows_default(&busy(18, 225.0)));
--- a/src/governor/tests/roster.rs
+++ b/src/governor/tests/roster.rs
@@ -57,3 +57,30 @@
     assert_eq!(left, ["b", "c", "d"], "a sent table contains `b`, and a sampled one may contain `d`");
     assert_eq!(governor.pending, [Decision::SetEjected { replica: id("a"), ejected: false }]);
 }
+
+/// Guards against a restarted governor that takes an old default table for one of the replicas listed now.
+#[test]
+fn sends_a_new_default_table_to_a_proxy_whose_own_may_predate_the_first_roster() {
+    let contents = |held_tables, followed_for: Duration| {
+        let mut governor = governor();
+        let entries = ["a", "b", "c"].map(|name| roster_entry(name, Phase::Ready));
+        governor.update_replicas(100 * SECOND, &entries, RosterScope::Complete);
+        let now = 100 * SECOND + followed_for;
+        governor.proxy_connected(now, ProxyConnection { held_tables, ..with_default_table(1, 4.0) });
+        let held = governor.proxies[&1].default_table.expect("it is on its default table").contents;
+        governor.publish(now, PublishTrigger::FlushDue);
+        let sent = governor.proxies[&1].default_table.expect("it stays on a default table").contents;
+        (held, sent)
+    };
+    let kept = (DefaultTableContents::Sampled, DefaultTableContents::Sampled);
+    let replaced = (DefaultTableContents::Unverified, DefaultTableContents::Sent);
+    assert_eq!(contents(HeldTables::UncheckedDefault, 5 * SECOND), replaced);
+    assert_eq!(contents(HeldTables::UncheckedDefault, 119 * SECOND), replaced);
+    assert_eq!(
+        contents(HeldTables::UncheckedDefault, 120 * SECOND),
+        kept,
+        "what is gone since then is known"
+    );
+    assert_eq!(contents(HeldTables::UncheckedDefault, 2 * SECOND), kept, "the previous process's proxies");
+    assert_eq!(contents(HeldTables::CheckedDefault, 5 * SECOND), kept);
+}
--- a/src/governor/tests/table_updates.rs
+++ b/src/governor/tests/table_updates.rs
@@ -169,3 +169,74 @@
     let updated: Vec<TableId> = updated.collect();
     assert!(!updated.is_empty() && updated.iter().all(|table| table / 2 == 2));
 }
+
+/// A governor with 40 replicas in zone 0 and 30 in zone 1, and two proxies for each of them, none of which is busy.
+/// The default table of proxy 1 must be replaced.
+fn governor_with_unverified_proxy(mut governor: Governor) -> Governor {
+    for index in 0..70 {
+        add_replica(&mut governor, &format!("r{index:02}"), warm_replica(usize::from(index >= 40)));
+    }
+    for proxy in 1..=140 {
+        let zone = usize::from(proxy > 80);
+        governor.proxy_connected(SECOND, ProxyConnection { zone, ..with_default_table(proxy, 10.0) });
+    }
+    let table = governor.proxies.get_mut(&1).and_then(|proxy| proxy.default_table.as_mut());
+    table.expect("it is on its default table").contents = DefaultTableContents::Unverified;
+    governor
+}
+
+/// Guards against a new default table that needs twice the connections, or leaves the zone of zone-bound classes.
+#[test]
+fn sends_one_new_default_table_of_the_zone_for_all_classes() {
+    let mut governor = governor_with_unverified_proxy(governor_with_zone_bound_class());
+    governor.send_tables(SECOND, Recipients::All);
+    let table = |scope| &governor.sent_tables[&TableKey::new(1, scope)];
+    assert_eq!(table(AnyZone), table(OwnZone));
+    assert_eq!(table(OwnZone).len(), 8);
+    assert!(table(OwnZone).keys().all(|id| replica(&governor, id).zone == 0));
+}
+
+#[test]
+fn keeps_a_sent_default_table_until_it_is_stale_and_sends_only_its_changes_then() {
+    let mut governor = governor_with_unverified_proxy(governor());
+    governor.send_tables(SECOND, Recipients::All);
+    let sent = governor.sent_tables[&TableKey::new(1, AnyZone)].clone();
+    governor.pending.clear();
+    governor.send_tables(2 * SECOND, Recipients::All);
+    assert_eq!(governor.pending, []);
+    for name in sent.keys() {
+        replica_mut(&mut governor, name).ejection_sent = true;
+        replica_mut(&mut governor, name).ready = false;
+    }
+    assert!(governor.proxies_without_replicas().contains(&1), "the contents of its table are known");
+    governor.send_tables(3 * SECOND, Recipients::All);
+    let assigned = |decision: &Decision| matches!(decision, Decision::AssignTable { .. });
+    assert!(!governor.pending.is_empty() && !governor.pending.iter().any(assigned));
+}
+
+/// Guards against a channel that tables of a returning fleet fill, so that what is certain has to wait.
+#[test]
+fn tables_of_unverified_proxies_leave_room_for_ejections_and_urgent_tables() {
+    let mut governor = governor_with_unverified_proxy(governor());
+    let fits = |governor: &mut Governor, used: f64| {
+        governor.send_queue.entries = used * governor.parameters.max_queued_entries - 60.0;
+        governor.pending.clear();
+        governor.send_tables(SECOND, Recipients::All);
+        !governor.pending.is_empty()
+    };
+    assert!(!fits(&mut governor, 0.51));
+    assert!(fits(&mut governor, 0.49));
+}
+
+#[test]
+fn counts_an_ejection_only_for_sent_default_tables_that_contain_the_replica() {
+    let mut governor = governor_with_unverified_proxy(governor());
+    let costs = |governor: &Governor| {
+        let messages = |name: &String| governor.update_costs(&[id(name)])[0].messages;
+        (0..40).map(|index| messages(&format!("r{index:02}"))).sum::<f64>()
+    };
+    let others = 139.0 * 40.0;
+    assert_eq!(costs(&governor) - others, 40.0);
+    governor.send_tables(SECOND, Recipients::All);
+    assert_eq!(costs(&governor) - others, 8.0);
+}
--- a/src/governor/update_costs.rs
+++ b/src/governor/update_costs.rs
@@ -18,7 +18,7 @@
     /// What the first of these ejections, or readmissions, takes, the first two, and so on. Each is sent to
     /// all proxies whose tables are not known, and to those whose tables contain the replica.
     pub(super) fn update_costs(&self, replicas: &[ReplicaId]) -> Vec<UpdateCost> {
-        let unknown = self.proxies.values().filter(|proxy| !proxy.has_dedicated_tables());
+        let unknown = self.proxies.values().filter(|proxy| !proxy.has_sent_tables());
         let unknown_count = unknown.count() as f64;
         let holders = self.holders(replicas);
         let mut recipients = BTreeSet::new();
@@ -35,7 +35,7 @@
         costs
     }
 
-    /// The proxies whose dedicated tables contain each of these replicas.
+    /// The proxies whose tables, as sent to them, contain each of these replicas.
     fn holders(&self, replicas: &[ReplicaId]) -> BTreeMap<ReplicaId, BTreeSet<ProxyId>> {
         let mut holders: BTreeMap<ReplicaId, BTreeSet<ProxyId>> = BTreeMap::new();
         let replicas: BTreeSet<&ReplicaId> = replicas.iter().collect();
@@ -43,7 +43,7 @@
             return holders;
         }
         for (key, table) in &self.sent_tables {
-            if !self.proxies.get(&key.proxy).is_some_and(ProxyState::has_dedicated_tables) {
+            if !self.proxies.get(&key.proxy).is_some_and(ProxyState::has_sent_tables) {
                 continue;
             }
             for id in table.keys().filter(|id| replicas.contains(id)) {
--- a/src/types.rs
+++ b/src/types.rs
@@ -12,8 +12,8 @@
 //!    out the decisions in this order. The decisions of one such series are sent as one message to each proxy
 //!    that they affect.
 //!
-//! After a restart, a governor is created anew, and proxies that reconnect to it are reported as not holding
-//! a default table.
+//! After a restart, a governor is created anew and knows nothing of the time before. A proxy's default table may
+//! be older than that: see [`HeldTables`].
 //!
 //! ```
 //! use std::time::Duration;
@@ -55,7 +55,7 @@
 //! governor.update_replicas(now, &[replica], RosterScope::Complete);
 //! governor.proxy_connected(
 //!     now,
-//!     ProxyConnection { proxy: 7, zone: 0, requests_per_second: 10.0, holds_default_table: false },
+//!     ProxyConnection { proxy: 7, zone: 0, requests_per_second: 10.0, held_tables: HeldTables::Unknown },
 //! );
 //! let decisions: Vec<Decision> = std::iter::from_fn(|| governor.next_decision(now)).collect();
 //! // The proxy's tables are not known, so it is sent its zone's default table at once.
@@ -69,7 +69,9 @@
 mod settings;
 
 pub use decisions::{ChannelEstimate, Decision, SentEntries, StateEstimate, TableEntry};
-pub use events::{DemandStatistics, Phase, ProxyConnection, ReplicaEntry, ReplicaStatistics, RosterScope};
+pub use events::{
+    DemandStatistics, HeldTables, Phase, ProxyConnection, ReplicaEntry, ReplicaStatistics, RosterScope,
+};
 pub use settings::{
     AdmissionControl, DeduplicationScope, Idempotency, LoadField, MessageLimit, RetryPolicy, Settings,
     TrafficClass,
--- a/src/types/decisions.rs
+++ b/src/types/decisions.rs
@@ -75,6 +75,9 @@
     pub unsynchronised_proxies: usize,
     /// How long the longest waiting of them has been connected.
     pub longest_unsynchronised: Duration,
+    /// Number of proxies on default tables that may contain replicas which the governor has never known, and that
+    /// must be sent new ones.
+    pub unverified_proxies: usize,
     /// Number of replicas whose ejection is not sent yet.
     pub unsent_ejections: usize,
     /// How long ago the first of those that drain or are gone was listed as such.
--- a/src/types/events.rs
+++ b/src/types/events.rs
@@ -49,8 +49,19 @@
     pub zone: usize,
     /// The rate of requests that it usually receives.
     pub requests_per_second: f64,
-    /// True if it has its default table and no other; false if its tables are not known.
-    pub holds_default_table: bool,
+    /// What is known of the tables that it holds.
+    pub held_tables: HeldTables,
+}
+
+/// What is known of the tables that a proxy holds as it opens its stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeldTables {
+    /// Its default table and no other, all of whose replicas the host has found ready in the current roster.
+    CheckedDefault,
+    /// Its default table and no other, as the proxy states. Neither the table's replicas nor its age are known.
+    UncheckedDefault,
+    /// Nothing is known.
+    Unknown,
 }
 
 /// Statistics of a replica from the proxies of one zone, summed over `interval`.
