Reports of requests to a replica that no list named tell of old default tables

Cause: a report of an endpoint that no list has named was discarded as invalid.

Change: if all requests of such a report failed, the default tables of the zone's proxies whose contents are not known count as unverified, and are replaced once. A garbled name is that of a replica that serves requests; such reports are discarded as before.

Tests: proxies_leave_a_replica_that_no_list_named_once_its_failures_are_reported and failures_of_an_unlisted_replica_are_no_invalid_message; without the change the decoder rejects the report (UnknownName), so both fail.

--- a/crates/daemon/src/platform/connection.rs
+++ b/crates/daemon/src/platform/connection.rs
@@ -328,7 +328,9 @@
             (Message::Collector { zone }, PeerRole::Unidentified) => self.become_collector(zone),
             (Message::ProxyConnected(proxy), PeerRole::Unidentified) => self.become_stream(proxy).await,
             (
-                message @ (Message::ReplicaStatistics(_) | Message::DemandStatistics(_)),
+                message @ (Message::ReplicaStatistics(_)
+                | Message::UnlistedReplicaFailed { .. }
+                | Message::DemandStatistics(_)),
                 PeerRole::Collector,
             ) => self.emit(ConnectionEvent::CollectorMessage(message)).await,
             (
--- a/crates/platform-governor/src/governor.rs
+++ b/crates/platform-governor/src/governor.rs
@@ -157,6 +157,7 @@
             Message::ReplicaStatistics(statistics) => {
                 self.governor.record_replica_statistics(now, statistics);
             }
+            Message::UnlistedReplicaFailed { zone } => self.governor.record_unlisted_replica(zone),
             Message::DemandStatistics(statistics) => self.governor.record_demand(now, statistics),
             _ => {}
         }
--- a/crates/platform-governor/tests/restart.rs
+++ b/crates/platform-governor/tests/restart.rs
@@ -13,12 +13,15 @@
 use driven::{DrivenGovernor, START, STEP, read_config, replica_of_zone};
 use serde_json::{Value, json};
 use wrenthread::types::ProxyId;
+use wrenthread_platform_protocol::decode::Decoder;
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 /// When the proxies that could not reach a governor return, after its restart.
 const RETURN: Duration = Duration::from_secs(8);
 /// How long the last proxy of the previous process takes to reconnect.
 const RECONNECT: Duration = Duration::from_millis(2100);
+/// When the collector of a zone reports what its proxies met in their first half second.
+const REPORT_DELAY: Duration = Duration::from_millis(1100);
 /// The protocol's allowance on sockets.
 const GRACE_SLACK: Duration = Duration::from_millis(300);
 
@@ -159,6 +162,25 @@
     }
 }
 
+/// Guards against proxies that return so soon after the restart that they are taken for those of the previous process: what
+/// their zone's collector reports tells that they send to replicas that were gone.
+#[test]
+fn proxies_leave_a_replica_that_no_list_named_once_its_failures_are_reported() {
+    let mut fleet = Fleet::new(GATES);
+    fleet.run_until(START + RECONNECT);
+    (0..GATES.proxies).for_each(|proxy| fleet.connect(proxy));
+    fleet.run_until(START + RECONNECT + REPORT_DELAY);
+    let report = json!({"@type": "LOAD", "locality": ZONES[1], "endpoint": name(1, 0), "total": 1, "errors": 1,
+        "interval": 500.0});
+    let decoder = Decoder::new(&read_config(&settings(GATES)).unwrap());
+    let message = decoder.decode(report.to_string().as_bytes(), |_| None).unwrap();
+    fleet.driven.governor.collector_message(fleet.driven.now, message);
+    fleet.run_until(START + RECONNECT + GATES.drain_grace + GRACE_SLACK);
+    let users = fleet.users(0);
+    assert!(users.iter().all(|proxy| usize::from(*proxy) % ZONES.len() != 1), "{users:?}");
+    assert_eq!(users.len(), 12, "nothing was reported of the other zones");
+}
+
 /// Guards against a fleet whose tables are all replaced at once, so that the channel is full and a drain is late.
 #[test]
 fn a_large_fleet_that_returns_at_once_leaves_room_for_a_drain() {
--- a/crates/platform-protocol/src/decode.rs
+++ b/crates/platform-protocol/src/decode.rs
@@ -39,6 +39,11 @@
     ProxyConnected(ProxyConnection),
     /// Statistics about a replica from the proxies of a zone.
     ReplicaStatistics(ReplicaStatistics),
+    /// All requests of a zone's proxies to a replica failed whose name is not known.
+    UnlistedReplicaFailed {
+        /// The proxies' zone.
+        zone: usize,
+    },
     /// Statistics about the requests of a class that a proxy received.
     DemandStatistics(DemandStatistics),
     /// A proxy has applied all messages up to a nonce.
@@ -110,7 +115,7 @@
             wire::SOURCE => Ok(Message::Collector { zone: self.zone(&fields)? }),
             wire::SUBSCRIBE => self.proxy_connection(&fields).map(Message::ProxyConnected),
             wire::ACK => self.acknowledgement(&fields),
-            wire::LOAD => self.replica_statistics(&fields, find_replica).map(Message::ReplicaStatistics),
+            wire::LOAD => self.replica_statistics(&fields, find_replica),
             wire::RATE => self.demand_statistics(&fields).map(Message::DemandStatistics),
             _ => Err(DecodeError::UnknownName(wire::TYPE)),
         }
@@ -137,16 +142,28 @@
         &self,
         fields: &MessageFields,
         find_replica: impl Fn(&str) -> Option<ReplicaId>,
-    ) -> Result<ReplicaStatistics, DecodeError> {
+    ) -> Result<Message, DecodeError> {
         let interval = fields.interval()?;
         let attempts = fields.count(wire::TOTAL, max_count(interval))?;
         let failed = fields.count(wire::FAILED, attempts as f64)?;
         let mean_latency = self.mean_latency(fields, attempts > failed)?;
         let zone = self.zone(fields)?;
         let replica = find_replica(fields.text(wire::REPLICA)?);
-        let replica = replica.ok_or(DecodeError::UnknownName(wire::REPLICA))?;
         let load = self.load(fields)?;
-        Ok(ReplicaStatistics { zone, replica, attempts, failed, mean_latency, interval, load })
+        match replica {
+            Some(replica) => Ok(Message::ReplicaStatistics(ReplicaStatistics {
+                zone,
+                replica,
+                attempts,
+                failed,
+                mean_latency,
+                interval,
+                load,
+            })),
+            // A name that was garbled on the way is that of a replica that serves requests.
+            None if attempts > 0 && failed == attempts => Ok(Message::UnlistedReplicaFailed { zone }),
+            None => Err(DecodeError::UnknownName(wire::REPLICA)),
+        }
     }
 
     /// The mean latency of the successful attempts, which is required if there were any.
--- a/crates/platform-protocol/src/decode/tests.rs
+++ b/crates/platform-protocol/src/decode/tests.rs
@@ -66,6 +66,15 @@
     ));
 }
 
+/// Guards against discarding the only sign that proxies send to replicas that were gone before the governor's start.
+#[test]
+fn failures_of_an_unlisted_replica_are_no_invalid_message() {
+    let unlisted = LOAD.replace("r1", "r2").replace("\"errors\":1", "\"errors\":4");
+    assert_eq!(decode(&unlisted), Ok(Message::UnlistedReplicaFailed { zone: 1 }));
+    let unused = unlisted.replace("\"total\":4,\"errors\":4", "\"total\":0,\"errors\":0");
+    assert_eq!(decode(&unused), Err(DecodeError::UnknownName("endpoint")));
+}
+
 #[test]
 fn more_requests_may_fail_than_were_received_in_the_interval() {
     let late = RATE.replace("\"total\":19,\"errors\":0", "\"total\":0,\"errors\":2");
--- a/src/governor.rs
+++ b/src/governor.rs
@@ -185,7 +185,12 @@
     pub fn record_replica_statistics(&mut self, now: Duration, report: ReplicaStatistics) {
         self.reports.last_by_zone.insert(report.zone, now);
         self.reports.record_interval(report.interval);
-        let Some(replica) = self.replicas.get_mut(&report.replica) else { return };
+        let Some(replica) = self.replicas.get_mut(&report.replica) else {
+            if report.attempts > 0 && report.failed == report.attempts {
+                self.record_unlisted_replica(report.zone);
+            }
+            return;
+        };
         let queued = self.parameters.load_positions.queued.and_then(|position| report.load.get(position));
         if let Some(length) = queued {
             replica.queue = Some(QueueSample { length: *length, at: now });
--- a/src/governor/connections.rs
+++ b/src/governor/connections.rs
@@ -42,6 +42,17 @@
         self.critical_set.remove(proxy);
     }
 
+    /// Records that proxies of a zone sent requests to a replica that no roster has listed, and that all failed. Other
+    /// default tables of the zone may contain it, too.
+    pub fn record_unlisted_replica(&mut self, zone: usize) {
+        let in_zone = self.proxies.values_mut().filter(|proxy| proxy.zone == zone);
+        for table in in_zone.filter_map(|proxy| proxy.default_table.as_mut()) {
+            if table.contents == DefaultTableContents::Sampled {
+                table.contents = DefaultTableContents::Unverified;
+            }
+        }
+    }
+
     fn held_default_table(
         &self,
         now: Duration,
